--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,181 @@
+package core
+
+import "time"
+
+// Kind tells model work from calls to plain services.
+type Kind uint8
+
+// The kinds of call.
+const (
+	KindCompletion Kind = iota + 1
+	KindService
+)
+
+// Message is one entry of a chat prompt.
+type Message struct {
+	Role    string
+	Content string
+}
+
+// Parameter is a sampling parameter that is passed to the engine unchanged.
+type Parameter struct {
+	Name string
+	// JSON is the encoded value as the caller sent it.
+	JSON []byte
+}
+
+// Completion is a request for generated text.
+type Completion struct {
+	Model    ModelName
+	Messages []Message
+	// MaxTokens bounds the generated tokens; 0 takes the class's bound.
+	MaxTokens  Tokens
+	Stream     bool
+	Parameters []Parameter
+}
+
+// ServiceCall is a request to a plain service.
+type ServiceCall struct {
+	Service     ServiceName
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+}
+
+// Call is a decoded request that has not been authenticated. Exactly one of
+// Completion and Service is set, as Kind says.
+type Call struct {
+	Kind           Kind
+	BearerKey      string
+	IdempotencyKey string
+	Class          ClassName
+	Completion     *Completion
+	Service        *ServiceCall
+	Received       time.Time
+	// Fingerprint is a digest of everything that makes two calls the same;
+	// a repeated idempotency key must come with the same fingerprint.
+	Fingerprint [32]byte
+}
+
+// Caller is the authenticated origin of a call.
+type Caller struct {
+	Team *TeamRow
+}
+
+// Work is a call with everything that later filters decide upon.
+type Work struct {
+	ID     RequestID
+	Call   *Call
+	Caller Caller
+	Class  ClassRow
+	// Keyed is true when ID derives from the caller's idempotency key.
+	Keyed bool
+	// Idempotent is false for calls that must not run twice.
+	Idempotent bool
+	// MaxCost is the upper bound of the bill and the amount reserved.
+	MaxCost Tokens
+	// MaxGenerated bounds the generated tokens and is sent to the engine.
+	MaxGenerated Tokens
+	// Estimate is the expected work in tokens, used for queueing and routing.
+	Estimate Tokens
+	// PrefixHash identifies the start of the prompt for cache affinity.
+	PrefixHash uint64
+	// Deadline is the end of the request, queueing included.
+	Deadline time.Time
+}
+
+// Model returns the model asked for, or "" for a plain service.
+func (w *Work) Model() ModelName {
+	if w.Call.Completion == nil {
+		return ""
+	}
+	return w.Call.Completion.Model
+}
+
+// Hold is an amount reserved from a share for one request.
+type Hold struct {
+	Share  ShareID
+	Amount Tokens
+	// Serial is unique within the reserving host process.
+	Serial uint64
+}
+
+// Target is the upstream chosen for one attempt.
+type Target struct {
+	Upstream    UpstreamID
+	Incarnation Incarnation
+	Zone        ZoneName
+	// Address is host:port with an IP number.
+	Address string
+}
+
+// Usage is what an upstream reports to have used.
+type Usage struct {
+	Prompt    Tokens
+	Generated Tokens
+}
+
+// Total returns prompt and generated tokens together.
+func (u Usage) Total() Tokens {
+	return u.Prompt + u.Generated
+}
+
+// EventKind tells the parts of a streamed answer apart.
+type EventKind uint8
+
+// The kinds of event in a streamed answer.
+const (
+	// EventToken carries generated text.
+	EventToken EventKind = iota + 1
+	// EventFinish carries the finish reason and the usage; it comes last.
+	EventFinish
+)
+
+// Event is one part of a streamed answer from an upstream.
+type Event struct {
+	Kind    EventKind
+	Request RequestID
+	Attempt int
+	// Position counts tokens of the answer from 1. A finish event has the
+	// position after the last token.
+	Position int64
+	Text     string
+	// FinishReason and Usage are set on EventFinish only.
+	FinishReason string
+	Usage        Usage
+}
+
+// ServiceAnswer is a whole answer of a plain service.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Bill is the charge for one request.
+type Bill struct {
+	Request  RequestID
+	Keyed    bool
+	Team     TeamName
+	Class    ClassName
+	Share    ShareID
+	Usage    Usage
+	Cost     Tokens
+	Finished time.Time
+}
+
+// CompletionAnswer is a whole generated answer.
+type CompletionAnswer struct {
+	Text         string
+	FinishReason string
+	Usage        Usage
+}
+
+// Answer is a whole answer of either kind, as recorded for a call that must
+// not run twice. Exactly one field is set.
+type Answer struct {
+	Completion *CompletionAnswer
+	Service    *ServiceAnswer
+}
--- /dev/null
+++ b/internal/filter/authenticate/authenticate.go
@@ -0,0 +1,51 @@
+// Package authenticate is the filter that finds the team behind a bearer key.
+package authenticate
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/teamtable"
+	"github.com/peridotreel/peridotreel/internal/fault"
+)
+
+// configurationRetry is the delay after which a host that has just started
+// has usually loaded its configuration.
+const configurationRetry = time.Second
+
+// Filter authenticates callers against the table in force.
+type Filter struct {
+	rows teamtable.Source
+}
+
+// New returns the filter.
+func New(rows teamtable.Source) *Filter {
+	return &Filter{rows: rows}
+}
+
+// Digest returns the form in which the table holds a bearer key.
+func Digest(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+// Apply returns the caller of a call, or refuses an unknown key.
+func (f *Filter) Apply(call *core.Call) (core.Caller, error) {
+	snapshot := f.rows.Current()
+	if snapshot == nil {
+		return core.Caller{}, fault.Refuse(fault.ConfigurationNotReady,
+			"this host has not loaded its configuration yet; retry shortly").After(configurationRetry)
+	}
+	if call.BearerKey == "" {
+		return core.Caller{}, fault.Refuse(fault.InvalidKey,
+			"no API key was given; send the header Authorization: Bearer KEY")
+	}
+	row, found := snapshot.ByKeyDigest[Digest(call.BearerKey)]
+	if !found {
+		return core.Caller{}, fault.Refuse(fault.InvalidKey,
+			"the API key belongs to no team; check the key or ask the operator to add it to the team's row")
+	}
+	return core.Caller{Team: row}, nil
+}
--- /dev/null
+++ b/internal/filter/reserve/reserve.go
@@ -0,0 +1,30 @@
+// Package reserve is the filter that sets aside the maximum cost of a request
+// from the team's prepaid budget before the request is sent.
+package reserve
+
+import (
+	"context"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// Shares reserves from this host's part of the prepaid budgets.
+type Shares interface {
+	// Reserve sets amount aside, drawing more from the budget if needed.
+	Reserve(ctx context.Context, budget core.BudgetID, amount core.Tokens) (core.Hold, error)
+}
+
+// Filter reserves the maximum cost of work.
+type Filter struct {
+	shares Shares
+}
+
+// New returns the filter.
+func New(shares Shares) *Filter {
+	return &Filter{shares: shares}
+}
+
+// Apply returns a hold on the maximum cost of the work.
+func (f *Filter) Apply(ctx context.Context, work *core.Work) (core.Hold, error) {
+	return f.shares.Reserve(ctx, work.Caller.Team.Budget, work.MaxCost)
+}
