--- /dev/null
+++ b/cmd/peridotreel/main.go
@@ -0,0 +1,4 @@
+// Command peridotreel is the router fleet's one binary.
+package main
+
+func main() {}
