--- /dev/null
+++ b/internal/api/handler.go
@@ -0,0 +1,161 @@
+// Package api is the HTTP front end for callers. It encodes answers and errors
+// in the OpenAI-compatible form and leaves all decisions to the pipeline.
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
+	"github.com/peridotreel/peridotreel/internal/filter/decode"
+	"github.com/peridotreel/peridotreel/internal/pipeline"
+)
+
+// Models lists the models the fleet serves at the moment.
+type Models interface {
+	Models() []core.ModelName
+}
+
+// Handler answers callers.
+type Handler struct {
+	line         *pipeline.Line
+	authenticate *authenticate.Filter
+	models       Models
+	now          func() time.Time
+	log          *zap.Logger
+}
+
+// NewHandler returns the front end of a pipeline.
+func NewHandler(line *pipeline.Line, models Models, log *zap.Logger) http.Handler {
+	handler := &Handler{line: line, authenticate: line.Authenticate, models: models, now: line.Now, log: log}
+	router := mux.NewRouter()
+	// Paths of plain services are passed on as they are.
+	router.SkipClean(true)
+	router.UseEncodedPath()
+	router.HandleFunc("/v1/chat/completions", handler.complete).Methods(http.MethodPost)
+	router.HandleFunc("/v1/models", handler.listModels).Methods(http.MethodGet)
+	router.HandleFunc("/services/{name}", handler.callService)
+	router.HandleFunc("/services/{name}/{path:.*}", handler.callService)
+	router.NotFoundHandler = http.HandlerFunc(notFound)
+	router.MethodNotAllowedHandler = http.HandlerFunc(notFound)
+	return router
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, fault.Refuse(fault.InvalidRequest,
+		"%s %s is not served; use POST /v1/chat/completions, GET /v1/models or /services/NAME/PATH", r.Method, r.URL.Path))
+}
+
+func (h *Handler) complete(w http.ResponseWriter, r *http.Request) {
+	raw, err := h.read(w, r)
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	call, err := decode.Completion(raw)
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	if call.Completion.Stream {
+		h.serve(r, call, newStreamSink(w, call.Completion.Model, h.now()))
+		return
+	}
+	h.serve(r, call, newWholeSink(w, call.Completion.Model, h.now()))
+}
+
+func (h *Handler) callService(w http.ResponseWriter, r *http.Request) {
+	raw, err := h.read(w, r)
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	variables := mux.Vars(r)
+	call, err := decode.Service(raw, core.ServiceName(variables["name"]), variables["path"])
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	h.serve(r, call, newWholeSink(w, "", h.now()))
+}
+
+// sink is what the handler needs of both kinds of answer.
+type sink interface {
+	pipeline.Sink
+	answerWriter
+}
+
+func (h *Handler) serve(r *http.Request, call *core.Call, sink sink) {
+	err := h.line.Serve(r.Context(), call, sink)
+	if err == nil {
+		return
+	}
+	typed := fault.From(err)
+	if typed.Code == fault.Internal {
+		h.log.Error("request failed for a reason that has no error kind", zap.Error(err))
+	}
+	if typed.Code != fault.CallerGone {
+		sink.fail(typed)
+	}
+}
+
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (decode.Raw, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, decode.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return decode.Raw{}, fault.Refuse(fault.BodyTooLarge,
+			"the body has more than %d bytes; shorten the prompt or split the request", decode.MaxBody)
+	}
+	if err != nil {
+		return decode.Raw{}, fault.Refuse(fault.InvalidRequest, "the body could not be read; send the request again").Because(err)
+	}
+	return decode.Raw{
+		Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
+		Header: r.Header, Body: body, Received: h.now(),
+	}, nil
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      core.ModelName `json:"id"`
+	Object  string         `json:"object"`
+	OwnedBy string         `json:"owned_by"`
+}
+
+func (h *Handler) listModels(w http.ResponseWriter, r *http.Request) {
+	raw, err := h.read(w, r)
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	call, err := decode.Service(raw, "models", "")
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	caller, err := h.authenticate.Apply(call)
+	if err != nil {
+		writeError(w, fault.From(err))
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, model := range h.models.Models() {
+		if caller.Team.AllowsModel(model) {
+			list.Data = append(list.Data, modelEntry{model, "model", "peridotreel"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -147,6 +147,12 @@
 	Usage        Usage
 }
 
+// StreamResult is one event of a streamed attempt, or the error that ended it.
+type StreamResult struct {
+	Event Event
+	Err   error
+}
+
 // ServiceAnswer is a whole answer of a plain service.
 type ServiceAnswer struct {
 	Status      int
--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -25,10 +25,7 @@
 }
 
 // Result is one event of a streamed attempt, or the error that ended it.
-type Result struct {
-	Event core.Event
-	Err   error
-}
+type Result = core.StreamResult
 
 // Upstreams sends requests to upstreams. Errors are *fault.Error and say
 // whether the request may have run.
--- a/internal/filter/claim/claim.go
+++ b/internal/filter/claim/claim.go
@@ -10,6 +10,11 @@
 	"github.com/peridotreel/peridotreel/internal/fault"
 )
 
+// recordTimeout bounds the wait until an answer is recorded before it is given
+// to the caller. When the platform is down longer, the caller gets its answer
+// and a repeat is refused as unknown until the record is written.
+const recordTimeout = 2 * time.Second
+
 // Claims keeps the record of calls that must not run twice.
 type Claims interface {
 	// Claim records that this host is about to run the work. It returns the
@@ -57,6 +62,8 @@
 // Finish records the outcome of claimed work: its answer, or what the error
 // says about whether it ran.
 func (f *Filter) Finish(ctx context.Context, work *core.Work, answer *core.Answer, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
 	switch {
 	case work.Idempotent:
 	case err == nil && answer != nil:
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,218 @@
+// Package settings reads a host's YAML settings and checks them whole before
+// anything starts.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+const (
+	defaultBalancerWait = 5 * time.Second
+	defaultDrainLimit   = 10 * time.Minute
+	defaultLogLevel     = "info"
+)
+
+// Settings describe one host of the fleet.
+type Settings struct {
+	// Host is the name of this host, the same after a restart.
+	Host core.HostID `yaml:"host"`
+	// Zone is the availability zone the host stands in.
+	Zone core.ZoneName `yaml:"zone"`
+	// Listen holds the host's own addresses, with IP numbers.
+	Listen Listen `yaml:"listen"`
+	// Platform is the base URL of the platform's services.
+	Platform string `yaml:"platform"`
+	// Peers are addresses of other hosts to start from when the platform is
+	// down. May be empty.
+	Peers []string `yaml:"peers"`
+	// Drain sets the times of a graceful stop.
+	Drain Drain `yaml:"drain"`
+	// Operators holds the keys of the admin interface.
+	Operators Operators `yaml:"operators"`
+	// Log sets the log output.
+	Log Log `yaml:"log"`
+}
+
+// Listen holds the addresses on which a host accepts connections.
+type Listen struct {
+	Callers string `yaml:"callers"`
+	Peers   string `yaml:"peers"`
+	Admin   string `yaml:"admin"`
+}
+
+// Drain sets the times of a graceful stop.
+type Drain struct {
+	// BalancerWait is the time the platform's balancer needs to see that the
+	// host is not ready. Default 5s.
+	BalancerWait Duration `yaml:"balancer_wait"`
+	// Limit bounds the wait for requests in flight. Default 10m.
+	Limit Duration `yaml:"limit"`
+}
+
+// Operators holds the keys of the admin interface.
+type Operators struct {
+	// KeyDigests are SHA-256 digests of operators' keys in hexadecimal.
+	KeyDigests []string `yaml:"key_digests"`
+}
+
+// Log sets the log output.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `yaml:"level"`
+}
+
+// Duration is a time.Duration written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalYAML reads a duration and refuses a number without a unit.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	parsed, err := time.ParseDuration(node.Value)
+	if err != nil {
+		return fmt.Errorf("line %d: %q is not a duration; write a number with a unit, such as 5s", node.Line, node.Value)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Error names the field that is wrong and what to do about it.
+type Error struct {
+	Field  string
+	Remedy string
+}
+
+// Error returns field and remedy on one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("settings: %s: %s", e.Field, e.Remedy)
+}
+
+func wrong(field, format string, args ...any) error {
+	return &Error{Field: field, Remedy: fmt.Sprintf(format, args...)}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, wrong("file", "%v; give the path of a readable file with --config", err)
+	}
+	return Parse(content)
+}
+
+// Parse reads and checks settings.
+func Parse(content []byte) (*Settings, error) {
+	settings := &Settings{
+		Drain: Drain{BalancerWait: Duration(defaultBalancerWait), Limit: Duration(defaultDrainLimit)},
+		Log:   Log{Level: defaultLogLevel},
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(settings); err != nil && !errors.Is(err, io.EOF) {
+		return nil, decodingError(err)
+	}
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+var unknownField = regexp.MustCompile(`line (\d+): field (\S+) not found`)
+
+func decodingError(err error) error {
+	message := strings.ReplaceAll(err.Error(), "\n", " ")
+	if match := unknownField.FindStringSubmatch(message); match != nil {
+		return wrong(match[2], "unknown key on line %s; remove it or correct its spelling", match[1])
+	}
+	return wrong("file", "%s; correct the YAML", strings.TrimPrefix(message, "yaml: "))
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Validate returns an error that names the first bad field and its remedy.
+func (s *Settings) Validate() error {
+	if !namePattern.MatchString(string(s.Host)) {
+		return wrong("host", "is %q; give a name of lower-case letters, digits, dots and dashes", s.Host)
+	}
+	if !namePattern.MatchString(string(s.Zone)) {
+		return wrong("zone", "is %q; give a name of lower-case letters, digits, dots and dashes", s.Zone)
+	}
+	if err := s.Listen.validate(); err != nil {
+		return err
+	}
+	if parsed, err := url.Parse(s.Platform); err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return wrong("platform", "is %q; give the base URL of the platform, such as http://127.0.0.1:9000", s.Platform)
+	}
+	for i, peer := range s.Peers {
+		if _, err := netip.ParseAddrPort(peer); err != nil {
+			return wrong(fmt.Sprintf("peers[%d]", i), "is %q; give an IP number and a port", peer)
+		}
+	}
+	return s.validateRest()
+}
+
+func (s *Settings) validateRest() error {
+	if s.Drain.BalancerWait < 0 {
+		return wrong("drain.balancer_wait", "is negative; set it to 0s or more")
+	}
+	if s.Drain.Limit <= 0 {
+		return wrong("drain.limit", "is not positive; set it to the longest request, such as 10m")
+	}
+	for i, digest := range s.Operators.KeyDigests {
+		if len(digest) != 64 || strings.Trim(digest, "0123456789abcdef") != "" {
+			return wrong(fmt.Sprintf("operators.key_digests[%d]", i), "is not a SHA-256 digest; write 64 lower-case hexadecimal digits")
+		}
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return wrong("log.level", "is %q; use debug, info, warn or error", s.Log.Level)
+}
+
+// fields lists the addresses with the names of their settings.
+func (l *Listen) fields() [3][2]string {
+	return [3][2]string{
+		{"listen.callers", l.Callers}, {"listen.peers", l.Peers}, {"listen.admin", l.Admin},
+	}
+}
+
+func (l *Listen) validate() error {
+	seen := make(map[netip.AddrPort]string)
+	for _, field := range l.fields() {
+		address, err := netip.ParseAddrPort(field[1])
+		if err != nil {
+			return wrong(field[0], "is %q; give an IP number and a port, such as 10.0.0.5:8080", field[1])
+		}
+		if other, found := seen[address]; found && address.Port() != 0 {
+			return wrong(field[0], "is the same as %s; give each its own port", other)
+		}
+		seen[address] = field[0]
+	}
+	return nil
+}
+
+// CheckAddresses returns an error that names the first address on which this
+// machine can't listen.
+func (l *Listen) CheckAddresses() error {
+	for _, field := range l.fields() {
+		listener, err := net.Listen("tcp", field[1])
+		if err != nil {
+			return wrong(field[0], "can't listen on %s (%v); free the address or choose another", field[1], err)
+		}
+		_ = listener.Close()
+	}
+	return nil
+}
