Test the pipeline against broken, crossed, late and silent attempts

Cause: the loop of route, attempt and relay decides whether a caller gets its whole answer and whether a call can run twice; nothing exercised it. Change: scripted attempts with a virtual clock (testing/synctest) for streams that break, end early, carry another request's events, repeat tokens or fall silent, and for calls that must not be repeated.

--- /dev/null
+++ b/internal/pipeline/fakes_test.go
@@ -0,0 +1,208 @@
+package pipeline
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/teamtable"
+	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/filter/admit"
+	"github.com/peridotreel/peridotreel/internal/filter/attempt"
+	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
+	"github.com/peridotreel/peridotreel/internal/filter/claim"
+	"github.com/peridotreel/peridotreel/internal/filter/classify"
+	"github.com/peridotreel/peridotreel/internal/filter/relay"
+	"github.com/peridotreel/peridotreel/internal/filter/reserve"
+	"github.com/peridotreel/peridotreel/internal/filter/route"
+	"github.com/peridotreel/peridotreel/internal/filter/settle"
+)
+
+const (
+	testKey  = "secret"
+	testULID = "01JEABCDEFGHJKMNPQRSTVWXYZ"
+)
+
+// fakes implements the interfaces of all filters and records what happens.
+// A test runs one request at a time, so nothing needs to be guarded.
+type fakes struct {
+	// script gives the results of each attempt in turn.
+	script        []func(attempt.Request) []core.StreamResult
+	serviceErrors []error
+	requests      []attempt.Request
+	probeErr      error
+	picks         []route.Query
+	observed      []route.ObservationKind
+	settled       []core.Tokens
+	bills         []core.Bill
+	slots         int
+	reserveErr    error
+	recorded      *core.Answer
+	claims        []string
+	located       *core.Target
+}
+
+func (f *fakes) Current() *teamtable.Snapshot {
+	row := &core.TeamRow{
+		Team: "shop", Budget: "b", Deadline: time.Minute,
+		Classes: []core.ClassRow{{Name: "chat", MaxTokens: 10}},
+	}
+	return &teamtable.Snapshot{
+		ByKeyDigest: map[string]*core.TeamRow{authenticate.Digest(testKey): row},
+		Services: map[core.ServiceName]*core.ServiceRow{"ledger": {
+			Service: "ledger", Cost: 5, Rules: []core.ServiceRule{{Method: "GET", PathPrefix: "/", Idempotent: true}},
+		}},
+	}
+}
+
+func (f *fakes) Serves(model core.ModelName) bool { return model == "m" }
+
+func (f *fakes) Enter(context.Context, *core.Work) (admit.Slot, error) {
+	f.slots++
+	return admit.Slot{}, nil
+}
+func (f *fakes) Leave(admit.Slot, core.Tokens) { f.slots-- }
+
+func (f *fakes) Reserve(_ context.Context, budget core.BudgetID, amount core.Tokens) (core.Hold, error) {
+	return core.Hold{Share: core.ShareID{Budget: budget}, Amount: amount}, f.reserveErr
+}
+func (f *fakes) Settle(_ core.Hold, cost core.Tokens)     { f.settled = append(f.settled, cost) }
+func (f *fakes) Record(_ context.Context, bill core.Bill) { f.bills = append(f.bills, bill) }
+func (f *fakes) Backlogged() bool                         { return false }
+func (f *fakes) Done(Summary)                             {}
+func (f *fakes) Located(core.RequestID, core.Target)      {}
+func (f *fakes) Finished(core.RequestID)                  {}
+func (f *fakes) Observe(observation route.Observation) {
+	f.observed = append(f.observed, observation.Kind)
+}
+func (f *fakes) Probe(context.Context, core.Target) error { return f.probeErr }
+
+func (f *fakes) Find(context.Context, core.RequestID) (core.Target, bool) {
+	if f.located == nil {
+		return core.Target{}, false
+	}
+	return *f.located, true
+}
+
+func (f *fakes) Pick(_ context.Context, query route.Query) (core.Target, error) {
+	query.Excluded = append([]core.UpstreamID(nil), query.Excluded...)
+	f.picks = append(f.picks, query)
+	if query.Resume != "" {
+		return core.Target{Upstream: query.Resume}, nil
+	}
+	for _, name := range []core.UpstreamID{"u1", "u2"} {
+		excluded := false
+		for _, other := range query.Excluded {
+			excluded = excluded || other == name
+		}
+		if !excluded {
+			return core.Target{Upstream: name}, nil
+		}
+	}
+	return core.Target{}, fault.Refuse(fault.NoUpstream, "no upstream")
+}
+
+func (f *fakes) Stream(_ context.Context, request attempt.Request) <-chan attempt.Result {
+	f.requests = append(f.requests, request)
+	step := f.script[0]
+	f.script = f.script[1:]
+	results := step(request)
+	channel := make(chan attempt.Result, len(results))
+	for _, result := range results {
+		channel <- result
+	}
+	if results != nil {
+		close(channel)
+	}
+	return channel
+}
+
+func (f *fakes) Call(_ context.Context, request attempt.Request) (*core.ServiceAnswer, error) {
+	f.requests = append(f.requests, request)
+	if len(f.serviceErrors) > 0 {
+		err := f.serviceErrors[0]
+		f.serviceErrors = f.serviceErrors[1:]
+		return nil, err
+	}
+	return &core.ServiceAnswer{Status: 200, Body: []byte("ok")}, nil
+}
+
+func (f *fakes) Claim(context.Context, *core.Work) (*core.Answer, error) {
+	f.claims = append(f.claims, "claim")
+	return f.recorded, nil
+}
+func (f *fakes) Complete(context.Context, *core.Work, *core.Answer) {
+	f.claims = append(f.claims, "complete")
+}
+func (f *fakes) Release(*core.Work) { f.claims = append(f.claims, "release") }
+func (f *fakes) Abandon(*core.Work) { f.claims = append(f.claims, "abandon") }
+
+func (f *fakes) line() *Line {
+	now := time.Now
+	return &Line{
+		Filters: Filters{
+			Authenticate: authenticate.New(f), Classify: classify.New(f, f),
+			Claim: claim.New(f, func(string, time.Time) error { return nil }),
+			Admit: admit.New(f), Reserve: reserve.New(f), Route: route.New(f),
+			Attempt: attempt.New(f), Relay: relay.New(now), Settle: settle.New(f, f),
+		},
+		Registry: f, Backlog: f, Recorder: f, Now: now,
+	}
+}
+
+// answer collects what the caller receives.
+type answer struct {
+	text  strings.Builder
+	final *core.Answer
+}
+
+func (a *answer) Begin(*core.Work)                {}
+func (a *answer) Token(text string) error         { a.text.WriteString(text); return nil }
+func (a *answer) Flush() error                    { return nil }
+func (a *answer) Finish(final *core.Answer) error { a.final = final; return nil }
+
+// tokens gives the true answer "abcd" after a position, up to and including
+// the position through.
+func tokens(request attempt.Request, after, through int64) []core.StreamResult {
+	var results []core.StreamResult
+	for position := after + 1; position <= through; position++ {
+		results = append(results, core.StreamResult{Event: core.Event{
+			Kind: core.EventToken, Request: request.Work.ID, Attempt: request.Attempt,
+			Position: position, Text: "abcd"[position-1 : position],
+		}})
+	}
+	return results
+}
+
+func finish(request attempt.Request) core.StreamResult {
+	return core.StreamResult{Event: core.Event{
+		Kind: core.EventFinish, Request: request.Work.ID, Attempt: request.Attempt, Position: 5,
+		FinishReason: "stop", Usage: core.Usage{Prompt: 3, Generated: 4},
+	}}
+}
+
+func whole(request attempt.Request) []core.StreamResult {
+	return append(tokens(request, request.After, 4), finish(request))
+}
+
+func broken(through int64) func(attempt.Request) []core.StreamResult {
+	return func(request attempt.Request) []core.StreamResult {
+		return append(tokens(request, request.After, through), core.StreamResult{
+			Err: fault.New(fault.UpstreamFailed, fault.Unknown, "connection reset"),
+		})
+	}
+}
+
+func silent(attempt.Request) []core.StreamResult { return nil }
+
+func completionCall() *core.Call {
+	return &core.Call{Kind: core.KindCompletion, BearerKey: testKey, Completion: &core.Completion{
+		Model: "m", Messages: []core.Message{{Role: "user", Content: "hello"}}, Stream: true,
+	}}
+}
+
+func serviceCall(method string) *core.Call {
+	return &core.Call{Kind: core.KindService, BearerKey: testKey, IdempotencyKey: testULID,
+		Service: &core.ServiceCall{Service: "ledger", Method: method, Path: "/payouts"}}
+}
--- /dev/null
+++ b/internal/pipeline/pipeline_test.go
@@ -0,0 +1,161 @@
+package pipeline
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/filter/attempt"
+	"github.com/peridotreel/peridotreel/internal/filter/route"
+)
+
+type script = []func(attempt.Request) []core.StreamResult
+
+// serve runs one call with a virtual clock, so that waits take no real time.
+func serve(t *testing.T, f *fakes, call *core.Call) (*answer, error) {
+	received := &answer{}
+	var err error
+	synctest.Test(t, func(*testing.T) { err = f.line().Serve(context.Background(), call, received) })
+	return received, err
+}
+
+// Guards against truncated, doubled or foreign text after an attempt fails.
+func TestAnswerIsWholeWhateverTheAttemptsDo(t *testing.T) {
+	crossed := func(request attempt.Request) []core.StreamResult {
+		results := whole(request)
+		results[1].Event.Request = core.RequestID{9}
+		return results
+	}
+	late := func(request attempt.Request) []core.StreamResult {
+		stale := tokens(request, 0, 2)
+		stale[1].Event.Attempt = 0
+		return append(append(stale, tokens(request, 0, 4)...), finish(request))
+	}
+	repeating := func(request attempt.Request) []core.StreamResult {
+		return append(tokens(request, 0, 4), finish(request))
+	}
+	cutShort := func(request attempt.Request) []core.StreamResult { return tokens(request, request.After, 2) }
+	for name, steps := range map[string]script{
+		"at once":                          {whole},
+		"after a broken stream":            {broken(2), whole},
+		"after a stream that just ends":    {cutShort, whole},
+		"after an answer of another one":   {crossed, whole},
+		"among late events":                {late},
+		"with repeated tokens on a resume": {broken(2), repeating},
+		"after a silent connection":        {silent, whole},
+	} {
+		Convey("The whole answer arrives "+name, t, func() {
+			f := &fakes{script: steps}
+			received, err := serve(t, f, completionCall())
+			So(err, ShouldBeNil)
+			So(received.text.String(), ShouldEqual, "abcd")
+			So(received.final.Completion.Text, ShouldEqual, "abcd")
+			So(f.bills, ShouldHaveLength, 1)
+			So(f.bills[0].Cost, ShouldEqual, core.Tokens(7))
+			So(f.settled, ShouldResemble, []core.Tokens{7})
+			So(f.slots, ShouldEqual, 0)
+		})
+	}
+}
+
+// Guards against blaming an upstream for a connection that fell silent, and
+// against resuming on a silent upstream.
+func TestSilentConnectionIsToldFromSilentUpstream(t *testing.T) {
+	Convey("The stream resumes on a new connection of an upstream that answers the probe", t, func() {
+		f := &fakes{script: script{silent, whole}}
+		_, err := serve(t, f, completionCall())
+		So(err, ShouldBeNil)
+		So(f.requests[1].Fresh, ShouldBeTrue)
+		So(f.requests[1].Target.Upstream, ShouldEqual, core.UpstreamID("u1"))
+		So(f.observed, ShouldContain, route.Silent)
+	})
+	Convey("It moves on from one that does not", t, func() {
+		f := &fakes{script: script{silent, whole}, probeErr: fault.Refuse(fault.NoUpstream, "no answer")}
+		_, err := serve(t, f, completionCall())
+		So(err, ShouldBeNil)
+		So(f.requests[1].Target.Upstream, ShouldEqual, core.UpstreamID("u2"))
+	})
+}
+
+// Guards against a clean end of an answer that could not be completed.
+func TestAnswerThatFailsIsAnErrorAndIsNotBilled(t *testing.T) {
+	Convey("All upstreams fail", t, func() {
+		f := &fakes{script: script{broken(1), broken(2)}}
+		received, err := serve(t, f, completionCall())
+		So(fault.From(err).Code, ShouldEqual, fault.UpstreamFailed)
+		So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+		So(received.final, ShouldBeNil)
+		So(f.bills, ShouldBeEmpty)
+		So(f.settled, ShouldResemble, []core.Tokens{0})
+		So(f.slots, ShouldEqual, 0)
+	})
+}
+
+// Guards against running a keyed request again when its answer still exists.
+func TestKeyedRequestResumesWhereItRan(t *testing.T) {
+	Convey("The first attempt goes to the upstream that holds the answer", t, func() {
+		f := &fakes{script: script{whole}, located: &core.Target{Upstream: "u2"}}
+		call := completionCall()
+		call.IdempotencyKey = "retry-1"
+		_, err := serve(t, f, call)
+		So(err, ShouldBeNil)
+		So(f.picks[0].Resume, ShouldEqual, core.UpstreamID("u2"))
+		So(f.requests[0].After, ShouldEqual, 0)
+		So(f.bills[0].Keyed, ShouldBeTrue)
+	})
+}
+
+// Guards against a payout that runs twice, and against "not run" said of a
+// call that may have run.
+func TestCallsThatMustNotBeRepeated(t *testing.T) {
+	unknown := fault.New(fault.UpstreamFailed, fault.Unknown, "connection reset")
+	notRun := fault.Refuse(fault.NoUpstream, "connection refused")
+	Convey("A call that may have run is not sent again", t, func() {
+		f := &fakes{serviceErrors: []error{unknown}}
+		_, err := serve(t, f, serviceCall("POST"))
+		So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+		So(f.requests, ShouldHaveLength, 1)
+		So(f.requests[0].Fresh, ShouldBeTrue)
+		So(f.claims, ShouldResemble, []string{"claim", "abandon"})
+	})
+	Convey("A call that certainly did not run goes to another upstream", t, func() {
+		f := &fakes{serviceErrors: []error{notRun}}
+		_, err := serve(t, f, serviceCall("POST"))
+		So(err, ShouldBeNil)
+		So(f.requests, ShouldHaveLength, 2)
+		So(f.claims, ShouldResemble, []string{"claim", "complete"})
+		So(f.bills[0].Cost, ShouldEqual, core.Tokens(5))
+	})
+	Convey("A refusal before dispatch gives the claim back", t, func() {
+		f := &fakes{reserveErr: fault.Refuse(fault.InsufficientQuota, "empty")}
+		_, err := serve(t, f, serviceCall("POST"))
+		So(fault.From(err).Run, ShouldEqual, fault.NotRun)
+		So(f.claims, ShouldResemble, []string{"claim", "release"})
+		So(f.slots, ShouldEqual, 0)
+	})
+	Convey("A recorded answer is given without running or billing", t, func() {
+		f := &fakes{recorded: &core.Answer{Service: &core.ServiceAnswer{Status: 201}}}
+		received, err := serve(t, f, serviceCall("POST"))
+		So(err, ShouldBeNil)
+		So(received.final.Service.Status, ShouldEqual, 201)
+		So(f.requests, ShouldBeEmpty)
+		So(f.bills, ShouldBeEmpty)
+	})
+	Convey("A call without a key is refused", t, func() {
+		call := serviceCall("POST")
+		call.IdempotencyKey = ""
+		_, err := serve(t, &fakes{}, call)
+		So(fault.From(err).Code, ShouldEqual, fault.KeyRequired)
+	})
+	Convey("A lookup is sent again after a failure and needs no claim", t, func() {
+		f := &fakes{serviceErrors: []error{unknown}}
+		_, err := serve(t, f, serviceCall("GET"))
+		So(err, ShouldBeNil)
+		So(f.requests, ShouldHaveLength, 2)
+		So(f.claims, ShouldBeEmpty)
+	})
+}
