--- a/internal/platform/retry.go
+++ b/internal/platform/retry.go
@@ -17,7 +17,8 @@
 
 // CommitUntilKnown repeats a commit with the same token until the platform
 // says whether it took effect or ctx ends. Delays grow exponentially with
-// full jitter, so that hosts don't return at once after an outage.
+// full jitter, so that hosts don't return at once after an outage. A delay that
+// the platform asked for is added to them.
 func CommitUntilKnown(ctx context.Context, table Table, commit Commit) (Revision, error) {
 	backoff := firstBackoff
 	for {
@@ -25,7 +26,12 @@
 		if !errors.Is(err, ErrUnavailable) {
 			return revision, err
 		}
-		timer := time.NewTimer(rand.N(2 * backoff))
+		delay := rand.N(2 * backoff)
+		var limited *RateLimitError
+		if errors.As(err, &limited) {
+			delay += limited.RetryAfter
+		}
+		timer := time.NewTimer(delay)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/standin/platform/service.go
+++ b/internal/standin/platform/service.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/peridotreel/peridotreel/internal/platform"
 	"github.com/peridotreel/peridotreel/internal/task"
@@ -13,43 +15,45 @@
 // inboxCapacity bounds the operations that wait for the service's task.
 const inboxCapacity = 1024
 
-// Mode is a fault that the stand-in shows.
-type Mode string
-
-// The faults.
-const (
-	// ModeNone answers normally.
-	ModeNone Mode = "none"
-	// ModeDown gives no answer and applies nothing.
-	ModeDown Mode = "down"
-	// ModeLoseReply applies operations and loses their answers.
-	ModeLoseReply Mode = "lose_reply"
-)
-
 // Service is the platform in one process. Its task owns the state; callers
 // in any goroutine use it as platform.Table, Objects and Directory.
 type Service struct {
-	inbox   *task.Inbox[func(*state)]
-	commits atomic.Int64
-	reads   atomic.Int64
+	settings Settings
+	inbox    *task.Inbox[func(*state)]
+	commits  atomic.Int64
+	reads    atomic.Int64
 }
 
 type state struct {
 	store   *Store
 	objects map[string][]byte
-	members []platform.Member
-	mode    Mode
+	weights map[string][]byte
+	members memberList
+	rates   rates
+	fault   Fault
 }
 
-// NewService returns a service that answers once its Run method runs.
+// NewService returns a service without limits and lag, for tests. It answers
+// once its Run method runs.
 func NewService() *Service {
-	return &Service{inbox: task.NewInbox[func(*state)](inboxCapacity)}
+	return NewServiceWith(Settings{})
+}
+
+// NewServiceWith returns a service with the given limits. It answers once its
+// Run method runs.
+func NewServiceWith(settings Settings) *Service {
+	return &Service{settings: settings, inbox: task.NewInbox[func(*state)](inboxCapacity)}
 }
 
 // Run handles operations until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	defer s.inbox.Close()
-	owned := &state{store: NewStore(), objects: make(map[string][]byte), mode: ModeNone}
+	owned := &state{
+		store: NewStore(), objects: make(map[string][]byte), weights: make(map[string][]byte),
+		members: memberList{lag: s.settings.MembersLag},
+		rates:   newRates(s.settings, time.Now()),
+		fault:   Fault{Mode: ModeNone},
+	}
 	for {
 		select {
 		case operation := <-s.inbox.Messages():
@@ -63,50 +67,95 @@
 type reply[R any] struct {
 	value R
 	err   error
+	// delay postpones the answer in slow mode; the caller waits for it, as
+	// the service's task must not.
+	delay time.Duration
 }
 
 // perform runs an operation in the service's task under the fault in force.
-func perform[R any](ctx context.Context, s *Service, operation func(*state) (R, error)) (R, error) {
+func perform[R any](ctx context.Context, s *Service, kind Operation, operation func(*state) (R, error)) (R, error) {
 	answer, err := task.Ask(ctx, s.inbox, func(replies chan<- reply[R]) func(*state) {
-		return func(owned *state) {
-			if owned.mode == ModeDown {
-				replies <- reply[R]{err: platform.ErrUnavailable}
-				return
-			}
-			value, err := operation(owned)
-			if owned.mode == ModeLoseReply {
-				replies <- reply[R]{err: platform.ErrUnavailable}
-				return
-			}
-			replies <- reply[R]{value, err}
-		}
+		return func(owned *state) { replies <- underFault(owned, kind, operation) }
 	})
 	if err != nil {
-		return answer.value, platform.ErrUnavailable
+		return answer.value, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if answer.delay > 0 {
+		if err := sleep(ctx, answer.delay); err != nil {
+			return answer.value, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		}
 	}
 	return answer.value, answer.err
 }
 
-// control runs an operation in the service's task whatever the fault.
+func underFault[R any](owned *state, kind Operation, operation func(*state) (R, error)) reply[R] {
+	mode := owned.fault.modeOf(kind)
+	if mode == ModeDown {
+		return reply[R]{err: platform.ErrUnavailable}
+	}
+	if err := owned.rates.take(kind, time.Now()); err != nil {
+		return reply[R]{err: err}
+	}
+	value, err := operation(owned)
+	switch mode {
+	case ModeLoseReply:
+		return reply[R]{err: errLost}
+	case ModeSlow:
+		return reply[R]{value, err, owned.fault.Delay}
+	default:
+		return reply[R]{value, err, 0}
+	}
+}
+
+func sleep(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// control runs an operation in the service's task whatever the fault. It does
+// nothing when the task has ended.
 func (s *Service) control(operation func(*state)) {
-	done := make(chan struct{})
-	err := s.inbox.Send(context.Background(), func(owned *state) {
-		operation(owned)
-		close(done)
+	_, err := task.Ask(context.Background(), s.inbox, func(done chan<- struct{}) func(*state) {
+		return func(owned *state) {
+			operation(owned)
+			done <- struct{}{}
+		}
 	})
-	if err == nil {
-		<-done
+	_ = err // the only error is task.ErrStopped
+}
+
+// SetFault shows a fault until another replaces it. An invalid fault is
+// refused.
+func (s *Service) SetFault(fault Fault) error {
+	if err := fault.Validate(); err != nil {
+		return err
 	}
+	fault.Operations = slices.Clone(fault.Operations)
+	s.control(func(owned *state) { owned.fault = fault })
+	return nil
+}
+
+// SetWeights stores a file of weights.
+func (s *Service) SetWeights(name string, content []byte) {
+	s.control(func(owned *state) { owned.weights[name] = slices.Clone(content) })
 }
 
-// SetMode switches a fault on or off.
+// SetMode shows a fault of all operations, without delay.
 func (s *Service) SetMode(mode Mode) {
-	s.control(func(owned *state) { owned.mode = mode })
+	s.control(func(owned *state) { owned.fault = Fault{Mode: mode} })
 }
 
-// SetMembers replaces the list of machines.
+// SetMembers replaces the list of machines; the change becomes visible after
+// the list's lag.
 func (s *Service) SetMembers(members []platform.Member) {
-	s.control(func(owned *state) { owned.members = slices.Clone(members) })
+	members = slices.Clone(members)
+	s.control(func(owned *state) { owned.members.replace(members, time.Now()) })
 }
 
 // Operations returns how many commits and reads the service has handled.
@@ -117,32 +166,32 @@
 // Commit implements platform.Table.
 func (s *Service) Commit(ctx context.Context, commit platform.Commit) (platform.Revision, error) {
 	s.commits.Add(1)
-	return perform(ctx, s, func(owned *state) (platform.Revision, error) { return owned.store.Commit(commit) })
+	return perform(ctx, s, OperationCommit, func(owned *state) (platform.Revision, error) { return owned.store.Commit(commit) })
 }
 
 // Get implements platform.Table.
 func (s *Service) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	s.reads.Add(1)
-	return perform(ctx, s, func(owned *state) ([]platform.Row, error) { return owned.store.Get(keys...), nil })
+	return perform(ctx, s, OperationGet, func(owned *state) ([]platform.Row, error) { return owned.store.Get(keys...), nil })
 }
 
 // List implements platform.Table.
 func (s *Service) List(ctx context.Context, prefix string) ([]platform.Row, error) {
 	s.reads.Add(1)
-	return perform(ctx, s, func(owned *state) ([]platform.Row, error) { return owned.store.List(prefix), nil })
+	return perform(ctx, s, OperationList, func(owned *state) ([]platform.Row, error) { return owned.store.List(prefix), nil })
 }
 
 // Changes implements platform.Table.
 func (s *Service) Changes(ctx context.Context, since platform.Revision, prefixes []string) (platform.ChangeSet, error) {
 	s.reads.Add(1)
-	return perform(ctx, s, func(owned *state) (platform.ChangeSet, error) {
+	return perform(ctx, s, OperationChanges, func(owned *state) (platform.ChangeSet, error) {
 		return owned.store.Changes(since, prefixes), nil
 	})
 }
 
 // Put implements platform.Objects.
 func (s *Service) Put(ctx context.Context, name string, content []byte) error {
-	_, err := perform(ctx, s, func(owned *state) (struct{}, error) {
+	_, err := perform(ctx, s, OperationPutObject, func(owned *state) (struct{}, error) {
 		owned.objects[name] = slices.Clone(content)
 		return struct{}{}, nil
 	})
@@ -156,8 +205,16 @@
 
 // Get returns an object; see platform.Objects.
 func (s *Service) object(ctx context.Context, name string) (object, error) {
-	return perform(ctx, s, func(owned *state) (object, error) {
+	return perform(ctx, s, OperationGetObject, func(owned *state) (object, error) {
 		content, found := owned.objects[name]
+		return object{slices.Clone(content), found}, nil
+	})
+}
+
+// weights returns a file of weights.
+func (s *Service) weights(ctx context.Context, name string) (object, error) {
+	return perform(ctx, s, OperationWeights, func(owned *state) (object, error) {
+		content, found := owned.weights[name]
 		return object{content, found}, nil
 	})
 }
@@ -171,7 +228,7 @@
 
 // Members implements platform.Directory.
 func (s *Service) Members(ctx context.Context) ([]platform.Member, error) {
-	return perform(ctx, s, func(owned *state) ([]platform.Member, error) { return slices.Clone(owned.members), nil })
+	return perform(ctx, s, OperationMembers, func(owned *state) ([]platform.Member, error) { return slices.Clone(owned.members.at(time.Now())), nil })
 }
 
 // Objects returns the service's object store.
