--- /dev/null
+++ b/internal/standin/upstream/events.go
@@ -0,0 +1,125 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/upstream/wire"
+)
+
+// readSubmission decodes a request for an answer.
+func readSubmission(r *http.Request) (submission, error) {
+	id, err := core.ParseRequestID(r.Header.Get(wire.HeaderRequestID))
+	if err != nil {
+		return submission{}, fmt.Errorf("%s: %w", wire.HeaderRequestID, err)
+	}
+	request := submission{id: id}
+	var attempt, priority int64
+	for _, header := range []struct {
+		name string
+		into *int64
+	}{
+		{wire.HeaderAttempt, &attempt}, {wire.HeaderPriority, &priority}, {wire.HeaderLastEventID, &request.after},
+	} {
+		text := r.Header.Get(header.name)
+		if text == "" {
+			continue
+		}
+		if *header.into, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return submission{}, fmt.Errorf("%s: %q is not a number", header.name, text)
+		}
+	}
+	if request.after < 0 {
+		return submission{}, fmt.Errorf("%s: must not be negative", wire.HeaderLastEventID)
+	}
+	var body wire.Completion
+	if err := readJSON(r, &body); err != nil {
+		return submission{}, fmt.Errorf("the body is not a completion: %w", err)
+	}
+	request.attempt, request.priority = int(attempt), int(priority)
+	request.prompt = newPrompt(body.Model, body.Messages)
+	request.maxTokens, request.partial = body.MaxTokens, body.PartialOutput
+	return request, nil
+}
+
+// eventWriter writes one answer as server-sent events.
+type eventWriter struct {
+	w       http.ResponseWriter
+	request submission
+	answer  acceptance
+	buffer  bytes.Buffer
+	// next is the position that is written next.
+	next int64
+}
+
+func newEventWriter(w http.ResponseWriter, request submission, answer acceptance) *eventWriter {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	return &eventWriter{w: w, request: request, answer: answer, next: request.after + 1}
+}
+
+// relay writes events as the stream progresses, until its end or until the
+// connection breaks. The stream goes on without a reader, so that another
+// connection can resume it.
+func (w *eventWriter) relay(ctx context.Context) {
+	for {
+		if !w.flush() {
+			return
+		}
+		select {
+		case latest := <-w.answer.updates:
+			w.encode(latest)
+			if latest.finished || latest.cancelled {
+				w.flush()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *eventWriter) encode(latest progress) {
+	for ; w.next <= latest.generated; w.next++ {
+		w.event(w.next, wire.Choice{Delta: wire.Delta{Content: w.request.prompt.token(w.next)}}, nil)
+	}
+	switch {
+	case latest.cancelled:
+		w.buffer.WriteString("event: " + wire.ErrorEvent + "\ndata: {\"error\":{\"message\":\"cancelled\"}}\n\n")
+	case latest.finished:
+		prompt, generated := w.request.prompt.tokens, w.answer.length
+		usage := &wire.Usage{PromptTokens: prompt, CompletionTokens: generated, TotalTokens: prompt + generated}
+		w.event(w.answer.length+1, wire.Choice{FinishReason: &w.answer.finishReason}, usage)
+		w.buffer.WriteString("data: " + wire.DoneData + "\n\n")
+	}
+}
+
+func (w *eventWriter) event(position int64, choice wire.Choice, usage *wire.Usage) {
+	id := w.request.id
+	if from := w.answer.misdeliverFrom; from > 0 && position >= from {
+		id[0] ^= 0xFF // another request's id
+	}
+	data, err := json.Marshal(wire.Chunk{
+		ID: wire.ChunkIDPrefix + id.String(), Object: "chat.completion.chunk",
+		Attempt: w.request.attempt, Choices: []wire.Choice{choice}, Usage: usage,
+	})
+	if err != nil {
+		panic(err) // the chunk holds nothing that can't be encoded
+	}
+	fmt.Fprintf(&w.buffer, "id: %d\ndata: %s\n\n", position, data)
+}
+
+// flush sends what is buffered and reports false if the connection is broken.
+func (w *eventWriter) flush() bool {
+	_, err := w.w.Write(w.buffer.Bytes())
+	w.buffer.Reset()
+	if err != nil {
+		return false
+	}
+	return http.NewResponseController(w.w).Flush() == nil
+}
--- /dev/null
+++ b/internal/upstream/call.go
@@ -0,0 +1,73 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/filter/attempt"
+	"github.com/peridotreel/peridotreel/internal/upstream/wire"
+)
+
+// Call implements attempt.Upstreams. Any answer of the service is returned as
+// it is, whatever its status, except one that says the call did not run.
+func (c *Client) Call(ctx context.Context, request attempt.Request) (*core.ServiceAnswer, error) {
+	call := request.Work.Call.Service
+	if call == nil {
+		return nil, fault.Refuse(fault.Internal, "the work is not a call to a plain service")
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, call.Method, callURL(request.Target, call), bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, fault.Refuse(fault.InvalidRequest, "the path or method can't be sent; correct it").Because(err)
+	}
+	setCallHeaders(outgoing, request)
+	response, err := c.send(outgoing, request.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	if refusedBeforeRun(response) {
+		return nil, refusal(response)
+	}
+	return readAnswer(response)
+}
+
+func callURL(target core.Target, call *core.ServiceCall) string {
+	url := "http://" + target.Address + "/" + strings.TrimPrefix(call.Path, "/")
+	if call.Query != "" {
+		url += "?" + call.Query
+	}
+	return url
+}
+
+func setCallHeaders(outgoing *http.Request, request attempt.Request) {
+	work := request.Work
+	outgoing.Header.Set(wire.HeaderRequestID, work.ID.String())
+	outgoing.Header.Set(wire.HeaderAttempt, strconv.Itoa(request.Attempt))
+	if work.Call.IdempotencyKey != "" {
+		outgoing.Header.Set(wire.HeaderIdempotencyKey, work.Call.IdempotencyKey)
+	}
+	if work.Call.Service.ContentType != "" {
+		outgoing.Header.Set("Content-Type", work.Call.Service.ContentType)
+	}
+}
+
+func readAnswer(response *http.Response) (*core.ServiceAnswer, error) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, fault.New(fault.UpstreamFailed, fault.Unknown,
+			"the service's answer broke off; look the result up before a retry").Because(err)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, fault.New(fault.UpstreamFailed, fault.Ran,
+			"the service's answer exceeds %d bytes; ask for less", maxAnswerBytes)
+	}
+	return &core.ServiceAnswer{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
+	}, nil
+}
--- /dev/null
+++ b/internal/upstream/chunk.go
@@ -0,0 +1,76 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/upstream/wire"
+)
+
+// chunk is what a relay needs of an event's data.
+type chunk struct {
+	id           string
+	attempt      int
+	text         string
+	finishReason string
+	finished     bool
+	usage        core.Usage
+	hasUsage     bool
+}
+
+// parseChunk reads the data of an event.
+func parseChunk(data []byte) (chunk, error) {
+	return parseChunkSlow(data)
+}
+
+// parseChunkSlow reads any valid chunk.
+func parseChunkSlow(data []byte) (chunk, error) {
+	var decoded wire.Chunk
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return chunk{}, fmt.Errorf("chunk is not valid JSON: %w", err)
+	}
+	parsed := chunk{id: decoded.ID, attempt: decoded.Attempt}
+	if len(decoded.Choices) > 0 {
+		choice := decoded.Choices[0]
+		parsed.text = choice.Delta.Content
+		if choice.FinishReason != nil {
+			parsed.finished, parsed.finishReason = true, *choice.FinishReason
+		}
+	}
+	if decoded.Usage != nil {
+		parsed.hasUsage = true
+		parsed.usage = core.Usage{
+			Prompt:    core.Tokens(decoded.Usage.PromptTokens),
+			Generated: core.Tokens(decoded.Usage.CompletionTokens),
+		}
+	}
+	return parsed, nil
+}
+
+// event turns a chunk at a position into an event of an answer.
+func (c *chunk) event(position int64) (core.Event, error) {
+	digits, found := strings.CutPrefix(c.id, wire.ChunkIDPrefix)
+	if !found {
+		return core.Event{}, fmt.Errorf("chunk id %.60q does not begin with %s", c.id, wire.ChunkIDPrefix)
+	}
+	request, err := core.ParseRequestID(digits)
+	if err != nil {
+		return core.Event{}, fmt.Errorf("chunk id: %w", err)
+	}
+	event := core.Event{
+		Kind: core.EventToken, Request: request, Attempt: c.attempt, Position: position, Text: c.text,
+	}
+	if c.finished {
+		if !c.hasUsage {
+			return core.Event{}, errors.New("the last chunk has no usage")
+		}
+		if c.usage.Prompt < 0 || c.usage.Generated < 0 {
+			return core.Event{}, errors.New("the last chunk has a negative usage")
+		}
+		event.Kind, event.FinishReason, event.Usage = core.EventFinish, c.finishReason, c.usage
+	}
+	return event, nil
+}
