--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+const (
+	// defaultServerConnections is three times the 330 hosts of the largest
+	// fleet, because a peer that redials may leave a silent connection behind
+	// until it is idle for too long.
+	defaultServerConnections = 1024
+	// acceptRetry is the delay after a failed accept, for example when the
+	// process has no free file descriptor.
+	acceptRetry = 100 * time.Millisecond
+)
+
+// ServerConfig describes a Server.
+type ServerConfig struct {
+	Listener net.Listener
+	Traffic  *Traffic
+	Log      *zap.Logger
+	// MaxConnections bounds open connections; 0 takes 1024. Connections
+	// beyond the bound are closed at once.
+	MaxConnections int
+}
+
+// Server answers calls of peers. It is a task that owns the listener and the
+// set of connections; each connection is served by a goroutine of its own.
+type Server struct {
+	config ServerConfig
+	rpc    *rpc.Server
+	events chan serverEvent
+}
+
+type serverEvent struct {
+	conn   net.Conn
+	closed bool
+}
+
+// NewServer returns a server on a listener. Receivers are registered before
+// Run is called.
+func NewServer(config ServerConfig) *Server {
+	if config.MaxConnections == 0 {
+		config.MaxConnections = defaultServerConnections
+	}
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	if config.Traffic == nil {
+		config.Traffic = &Traffic{}
+	}
+	return &Server{config: config, rpc: rpc.NewServer(), events: make(chan serverEvent)}
+}
+
+// RegisterName implements Registrar.
+func (s *Server) RegisterName(name string, receiver any) error {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+// Run accepts and serves connections until ctx ends, then closes all.
+func (s *Server) Run(ctx context.Context) {
+	go s.accept(ctx)
+	open := make(map[net.Conn]bool)
+	defer func() {
+		s.config.Listener.Close()
+		for conn := range open {
+			conn.Close()
+		}
+	}()
+	for {
+		select {
+		case event := <-s.events:
+			switch {
+			case event.closed:
+				delete(open, event.conn)
+			case len(open) >= s.config.MaxConnections:
+				event.conn.Close()
+			default:
+				open[event.conn] = true
+				go s.serve(ctx, event.conn)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) accept(ctx context.Context) {
+	for {
+		conn, err := s.config.Listener.Accept()
+		switch {
+		case err == nil:
+			if !s.post(ctx, serverEvent{conn: conn}) {
+				conn.Close()
+				return
+			}
+		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+			return
+		default:
+			s.config.Log.Warn("accepting a connection from a peer failed", zap.Error(err))
+			if !pause(ctx, acceptRetry) {
+				return
+			}
+		}
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	s.rpc.ServeConn(countedConn{conn, s.config.Traffic})
+	s.post(ctx, serverEvent{conn: conn, closed: true})
+}
+
+func (s *Server) post(ctx context.Context, event serverEvent) bool {
+	select {
+	case s.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func pause(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+var _ task.Task = (*Server)(nil)
--- /dev/null
+++ b/internal/tasks/teams/wire.go
@@ -0,0 +1,105 @@
+package teams
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+const (
+	// receiverName is the name under which peers call this task.
+	receiverName = "Teams"
+	sinceMethod  = receiverName + ".Since"
+	// pageBytes bounds the rows of one reply, so that a cold start doesn't
+	// keep a connection from carrying other messages for long.
+	pageBytes = 256 << 10
+	// handlerTimeout bounds the wait of a peer's call for the task.
+	handlerTimeout = time.Second
+)
+
+// SinceArgs asks for the rows written after a revision.
+type SinceArgs struct {
+	Revision int64
+	Wire     int
+}
+
+// WireRow is a row as the platform's table has it. Hosts pass on rows that
+// they can't read, so that an older binary doesn't stop a newer form.
+type WireRow struct {
+	Key      string
+	Version  int64
+	Revision int64
+	Value    []byte
+	Deleted  bool
+}
+
+// SinceReply is a page of rows that is complete through a revision.
+type SinceReply struct {
+	Rows    []WireRow
+	Through int64
+	// More is true when the peer has later rows.
+	More bool
+}
+
+// receiver holds the methods that peers call.
+type receiver struct {
+	inbox *task.Inbox[any]
+}
+
+// Since returns rows that this host has and the peer lacks.
+func (r receiver) Since(args SinceArgs, reply *SinceReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), handlerTimeout)
+	defer cancel()
+	page, err := task.Ask(ctx, r.inbox, func(reply chan<- SinceReply) any {
+		return sinceRequest{since: args.Revision, reply: reply}
+	})
+	*reply = page
+	return err
+}
+
+// Register makes the task's methods callable by peers.
+func (t *Task) Register(registrar fleet.Registrar) error {
+	return registrar.RegisterName(receiverName, receiver{t.inbox})
+}
+
+// page returns the rows after a revision, oldest first and cut after a whole
+// revision, so that it is complete through the last one.
+func (s *state) page(since int64) SinceReply {
+	through := s.table.Snapshot().Revision
+	var later []platform.Row
+	for _, row := range s.rows {
+		if int64(row.Revision) > since {
+			later = append(later, row)
+		}
+	}
+	slices.SortFunc(later, func(a, b platform.Row) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
+	reply := SinceReply{Through: through}
+	size := 0
+	for i, row := range later {
+		if size >= pageBytes && row.Revision != later[i-1].Revision {
+			reply.Through = int64(later[i-1].Revision)
+			reply.More = true
+			break
+		}
+		size += len(row.Key) + len(row.Value)
+		reply.Rows = append(reply.Rows, WireRow{
+			Key: row.Key, Version: row.Version, Revision: int64(row.Revision), Value: row.Value, Deleted: row.Deleted})
+	}
+	return reply
+}
+
+func fromWire(reply *SinceReply) platform.ChangeSet {
+	set := platform.ChangeSet{Through: platform.Revision(reply.Through), Rows: make([]platform.Row, len(reply.Rows))}
+	for i, row := range reply.Rows {
+		set.Rows[i] = platform.Row{
+			Key: row.Key, Version: row.Version, Revision: platform.Revision(row.Revision), Value: row.Value, Deleted: row.Deleted}
+	}
+	return set
+}
