--- /dev/null
+++ b/internal/decide/billing/outbox.go
@@ -0,0 +1,174 @@
+package billing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+const (
+	// maxBatch bounds the copies in one message to about 100 KB.
+	maxBatch = 500
+	// avoidFor is how long a peer that gave no answer is passed over.
+	avoidFor = time.Second
+)
+
+// keeper is a peer that holds, or may hold, copies of this host's bills.
+type keeper struct {
+	peer core.Peer
+	// sent is the highest sequence number sent, settled the one below which
+	// the peer has dropped its copies.
+	sent, settled uint64
+	avoidUntil    time.Time
+}
+
+// outbox decides which copies go to which peer.
+type outbox struct {
+	// queue holds bills without a copy at a peer, in the order of recording.
+	queue   []*entry
+	keepers map[core.HostRef]*keeper
+	sending bool
+}
+
+// Batch is a message with copies for one peer.
+type Batch struct {
+	Peer    core.Peer
+	Settled uint64
+	Copies  []Copy
+	entries []*entry
+}
+
+// Sequences returns the sequence numbers of the copies.
+func (m *Batch) Sequences() []uint64 {
+	sequences := make([]uint64, len(m.Copies))
+	for i := range m.Copies {
+		sequences[i] = m.Copies[i].Sequence
+	}
+	return sequences
+}
+
+// settled returns the sequence number below which all bills are in the table.
+func (b *Book) settled() uint64 {
+	lowest := b.sequence + 1
+	for _, pending := range b.own.entries {
+		lowest = min(lowest, pending.Sequence)
+	}
+	return lowest
+}
+
+// NextBatch returns copies for the first candidate that is not avoided, or
+// nil if there is nothing to send or a batch is in flight. reachable is false
+// if there is no such candidate.
+func (b *Book) NextBatch(candidates []core.Peer, now time.Time) (batch *Batch, reachable bool) {
+	if b.outbox.sending {
+		return nil, true
+	}
+	b.outbox.trim(b.own)
+	for _, peer := range candidates {
+		state := b.outbox.keeper(peer)
+		if now.Before(state.avoidUntil) {
+			continue
+		}
+		if len(b.outbox.queue) == 0 {
+			return nil, true
+		}
+		return b.fill(state), true
+	}
+	return nil, false
+}
+
+func (b *Book) fill(state *keeper) *Batch {
+	batch := &Batch{Peer: state.peer, Settled: b.settled()}
+	batch.entries = b.outbox.queue[:min(len(b.outbox.queue), maxBatch)]
+	b.outbox.queue = b.outbox.queue[len(batch.entries):]
+	for _, pending := range batch.entries {
+		batch.Copies = append(batch.Copies, pending.Copy)
+		state.sent = max(state.sent, pending.Sequence)
+	}
+	b.outbox.sending = true
+	return batch
+}
+
+// Sent ends a batch. Without an answer the copies go to another peer; the
+// silent one may hold them as well and is told when they are settled.
+func (b *Book) Sent(batch *Batch, held bool, now time.Time) {
+	b.outbox.sending = false
+	state := b.outbox.keeper(batch.Peer)
+	if held {
+		for _, pending := range batch.entries {
+			pending.keeper = batch.Peer.Ref
+		}
+		state.settled = max(state.settled, batch.Settled)
+		return
+	}
+	state.avoidUntil = now.Add(avoidFor)
+	b.outbox.queue = slices.Concat(batch.entries, b.outbox.queue)
+}
+
+// Lost queues the bills whose only known copy was at a peer that is gone.
+func (b *Book) Lost(gone func(core.HostRef) bool) {
+	for ref := range b.outbox.keepers {
+		if !gone(ref) {
+			continue
+		}
+		delete(b.outbox.keepers, ref)
+		for _, pending := range b.own.entries {
+			if pending.keeper == ref {
+				pending.keeper = core.HostRef{}
+				b.outbox.queue = append(b.outbox.queue, pending)
+			}
+		}
+	}
+}
+
+// Acknowledgement tells a peer which copies it may drop.
+type Acknowledgement struct {
+	Peer    core.Peer
+	Settled uint64
+}
+
+// Acknowledgements returns what peers with outdated copies must be told.
+func (b *Book) Acknowledgements(now time.Time) []Acknowledgement {
+	var due []Acknowledgement
+	settled := b.settled()
+	for ref, state := range b.outbox.keepers {
+		switch {
+		case b.outbox.sending || now.Before(state.avoidUntil):
+		case state.sent == 0 || state.settled > state.sent:
+			delete(b.outbox.keepers, ref)
+		case settled > state.settled:
+			due = append(due, Acknowledgement{Peer: state.peer, Settled: settled})
+		}
+	}
+	return due
+}
+
+// Acknowledged ends an acknowledgement.
+func (b *Book) Acknowledged(told Acknowledgement, answered bool, now time.Time) {
+	state, found := b.outbox.keepers[told.Peer.Ref]
+	switch {
+	case !found:
+	case answered:
+		state.settled = max(state.settled, told.Settled)
+	default:
+		state.avoidUntil = now.Add(avoidFor)
+	}
+}
+
+func (o *outbox) keeper(peer core.Peer) *keeper {
+	state, found := o.keepers[peer.Ref]
+	if !found {
+		state = &keeper{}
+		o.keepers[peer.Ref] = state
+	}
+	state.peer = peer
+	return state
+}
+
+// trim drops queued bills that are no longer pending.
+func (o *outbox) trim(own *journal) {
+	for len(o.queue) > 0 && !own.ids[o.queue[0].Bill.Request] {
+		o.queue = o.queue[1:]
+	}
+}
