Keep a silent stream running at the engine while it is resumed

Cause: ending an attempt cancels it at the engine, which would end the very stream that is resumed on a new connection after a silent one. Change: the attempt filter names the cause of a cancellation that leaves the engine running; the pipeline uses it after silence. Result: go test ./internal/pipeline ./internal/upstream ./internal/standin/... passes.

--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -5,10 +5,16 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
+// ErrKeepRunning is the cause with which the context of a stream is cancelled
+// when the engine shall go on, because the answer is resumed on another
+// connection. Any other cause cancels the request at the engine.
+var ErrKeepRunning = errors.New("the answer is resumed on another connection")
+
 // Request describes one attempt.
 type Request struct {
 	Work    *core.Work
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -121,8 +121,8 @@
 
 // attemptStream performs one streamed attempt and reports what it showed.
 func (e *exchange) attemptStream(ctx context.Context, plan *attemptPlan, target core.Target, answer *relay.Answer) relay.Outcome {
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if e.work.Keyed && e.work.Idempotent {
 		e.line.Registry.Located(e.work.ID, target)
 	}
@@ -132,6 +132,9 @@
 		After: answer.Cursor.Delivered(), Partial: answer.Cursor.Text(), Fresh: plan.fresh,
 	})
 	outcome := e.line.Relay.Apply(attemptCtx, answer, results, e.sink)
+	if outcome.Ending == relay.Silent {
+		cancel(attempt.ErrKeepRunning)
+	}
 	if e.firstToken == 0 && outcome.FirstToken > 0 {
 		e.firstToken = started.Add(outcome.FirstToken).Sub(e.started)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,13 +35,6 @@
 	maxErrorBytes = 4 << 10
 )
 
-// ErrKeepRunning is the cause with which a caller cancels a stream's context
-// when the engine shall go on, because the answer will be resumed there:
-//
-//	ctx, cancel := context.WithCancelCause(parent)
-//	cancel(upstream.ErrKeepRunning)
-var ErrKeepRunning = errors.New("the answer is resumed on another connection")
-
 // Client implements attempt.Upstreams over HTTP.
 type Client struct {
 	// pooled keeps connections. net/http repeats a request by itself on a new
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -34,7 +34,7 @@
 }
 
 // Stream implements attempt.Upstreams. When ctx ends early, the request is
-// cancelled at the engine, unless the cause is ErrKeepRunning.
+// cancelled at the engine, unless the cause is attempt.ErrKeepRunning.
 func (c *Client) Stream(ctx context.Context, request attempt.Request) <-chan attempt.Result {
 	owner := &streamTask{client: c, request: request, results: make(chan attempt.Result, resultCapacity)}
 	go owner.run(ctx)
@@ -188,7 +188,7 @@
 	default: // the caller has stopped to read
 	}
 	close(t.results)
-	if fault.From(err).Run != fault.NotRun && !errors.Is(context.Cause(ctx), ErrKeepRunning) {
+	if fault.From(err).Run != fault.NotRun && !errors.Is(context.Cause(ctx), attempt.ErrKeepRunning) {
 		t.cancelAtEngine(ctx)
 	}
 }
