--- /dev/null
+++ b/internal/tasks/shares/messages.go
@@ -0,0 +1,180 @@
+package shares
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/budget"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+// ReceiverName is the name under which the receiver is registered with
+// fleet.Registrar.
+const ReceiverName = "Shares"
+
+// Status is the outcome of a peer's request.
+type Status uint8
+
+// The statuses. Their numbers are part of the wire format.
+const (
+	StatusGranted Status = iota + 1
+	StatusExhausted
+	StatusClosed
+	StatusUnknown
+	StatusUnavailable
+)
+
+// DrawArgs asks the owner of a budget in this zone for tokens.
+type DrawArgs struct {
+	Wire     int
+	Share    core.ShareID
+	Sequence uint64
+	Need     core.Tokens
+	Want     core.Tokens
+	// Billed and Returned are the holder's cumulative totals.
+	Billed   core.Tokens
+	Returned core.Tokens
+}
+
+// ReturnArgs reports totals to the owner of a budget in this zone, which
+// puts what was returned back into the budget.
+type ReturnArgs struct {
+	Wire     int
+	Share    core.ShareID
+	Billed   core.Tokens
+	Returned core.Tokens
+}
+
+// LedgerReply is the state of the holder's share after a request.
+type LedgerReply struct {
+	Wire      int
+	Status    Status
+	Granted   core.Tokens
+	Billed    core.Tokens
+	Returned  core.Tokens
+	Moved     core.Tokens
+	Sequence  uint64
+	Remaining core.Tokens
+}
+
+// RecallArgs asks a holder to hand what it has not reserved to another.
+type RecallArgs struct {
+	Wire int
+	// Share is the receiver's share.
+	Share core.ShareID
+	Need  core.Tokens
+}
+
+// RecallReply says how much the holder transferred in the table.
+type RecallReply struct {
+	Wire  int
+	Given core.Tokens
+}
+
+// Receiver is the net/rpc receiver of the shares task.
+type Receiver struct {
+	inbox *task.Inbox[message]
+}
+
+// peerTimeout bounds the handling of a peer's request; the peer has given up
+// by then.
+const peerTimeout = 2 * time.Second
+
+func checkWire(wire int) error {
+	if wire < 1 || wire > fleet.WireVersion {
+		return fmt.Errorf("wire version %d is not supported; this host reads up to %d, upgrade it first", wire, fleet.WireVersion)
+	}
+	return nil
+}
+
+// Draw grants tokens to a host of this zone.
+func (r *Receiver) Draw(args DrawArgs, reply *LedgerReply) error {
+	if err := checkWire(args.Wire); err != nil {
+		return err
+	}
+	return r.serve(budget.Request{
+		Share: args.Share, Sequence: args.Sequence, Need: args.Need, Want: args.Want,
+		Billed: args.Billed, Returned: args.Returned,
+	}, reply)
+}
+
+// Return settles the totals of a host of this zone.
+func (r *Receiver) Return(args ReturnArgs, reply *LedgerReply) error {
+	if err := checkWire(args.Wire); err != nil {
+		return err
+	}
+	return r.serve(budget.Request{Share: args.Share, Billed: args.Billed, Returned: args.Returned}, reply)
+}
+
+func (r *Receiver) serve(request budget.Request, reply *LedgerReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	answer, err := task.Ask(ctx, r.inbox, func(replies chan<- served) message { return &serve{request, replies} })
+	if err != nil {
+		return err
+	}
+	*reply = encodeReply(answer)
+	return nil
+}
+
+// Recall hands tokens that this host has not reserved to another holder.
+func (r *Receiver) Recall(args RecallArgs, reply *RecallReply) error {
+	if err := checkWire(args.Wire); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	given, err := task.Ask(ctx, r.inbox, func(replies chan<- core.Tokens) message {
+		return &recall{to: args.Share, need: args.Need, reply: replies}
+	})
+	*reply = RecallReply{Wire: fleet.WireVersion, Given: given}
+	return err
+}
+
+func encodeReply(answer served) LedgerReply {
+	reply := LedgerReply{
+		Wire: fleet.WireVersion, Status: StatusUnavailable,
+		Granted: answer.Share.Granted, Billed: answer.Share.Billed, Returned: answer.Share.Returned,
+		Moved: answer.Share.Moved, Sequence: answer.Share.Sequence, Remaining: answer.Remaining,
+	}
+	if answer.err != nil {
+		return reply
+	}
+	switch answer.Outcome {
+	case budget.Granted:
+		reply.Status = StatusGranted
+	case budget.Exhausted:
+		reply.Status = StatusExhausted
+	case budget.Closed:
+		reply.Status = StatusClosed
+	case budget.Unknown:
+		reply.Status = StatusUnknown
+	}
+	return reply
+}
+
+// decodeReply returns the answer, or an error if the owner could not reach
+// the platform.
+func decodeReply(id core.ShareID, reply LedgerReply) (budget.Answer, error) {
+	answer := budget.Answer{Remaining: reply.Remaining, Share: budget.Share{
+		ID: id, Granted: reply.Granted, Billed: reply.Billed, Returned: reply.Returned,
+		Moved: reply.Moved, Sequence: reply.Sequence, State: budget.Open,
+	}}
+	switch reply.Status {
+	case StatusGranted:
+		answer.Outcome = budget.Granted
+	case StatusExhausted:
+		answer.Outcome = budget.Exhausted
+	case StatusClosed:
+		answer.Outcome = budget.Closed
+		answer.Share.State = budget.Released
+	case StatusUnknown:
+		answer.Outcome = budget.Unknown
+	default:
+		return budget.Answer{}, fmt.Errorf("the zone's owner of budget %s can't reach the platform; try another host", id.Budget)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/tasks/shares/zone.go
@@ -0,0 +1,230 @@
+package shares
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/budget"
+	"github.com/peridotreel/peridotreel/internal/decide/rendezvous"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+const (
+	// callTimeout bounds one call to an owner. It leaves room for a recall.
+	callTimeout = 600 * time.Millisecond
+	// ownersTried bounds the owners tried before this host draws for itself.
+	ownersTried = 2
+	// serveTimeout bounds the table transactions of an owner for one batch.
+	serveTimeout = time.Second
+	// recalledHolders bounds the calls of one recall. The largest unspent
+	// shares come first, so more holders would add little.
+	recalledHolders = 16
+)
+
+// ownedBudget is a budget on which this host serves draws of its zone.
+type ownedBudget struct {
+	queue   []serve
+	serving bool
+}
+
+// serve asks this host, as the zone's owner, to carry out a request.
+type serve struct {
+	request budget.Request
+	reply   chan<- served
+}
+
+type served struct {
+	budget.Answer
+	err error
+}
+
+// servedBatch is the end of a batch.
+type servedBatch struct {
+	budget core.BudgetID
+}
+
+// zoneView returns the ranked owners of a budget in this zone, this host
+// included, and the size of the fleet.
+func (t *Task) zoneView(id core.BudgetID) ([]core.Peer, budget.Fleet) {
+	self := core.Peer{Ref: t.config.Self, Zone: t.config.Zone, State: core.PeerAlive}
+	candidates := map[string]core.Peer{self.Ref.String(): self}
+	zones := map[core.ZoneName]bool{t.config.Zone: true}
+	if t.config.Peers != nil && t.config.Caller != nil {
+		for _, peer := range t.config.Peers.Peers().Peers {
+			zones[peer.Zone] = true
+			if peer.Usable() && peer.Zone == t.config.Zone {
+				candidates[peer.Ref.String()] = peer
+			}
+		}
+	}
+	names := make([]string, 0, len(candidates))
+	for name := range candidates {
+		names = append(names, name)
+	}
+	ranked := make([]core.Peer, 0, len(names))
+	for _, name := range rendezvous.Rank(string(id), names) {
+		ranked = append(ranked, candidates[name])
+	}
+	return ranked, budget.Fleet{Zones: len(zones), Hosts: len(candidates)}
+}
+
+// drawFromZone asks the zone's owner, then the next host in rendezvous order
+// and finally this host. It runs in a worker.
+func (t *Task) drawFromZone(ctx context.Context, request budget.Request) (budget.Answer, error) {
+	owners, _ := t.zoneView(request.Share.Budget)
+	owners = owners[:min(ownersTried, len(owners))]
+	var failures []error
+	for _, owner := range owners {
+		if owner.Ref == t.config.Self {
+			break
+		}
+		answer, err := t.drawFrom(ctx, owner, request)
+		if err == nil {
+			return answer, nil
+		}
+		failures = append(failures, err)
+	}
+	answer, err := task.Ask(ctx, t.inbox, func(replies chan<- served) message { return &serve{request, replies} })
+	if err = errors.Join(err, answer.err); err != nil {
+		return budget.Answer{}, errors.Join(append(failures, err)...)
+	}
+	return answer.Answer, nil
+}
+
+func (t *Task) drawFrom(ctx context.Context, owner core.Peer, request budget.Request) (budget.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply LedgerReply
+	err := t.config.Caller.Call(ctx, owner, ReceiverName+".Draw", DrawArgs{
+		Wire: fleet.WireVersion, Share: request.Share, Sequence: request.Sequence,
+		Need: request.Need, Want: request.Want, Billed: request.Billed, Returned: request.Returned,
+	}, &reply)
+	if err != nil {
+		return budget.Answer{}, err
+	}
+	return decodeReply(request.Share, reply)
+}
+
+func (m *serve) apply(t *Task) {
+	id := m.request.Share.Budget
+	entry, found := t.owned[id]
+	if !found {
+		entry = &ownedBudget{}
+		t.owned[id] = entry
+	}
+	entry.queue = append(entry.queue, *m)
+	t.serveQueue(id, entry)
+}
+
+// serveQueue carries out all waiting requests in one transaction; one
+// transaction per budget is in flight.
+func (t *Task) serveQueue(id core.BudgetID, entry *ownedBudget) {
+	if entry.serving || len(entry.queue) == 0 {
+		return
+	}
+	batch := entry.queue
+	entry.queue, entry.serving = nil, true
+	_, size := t.zoneView(id)
+	t.start(serveTimeout, func(ctx context.Context) message {
+		t.serveBatch(ctx, size, batch)
+		return &servedBatch{id}
+	})
+}
+
+func (m *servedBatch) apply(t *Task) {
+	entry := t.owned[m.budget]
+	entry.serving = false
+	if len(entry.queue) == 0 {
+		delete(t.owned, m.budget)
+		return
+	}
+	t.serveQueue(m.budget, entry)
+}
+
+// serveBatch runs in a worker. Draws that found the budget exhausted go on
+// in workers of their own, so that they don't delay the next batch.
+func (t *Task) serveBatch(ctx context.Context, size budget.Fleet, batch []serve) {
+	requests := make([]budget.Request, len(batch))
+	for i, entry := range batch {
+		requests[i] = entry.request
+	}
+	answers, err := t.ledger.exchange(ctx, size, requests)
+	for i, entry := range batch {
+		answer := answers[i]
+		if err == nil && answer.Outcome == budget.Exhausted {
+			t.start(recallLimit, func(ctx context.Context) message {
+				entry.reply <- t.recallFor(ctx, size, entry.request, answer)
+				return nil
+			})
+			continue
+		}
+		entry.reply <- served{answer, err}
+	}
+}
+
+// recallFor asks other holders to transfer tokens to the requester and then
+// repeats the draw for what is still missing.
+func (t *Task) recallFor(ctx context.Context, size budget.Fleet, request budget.Request, before budget.Answer) served {
+	holders, err := t.ledger.holders(ctx, request.Share.Budget)
+	if err != nil {
+		return served{before, nil}
+	}
+	// What was granted as the budget ran out counts towards the need.
+	missing := request.Need - before.Drawn
+	if !t.recallAll(ctx, holders, request.Share, missing) {
+		return served{before, nil}
+	}
+	request.Sequence = before.Share.Sequence
+	answers, err := t.ledger.exchange(ctx, size, []budget.Request{request})
+	if err != nil {
+		return served{before, nil}
+	}
+	return served{answers[0], nil}
+}
+
+// recallAll sends Recall to the holders with the most unspent tokens and
+// reports whether any of them gave something.
+func (t *Task) recallAll(ctx context.Context, holders []budget.Share, to core.ShareID, need core.Tokens) bool {
+	holders = slices.DeleteFunc(holders, func(share budget.Share) bool {
+		return share.State == budget.Released || share.Unspent() <= 0 || share.ID == to
+	})
+	slices.SortFunc(holders, func(a, b budget.Share) int { return cmp.Compare(b.Unspent(), a.Unspent()) })
+	holders = holders[:min(recalledHolders, len(holders))]
+	var calls sync.WaitGroup
+	given := make([]core.Tokens, len(holders))
+	for i, holder := range holders {
+		calls.Go(func() { given[i] = t.recallOne(ctx, holder.ID.Holder, to, need) })
+	}
+	calls.Wait()
+	return slices.ContainsFunc(given, func(amount core.Tokens) bool { return amount > 0 })
+}
+
+func (t *Task) recallOne(ctx context.Context, from core.HostRef, to core.ShareID, need core.Tokens) core.Tokens {
+	if from == t.config.Self {
+		given, _ := task.Ask(ctx, t.inbox, func(replies chan<- core.Tokens) message {
+			return &recall{to: to, need: need, reply: replies}
+		})
+		return given
+	}
+	if t.config.Peers == nil || t.config.Caller == nil {
+		return 0
+	}
+	for _, peer := range t.config.Peers.Peers().Peers {
+		if peer.Ref != from || peer.State == core.PeerDead {
+			continue
+		}
+		t.metrics.recalls.Add(ctx, 1)
+		var reply RecallReply
+		args := RecallArgs{Wire: fleet.WireVersion, Share: to, Need: need}
+		if err := t.config.Caller.Call(ctx, peer, ReceiverName+".Recall", args, &reply); err == nil {
+			return reply.Given
+		}
+	}
+	return 0
+}
