--- /dev/null
+++ b/internal/decide/upstreams/average.go
@@ -0,0 +1,45 @@
+package upstreams
+
+import (
+	"math"
+	"time"
+)
+
+// averageLifetime is the time constant of decaying averages. A slow spell
+// lasts several seconds, so an average must follow within a few.
+const averageLifetime = 4 * time.Second
+
+// average is a mean whose samples lose weight exponentially with age.
+type average struct {
+	sum    float64
+	weight float64
+	last   time.Time
+}
+
+func (a *average) decay(now time.Time) float64 {
+	age := now.Sub(a.last)
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(averageLifetime))
+}
+
+func (a *average) add(now time.Time, sample float64) {
+	factor := a.decay(now)
+	a.sum = a.sum*factor + sample
+	a.weight = a.weight*factor + 1
+	a.last = now
+}
+
+// mean returns the mean, or 0 if there was no sample.
+func (a *average) mean() float64 {
+	if a.weight == 0 {
+		return 0
+	}
+	return a.sum / a.weight
+}
+
+// confidence returns the decayed number of samples.
+func (a *average) confidence(now time.Time) float64 {
+	return a.weight * a.decay(now)
+}
--- /dev/null
+++ b/internal/decide/upstreams/member.go
@@ -0,0 +1,149 @@
+package upstreams
+
+import (
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// maxPending bounds the remembered attempts without a first token. The oldest
+// is what matters, so later ones beyond the bound may be forgotten.
+const maxPending = 64
+
+// Member is an upstream in its role of serving one pool.
+type Member struct {
+	*Upstream
+	group *Group
+
+	ownPool    int
+	firstToken average // seconds
+	pace       average // tokens per second of one stream
+	failures   int
+	limit      limit
+	ejection   ejection
+	// pending holds the start times of attempts without a first token.
+	pending []time.Time
+}
+
+func newMember(upstream *Upstream, group *Group) *Member {
+	return &Member{Upstream: upstream, group: group, limit: newLimit(), pending: make([]time.Time, 0, maxPending)}
+}
+
+func (m *Member) start(now time.Time, estimate core.Tokens) {
+	m.history.record(now, m.ownRequests, m.ownRequests+1)
+	m.ownRequests++
+	m.ownTokens += estimate
+	m.ownPool++
+	if len(m.pending) < maxPending {
+		m.pending = append(m.pending, now)
+	}
+}
+
+func (m *Member) end(now time.Time, estimate core.Tokens) {
+	if m.ownPool == 0 {
+		return
+	}
+	m.history.record(now, m.ownRequests, m.ownRequests-1)
+	m.ownRequests--
+	m.ownTokens -= min(estimate, m.ownTokens)
+	m.ownPool--
+	if m.ownRequests == 0 {
+		m.ownTokens = 0
+	}
+}
+
+// unpend forgets the pending attempt that started nearest to the given time.
+func (m *Member) unpend(started time.Time) {
+	if len(m.pending) == 0 {
+		return
+	}
+	best, bestGap := 0, time.Duration(1<<62)
+	for i, at := range m.pending {
+		if gap := at.Sub(started).Abs(); gap < bestGap {
+			best, bestGap = i, gap
+		}
+	}
+	m.pending = append(m.pending[:best], m.pending[best+1:]...)
+}
+
+// oldestPending returns how long the oldest attempt has had no first token.
+func (m *Member) oldestPending(now time.Time) time.Duration {
+	if len(m.pending) == 0 {
+		return 0
+	}
+	return now.Sub(m.pending[0])
+}
+
+// priorSamples is the weight, in samples, of the assumption that a member is
+// as fast as its peers. It keeps one odd sample from deciding.
+const priorSamples = 2
+
+// Slowness returns how many times slower than its peers the member serves;
+// 1 is usual. An attempt that has waited longer than the mean first-token
+// time counts as a sample, since a stalled upstream yields no others.
+func (m *Member) Slowness(now time.Time) float64 {
+	slow := max(m.firstTokenRatio(now), m.paceRatio(now), 1)
+	return slow / m.ejection.ramp(now)
+}
+
+func (m *Member) firstTokenRatio(now time.Time) float64 {
+	usual := m.group.usualFirstToken
+	if usual <= 0 {
+		return 1
+	}
+	weight := m.firstToken.confidence(now)
+	ratio := (weight*m.firstToken.mean()/usual + priorSamples) / (weight + priorSamples)
+	if waited := m.oldestPending(now).Seconds() / usual; waited > 2 {
+		return max(ratio, waited/2)
+	}
+	return ratio
+}
+
+func (m *Member) paceRatio(now time.Time) float64 {
+	usual, pace := m.group.usualPace, m.pace.mean()
+	if usual <= 0 || pace <= 0 {
+		return 1
+	}
+	weight := m.pace.confidence(now)
+	return (weight*usual/pace + priorSamples) / (weight + priorSamples)
+}
+
+// Load estimates the tokens of work at the upstream, relative to the size of
+// its batch and multiplied by its slowness, with estimate tokens added.
+func (m *Member) Load(now time.Time, estimate core.Tokens) float64 {
+	tokens := float64(m.others(now))*m.group.meanEstimate + float64(m.ownTokens+estimate)
+	batch := m.group.usualBatch
+	if m.reported && m.report.MaxRunning > 0 {
+		batch = float64(m.report.MaxRunning)
+	}
+	return tokens / batch * m.Slowness(now)
+}
+
+// AtLimit reports whether this host has as many requests there as the
+// concurrency limit permits.
+func (m *Member) AtLimit(now time.Time) bool {
+	return float64(m.ownPool) >= max(1, m.limit.value*m.ejection.ramp(now))
+}
+
+// Ejected reports whether the member is kept from new work for being slower
+// or failing more often than its peers.
+func (m *Member) Ejected(now time.Time) bool {
+	return now.Before(m.ejection.until)
+}
+
+// room returns how many requests of this host the member should hold: up to
+// its concurrency limit, and no more than its batch leaves beside the other
+// hosts, but at least an even part of the batch.
+func (m *Member) room(now time.Time, sharers int) float64 {
+	ceiling := m.limit.value * m.ejection.ramp(now)
+	if !m.reported || m.report.MaxRunning <= 0 {
+		return max(1, ceiling)
+	}
+	batch := m.report.MaxRunning
+	free := float64(batch - m.Requests(now))
+	// All sharers see the same free places; each takes its part of them, or
+	// gives up its part of an overload.
+	wanted := float64(m.ownRequests) + free/float64(sharers)
+	even := float64(batch) / float64(sharers)
+	return min(ceiling, max(wanted, even))
+}
--- /dev/null
+++ b/internal/decide/upstreams/upstreams.go
@@ -0,0 +1,111 @@
+// Package upstreams keeps a host's view of the upstreams: which exist, which
+// are leaving, how loaded and how fast they are. The time is passed in, and
+// nothing here does input or output.
+package upstreams
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// Pool names the upstreams that can serve the same work: those of a model, or
+// those of a plain service. Exactly one field is set.
+type Pool struct {
+	Model   core.ModelName
+	Service core.ServiceName
+}
+
+// PoolOf returns the pool that serves the work.
+func PoolOf(work *core.Work) Pool {
+	if work.Call.Service != nil {
+		return Pool{Service: work.Call.Service.Service}
+	}
+	return Pool{Model: work.Model()}
+}
+
+// Entry is an upstream in the platform's list.
+type Entry struct {
+	Target  core.Target
+	Leaving bool
+	Pools   []Pool
+}
+
+// Report is what an upstream said about its own load. It lags.
+type Report struct {
+	Upstream    core.UpstreamID
+	Incarnation core.Incarnation
+	Leaving     bool
+	// Running and Waiting count requests of all hosts.
+	Running int
+	Waiting int
+	// MaxRunning is the largest batch; 0 if unknown.
+	MaxRunning int
+	// KVUsed and KVTotal count tokens of the engine's KV cache.
+	KVUsed  core.Tokens
+	KVTotal core.Tokens
+	// TokensPerSecond is the engine's present throughput.
+	TokensPerSecond float64
+	MeasuredAt      time.Time
+}
+
+// Upstream is one process of an upstream.
+type Upstream struct {
+	target  core.Target
+	hash    uint64
+	leaving bool
+	listed  bool
+	members []*Member
+
+	report      Report
+	reported    bool
+	ownRequests int
+	ownTokens   core.Tokens
+	history     history
+}
+
+func newUpstream(target core.Target) *Upstream {
+	return &Upstream{target: target, hash: xxhash.Sum64String(string(target.Upstream))}
+}
+
+// Target returns how to reach the upstream.
+func (u *Upstream) Target() core.Target {
+	return u.target
+}
+
+// Hash identifies the upstream in rendezvous hashing.
+func (u *Upstream) Hash() uint64 {
+	return u.hash
+}
+
+// Usable reports whether the upstream may be given new work.
+func (u *Upstream) Usable() bool {
+	return u.listed && !u.leaving
+}
+
+// InFlight returns this host's attempts that have not ended, and their
+// estimated tokens.
+func (u *Upstream) InFlight() (requests int, tokens core.Tokens) {
+	return u.ownRequests, u.ownTokens
+}
+
+// reportLifetime is the age after which a report says nothing about the
+// present load. Reports lag by about 2 s and are polled every few seconds.
+const reportLifetime = 10 * time.Second
+
+// others estimates the requests of other hosts: the reported ones less those
+// that this host had there when the report was measured.
+func (u *Upstream) others(now time.Time) int {
+	if !u.reported || now.Sub(u.report.MeasuredAt) > reportLifetime {
+		return 0
+	}
+	return max(0, u.report.Running+u.report.Waiting-u.history.at(u.report.MeasuredAt, u.ownRequests))
+}
+
+// Requests estimates the requests at the upstream now: the report corrected by
+// what this host has sent and finished since it was measured.
+func (u *Upstream) Requests(now time.Time) int {
+	return u.others(now) + u.ownRequests
+}
--- /dev/null
+++ b/internal/tasks/balancer/list.go
@@ -0,0 +1,90 @@
+package balancer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
+	"github.com/peridotreel/peridotreel/internal/platform"
+)
+
+// startList reads the platform's list in a worker, one at a time.
+func (t *Task) startList(ctx context.Context) {
+	if t.listing {
+		return
+	}
+	t.listing = true
+	directory, inbox := t.config.Directory, t.inbox
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		members, err := directory.Members(callCtx)
+		// Fails only when the task is stopping.
+		_ = inbox.Send(ctx, listMessage{members: members, err: err})
+	}()
+}
+
+type listMessage struct {
+	members []platform.Member
+	err     error
+}
+
+func (m listMessage) handle(t *Task, now time.Time) {
+	t.listing = false
+	if m.err != nil {
+		if !t.listFailed {
+			t.config.Log.Warn("the platform's list of upstreams can't be read; the last one stays in use", zap.Error(m.err))
+		}
+		t.listFailed = true
+		return
+	}
+	if t.listFailed {
+		t.config.Log.Info("the platform's list of upstreams can be read again")
+	}
+	t.listFailed, t.listed = false, true
+	entries, hosts := entriesOf(m.members)
+	t.hosts = max(1, hosts)
+	t.view.SetHosts(t.hosts)
+	t.view.ApplyList(now, entries)
+	t.polls.forget(t.view)
+	t.publishModels()
+	t.publishCapacities(now)
+}
+
+// publishModels replaces the snapshot read by Serves.
+func (t *Task) publishModels() {
+	set := make(modelSet)
+	t.view.Models(func(model core.ModelName, firstToken time.Duration) { set[model] = firstToken })
+	t.models.Store(&set)
+}
+
+// entriesOf returns the listed upstreams and the number of live hosts.
+func entriesOf(members []platform.Member) ([]upstreams.Entry, int) {
+	var entries []upstreams.Entry
+	hosts := 0
+	for i := range members {
+		member := &members[i]
+		entry := upstreams.Entry{Leaving: member.Leaving, Target: core.Target{
+			Upstream: core.UpstreamID(member.ID), Incarnation: member.Incarnation,
+			Zone: member.Zone, Address: member.Address,
+		}}
+		switch member.Role {
+		case platform.RoleHost:
+			if !member.Leaving {
+				hosts++
+			}
+			continue
+		case platform.RoleEngine:
+			for _, model := range member.Models {
+				entry.Pools = append(entry.Pools, upstreams.Pool{Model: model})
+			}
+		case platform.RoleService:
+			entry.Pools = []upstreams.Pool{{Service: member.Service}}
+		}
+		entries = append(entries, entry)
+	}
+	return entries, hosts
+}
--- /dev/null
+++ b/internal/tasks/balancer/metrics.go
@@ -0,0 +1,35 @@
+package balancer
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
+)
+
+type metrics struct {
+	missing metric.Int64Counter
+	repeats metric.Int64Counter
+}
+
+func newMetrics(meter metric.Meter, log *zap.Logger) metrics {
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter(name, metric.WithDescription(description))
+		if err != nil {
+			log.Warn("a counter is not available", zap.String("name", name), zap.Error(err))
+		}
+		return c
+	}
+	return metrics{
+		missing: counter("peridotreel.balancer.reports_missing", "load reports that an upstream did not give"),
+		repeats: counter("peridotreel.balancer.repeats_refused", "retries and hedges refused for lack of budget"),
+	}
+}
+
+func (m *metrics) missReport() {
+	m.missing.Add(context.Background(), 1)
+}
+
+func (m *metrics) refuseRepeat() {
+	m.repeats.Add(context.Background(), 1)
+}
