Add the claimant task and the validator of idempotency keys

Calls that must not be repeated run only after their claim is in the table. A refusal because the platform gave no answer has the run state unknown, since the key may have been used at another host.

--- /dev/null
+++ b/internal/tasks/claimant/state.go
@@ -0,0 +1,140 @@
+package claimant
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/claims"
+)
+
+// idleInterval is how often the task looks at work that is not urgent.
+const idleInterval = 250 * time.Millisecond
+
+// state is what the task's goroutine owns.
+type state struct {
+	*Task
+	register *claims.Register
+	waiting  map[claims.WaiterID]chan<- claims.Reply
+	draining []chan<- struct{}
+	sweep    sweepState
+}
+
+func newState(t *Task) *state {
+	return &state{
+		Task: t, register: claims.NewRegister(t.config.Self),
+		waiting: make(map[claims.WaiterID]chan<- claims.Reply),
+		sweep:   sweepState{due: t.config.Now().Add(sweepInterval)},
+	}
+}
+
+// pause returns how long the task may wait for a message.
+func (s *state) pause() time.Duration {
+	if due, waiting := s.register.Due(); waiting {
+		return max(due.Sub(s.config.Now()), 0)
+	}
+	return idleInterval
+}
+
+// advance starts the work that is due and gives out replies.
+func (s *state) advance(ctx context.Context) {
+	now := s.config.Now()
+	if batch := s.register.NextBatch(now); batch != nil {
+		s.commit(ctx, batch)
+	}
+	if keys := s.register.NextPoll(now); keys != nil {
+		s.poll(ctx, keys)
+	}
+	s.sweepIfDue(ctx, now)
+	s.deliver(ctx)
+	if s.register.Idle() {
+		for _, done := range s.draining {
+			done <- struct{}{}
+		}
+		s.draining = nil
+	}
+}
+
+// deliver gives out replies. A channel has room for Won and the last reply.
+func (s *state) deliver(ctx context.Context) {
+	for _, reply := range s.register.TakeReplies() {
+		if reply.Kind == claims.Unknown {
+			s.counters.unknown.Add(ctx, 1)
+		}
+		if replies, found := s.waiting[reply.Waiter]; found {
+			replies <- reply
+			if reply.Kind != claims.Won {
+				delete(s.waiting, reply.Waiter)
+			}
+		}
+	}
+}
+
+// gone reports whether a host process has ended as far as this host knows. A
+// host that is not in the view may be new, so it counts as running.
+func (s *state) gone(ref core.HostRef) bool {
+	if ref.Host == s.config.Self.Host {
+		return ref.Incarnation != s.config.Self.Incarnation
+	}
+	if s.config.Peers == nil {
+		return false
+	}
+	for _, peer := range s.config.Peers.Peers().Peers {
+		if peer.Ref.Host != ref.Host {
+			continue
+		}
+		if peer.Ref.Incarnation > ref.Incarnation || peer.Ref.Incarnation == ref.Incarnation && peer.State == core.PeerDead {
+			return true
+		}
+	}
+	return false
+}
+
+type claimMessage struct {
+	waiter      claims.WaiterID
+	key         claims.Key
+	fingerprint [32]byte
+	replies     chan<- claims.Reply
+}
+
+func (m claimMessage) handle(_ context.Context, owned *state) {
+	owned.waiting[m.waiter] = m.replies
+	owned.register.Claim(m.waiter, m.key, m.fingerprint, owned.config.Now())
+}
+
+type withdrawMessage struct {
+	waiter claims.WaiterID
+	done   chan<- struct{}
+}
+
+func (m withdrawMessage) handle(ctx context.Context, owned *state) {
+	owned.register.Withdraw(m.waiter, owned.gone, owned.config.Now())
+	owned.deliver(ctx)
+	m.done <- struct{}{}
+}
+
+type finishMessage struct {
+	waiter  claims.WaiterID
+	key     claims.Key
+	outcome claims.Record
+	replies chan<- claims.Reply
+}
+
+func (m finishMessage) handle(_ context.Context, owned *state) {
+	if m.replies != nil {
+		owned.waiting[m.waiter] = m.replies
+	}
+	owned.register.Finish(m.key, m.outcome, m.waiter, owned.config.Now())
+}
+
+type drainMessage struct{ done chan<- struct{} }
+
+func (m drainMessage) handle(_ context.Context, owned *state) {
+	owned.draining = append(owned.draining, m.done)
+}
+
+type countMessage struct{ reply chan<- int }
+
+func (m countMessage) handle(_ context.Context, owned *state) {
+	m.reply <- owned.register.Calls()
+}
--- /dev/null
+++ b/internal/tasks/claimant/sweep.go
@@ -0,0 +1,103 @@
+package claimant
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/claims"
+	"github.com/peridotreel/peridotreel/internal/decide/rendezvous"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/rows"
+)
+
+const (
+	// sweepInterval is the time between two sweeps of old records.
+	sweepInterval = 30 * time.Minute
+	// sweepGroup bounds the deletions in one commit.
+	sweepGroup = 50
+	// sweepPause keeps a sweep at one or two writes a second, a small part of
+	// the several hundred that the platform takes.
+	sweepPause = time.Second
+	// sweepKey ranks the hosts; the first one sweeps.
+	sweepKey = "claim-sweep"
+)
+
+type sweepState struct {
+	due     time.Time
+	running bool
+}
+
+// sweepIfDue starts a worker that deletes old records if this host is the one
+// to do so. Two hosts with different views may both sweep, which is harmless.
+func (s *state) sweepIfDue(ctx context.Context, now time.Time) {
+	if s.sweep.running || now.Before(s.sweep.due) {
+		return
+	}
+	s.sweep.due = now.Add(sweepInterval)
+	if !sweeps(s.config.Self, s.config.Peers) {
+		return
+	}
+	s.sweep.running = true
+	go func() {
+		deleted, err := s.sweepRows(ctx, now)
+		s.counters.swept.Add(ctx, int64(deleted))
+		if err != nil && ctx.Err() == nil {
+			s.config.Log.Info("the deletion of old claims stopped early and goes on with the next sweep",
+				zap.Int("deleted", deleted), zap.Error(err))
+		}
+		_ = s.inbox.Send(ctx, sweptMessage{})
+	}()
+}
+
+func sweeps(self core.HostRef, peers core.PeerSource) bool {
+	if peers == nil {
+		return true
+	}
+	hosts := []string{string(self.Host)}
+	for _, peer := range peers.Peers().Peers {
+		if peer.Usable() && peer.Ref.Host != self.Host {
+			hosts = append(hosts, string(peer.Ref.Host))
+		}
+	}
+	return rendezvous.Rank(sweepKey, hosts)[0] == string(self.Host)
+}
+
+// sweepRows deletes the records that are old at a given time.
+func (t *Task) sweepRows(ctx context.Context, now time.Time) (deleted int, err error) {
+	listed, err := t.config.Table.List(ctx, rows.ClaimPrefix)
+	if err != nil {
+		return 0, err
+	}
+	var commit platform.Commit
+	for i, row := range listed {
+		if key, valid := rows.ParseClaimKey(row.Key); valid && claims.Deletable(key.Key, now) {
+			commit.Conditions = append(commit.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+			commit.Writes = append(commit.Writes, platform.Write{Key: row.Key, Delete: true})
+		}
+		if len(commit.Writes) == sweepGroup || i == len(listed)-1 && len(commit.Writes) > 0 {
+			commit.Token = fmt.Sprintf("claim-sweep/%s/%d/%d", t.config.Self, now.UnixNano(), i)
+			if _, err := t.config.Table.Commit(ctx, commit); err != nil {
+				return deleted, err
+			}
+			deleted += len(commit.Writes)
+			commit = platform.Commit{}
+			select {
+			case <-time.After(sweepPause/2 + rand.N(sweepPause)):
+			case <-ctx.Done():
+				return deleted, ctx.Err()
+			}
+		}
+	}
+	return deleted, nil
+}
+
+type sweptMessage struct{}
+
+func (sweptMessage) handle(_ context.Context, owned *state) {
+	owned.sweep.running = false
+}
--- /dev/null
+++ b/internal/tasks/claimant/task_test.go
@@ -0,0 +1,124 @@
+package claimant
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/filter/claim"
+	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+var _ claim.Claims = (*Task)(nil)
+
+func workOf(key string, body byte) *core.Work {
+	return &core.Work{
+		Call:     &core.Call{IdempotencyKey: key, Fingerprint: [32]byte{body}},
+		Caller:   core.Caller{Team: &core.TeamRow{Team: "butchers"}},
+		Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+func service(body string) *core.Answer {
+	return &core.Answer{Service: &core.ServiceAnswer{Status: 200, ContentType: "text/plain", Body: []byte(body)}}
+}
+
+// inFleet runs a test with a platform and the claimants of two hosts on a
+// fake clock.
+func inFleet(t *testing.T, test func(t *testing.T, platform *standin.Service, a, b *Task)) {
+	synctest.Test(t, func(t *testing.T) {
+		var group task.Group
+		platform := standin.NewService()
+		group.Start(platform)
+		start := func(host core.HostID) *Task {
+			claimant := New(Config{Self: core.HostRef{Host: host, Incarnation: 1}, Table: platform, Objects: platform.Objects()})
+			group.Start(claimant)
+			return claimant
+		}
+		a, b := start("a"), start("b")
+		defer group.Stop()
+		test(t, platform, a, b)
+	})
+}
+
+// Guards against a second run of a call that has an answer, and against
+// answers that differ from the recorded one.
+func TestRepeatGetsRecordedAnswer(t *testing.T) {
+	for name, body := range map[string]string{"small": "ok", "large": strings.Repeat("x", 3*maxInline)} {
+		inFleet(t, func(t *testing.T, _ *standin.Service, a, b *Task) {
+			ctx, key := t.Context(), ulid.Make().String()
+			first, firstErr := a.Claim(ctx, workOf(key, 1))
+			a.Complete(ctx, workOf(key, 1), service(body))
+			again, againErr := b.Claim(ctx, workOf(strings.ToLower(key), 1))
+			_, reusedErr := b.Claim(ctx, workOf(key, 2))
+			Convey("A repeat gets the recorded answer: "+name, t, func() {
+				So(firstErr, ShouldBeNil)
+				So(first, ShouldBeNil)
+				So(againErr, ShouldBeNil)
+				So(again, ShouldResemble, service(body))
+				So(fault.From(reusedErr).Code, ShouldEqual, fault.KeyReused)
+			})
+		})
+	}
+}
+
+// Guards against a call that runs although its claim's outcome is unknown,
+// and against a claim that stays behind after the refusal.
+func TestUnreachablePlatformRefusesAndGivesBack(t *testing.T) {
+	inFleet(t, func(t *testing.T, platform *standin.Service, a, b *Task) {
+		ctx, key := t.Context(), ulid.Make().String()
+		platform.SetMode(standin.ModeLoseReply)
+		_, refused := a.Claim(ctx, workOf(key, 1))
+		platform.SetMode(standin.ModeNone)
+		time.Sleep(5 * time.Second)
+		answer, err := b.Claim(ctx, workOf(key, 1))
+		Convey("The claim is refused, given back and won by a repeat", t, func() {
+			So(fault.From(refused).Code, ShouldEqual, fault.PlatformUnreachable)
+			So(fault.From(refused).Run, ShouldEqual, fault.Unknown)
+			So(err, ShouldBeNil)
+			So(answer, ShouldBeNil)
+		})
+	})
+}
+
+// Guards against a second run while the first is in progress or abandoned,
+// and against one claim that fails the others of its group.
+func TestRunningCallIsNotRepeated(t *testing.T) {
+	inFleet(t, func(t *testing.T, _ *standin.Service, a, b *Task) {
+		ctx, taken, free := t.Context(), ulid.Make().String(), ulid.Make().String()
+		_, won := a.Claim(ctx, workOf(taken, 1))
+		var local, remote, other error
+		done := make(chan struct{}, 3)
+		ask := func(at *Task, key string, result *error) {
+			_, *result = at.Claim(ctx, workOf(key, 1))
+			done <- struct{}{}
+		}
+		go ask(a, taken, &local)
+		go ask(b, taken, &remote)
+		go ask(b, free, &other)
+		for range cap(done) {
+			<-done
+		}
+		a.Abandon(workOf(taken, 1))
+		time.Sleep(time.Second)
+		_, abandoned := b.Claim(ctx, workOf(taken, 1))
+		b.Release(workOf(free, 1))
+		time.Sleep(time.Second)
+		_, released := a.Claim(ctx, workOf(free, 1))
+		Convey("Repeats wait, and learn that the outcome is unknown", t, func() {
+			So(won, ShouldBeNil)
+			So(fault.From(local).Code, ShouldEqual, fault.RequestInProgress)
+			So(fault.From(remote).Code, ShouldEqual, fault.RequestInProgress)
+			So(other, ShouldBeNil)
+			So(fault.From(abandoned).Code, ShouldEqual, fault.OutcomeUnknown)
+			So(released, ShouldBeNil)
+		})
+	})
+}
