--- a/internal/decide/billing/book.go
+++ b/internal/decide/billing/book.go
@@ -1,6 +1,7 @@
 package billing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -110,7 +111,7 @@
 		if journal.running != nil {
 			return nil
 		}
-		if len(journal.entries) > 0 && (candidate == nil || less(owner, candidate.owner)) && gone(owner) {
+		if len(journal.entries) > 0 && (candidate == nil || compare(owner, candidate.owner) < 0) && gone(owner) {
 			candidate = journal
 		}
 	}
@@ -120,8 +121,8 @@
 	return candidate.next(b.mark())
 }
 
-func less(a, b core.HostRef) bool {
-	return a.Host < b.Host || a.Host == b.Host && a.Incarnation < b.Incarnation
+func compare(a, b core.HostRef) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
 func (b *Book) mark() Mark {
--- a/internal/decide/billing/outbox.go
+++ b/internal/decide/billing/outbox.go
@@ -1,6 +1,7 @@
 package billing
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +13,9 @@
 	maxBatch = 500
 	// avoidFor is how long a peer that gave no answer is passed over.
 	avoidFor = time.Second
+	// tellFor is how long a peer that seems to be gone is still told what is
+	// settled: if it is not gone, it would keep its copies without need.
+	tellFor = 10 * time.Minute
 )
 
 // keeper is a peer that holds, or may hold, copies of this host's bills.
@@ -21,6 +25,8 @@
 	// the peer has dropped its copies.
 	sent, settled uint64
 	avoidUntil    time.Time
+	// goneSince is when the peer was found to be gone, or zero.
+	goneSince time.Time
 }
 
 // outbox decides which copies go to which peer.
@@ -100,6 +106,8 @@
 			pending.keeper = batch.Peer.Ref
 		}
 		state.settled = max(state.settled, batch.Settled)
+		// If the peer is still found to be gone, these bills are queued again.
+		state.goneSince = time.Time{}
 		return
 	}
 	state.avoidUntil = now.Add(avoidFor)
@@ -107,17 +115,26 @@
 }
 
 // Lost queues the bills whose only known copy was at a peer that is gone.
-func (b *Book) Lost(gone func(core.HostRef) bool) {
-	for ref := range b.outbox.keepers {
-		if !gone(ref) {
-			continue
+func (b *Book) Lost(gone func(core.HostRef) bool, now time.Time) {
+	for _, ref := range b.outbox.refs() {
+		state := b.outbox.keepers[ref]
+		switch {
+		case !gone(ref):
+			state.goneSince = time.Time{}
+		case state.goneSince.IsZero():
+			state.goneSince = now
+			b.requeue(ref)
+		case now.Sub(state.goneSince) >= tellFor:
+			delete(b.outbox.keepers, ref)
 		}
-		delete(b.outbox.keepers, ref)
-		for _, pending := range b.own.entries {
-			if pending.keeper == ref {
-				pending.keeper = core.HostRef{}
-				b.outbox.queue = append(b.outbox.queue, pending)
-			}
+	}
+}
+
+func (b *Book) requeue(lost core.HostRef) {
+	for _, pending := range b.own.entries {
+		if pending.keeper == lost {
+			pending.keeper = core.HostRef{}
+			b.outbox.queue = append(b.outbox.queue, pending)
 		}
 	}
 }
@@ -132,7 +149,8 @@
 func (b *Book) Acknowledgements(now time.Time) []Acknowledgement {
 	var due []Acknowledgement
 	settled := b.settled()
-	for ref, state := range b.outbox.keepers {
+	for _, ref := range b.outbox.refs() {
+		state := b.outbox.keepers[ref]
 		switch {
 		case b.outbox.sending || now.Before(state.avoidUntil):
 		case state.sent == 0 || state.settled > state.sent:
@@ -166,6 +184,11 @@
 	return state
 }
 
+// refs returns the keepers in a fixed order, which makes runs repeatable.
+func (o *outbox) refs() []core.HostRef {
+	return slices.SortedFunc(maps.Keys(o.keepers), compare)
+}
+
 // trim drops queued bills that are no longer pending.
 func (o *outbox) trim(own *journal) {
 	for len(o.queue) > 0 && !own.ids[o.queue[0].Bill.Request] {
--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -34,7 +34,7 @@
 func (s *state) tick(ctx context.Context) {
 	now := s.config.Now()
 	s.view.update(&s.config, now)
-	s.book.Lost(s.view.gone)
+	s.book.Lost(s.view.gone, now)
 	for _, told := range s.book.Acknowledgements(now) {
 		if !s.telling[told.Peer.Ref] {
 			s.telling[told.Peer.Ref] = true
