Add trials of the decisions under crest, head-of-line and straggler loads

Cause: the policy has to be tuned against loads that are hard to serve. Change: measure/load simulates nine hosts and ten engines of 16 slots by discrete events and compares the product's decisions with round robin and with least connections by late reports. These are trials without sockets.

--- /dev/null
+++ b/internal/measure/load/product.go
@@ -0,0 +1,186 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/admission"
+	"github.com/peridotreel/peridotreel/internal/decide/retry"
+	"github.com/peridotreel/peridotreel/internal/decide/routing"
+	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
+)
+
+// The intervals of the balancer task.
+const (
+	pollInterval     = 146 * time.Millisecond
+	evaluateInterval = 250 * time.Millisecond
+)
+
+var modelPool = upstreams.Pool{Model: "model"}
+
+// productHost is one host under the product's decisions.
+type productHost struct {
+	s       *simulation
+	machine *admission.Machine
+	view    *upstreams.View
+	hedges  retry.Budget
+	waiting map[admission.Ticket]*job
+	polled  int
+}
+
+type product struct {
+	s     *simulation
+	hosts []*productHost
+}
+
+func newProduct(s *simulation) policy {
+	p := &product{s: s}
+	for i := range hostCount {
+		h := &productHost{
+			s: s, machine: admission.NewMachine(), hedges: retry.NewHedgeBudget(s.time()),
+			view:    upstreams.NewView(core.HostID(fmt.Sprintf("host-%d", i)), "z"),
+			waiting: make(map[admission.Ticket]*job), polled: i,
+		}
+		var entries []upstreams.Entry
+		for _, e := range s.engines {
+			entries = append(entries, upstreams.Entry{Target: e.target, Pools: []upstreams.Pool{modelPool}})
+		}
+		h.view.SetHosts(hostCount)
+		h.view.ApplyList(s.time(), entries)
+		h.evaluate()
+		// Hosts don't act in step.
+		s.after(time.Duration(s.choices.Int64N(int64(evaluateInterval))), func() {
+			s.every(evaluateInterval, h.evaluate)
+			s.every(pollInterval, h.poll)
+		})
+		p.hosts = append(p.hosts, h)
+	}
+	return p
+}
+
+func (h *productHost) evaluate() {
+	h.view.Evaluate(h.s.time())
+	for _, c := range h.view.Capacities(h.s.time(), nil) {
+		h.machine.SetCapacity(h.s.time(), c.Pool, c.Slots)
+	}
+	h.deliver()
+}
+
+// poll takes one engine's report, each in turn.
+func (h *productHost) poll() {
+	h.polled++
+	if report, ok := h.s.engines[h.polled%engineCount].report(h.s.reportLag); ok {
+		h.view.ApplyReport(h.s.time(), report)
+	}
+}
+
+func (p *product) offer(j *job) {
+	p.hosts[j.host].offer(j)
+}
+
+func (h *productHost) offer(j *job) {
+	ticket, refusal := h.machine.Enter(h.s.time(), admission.Request{
+		Team: j.team, Pool: modelPool, Long: j.long, Estimate: j.estimate, Deadline: epoch.Add(j.deadline),
+	})
+	if refusal != nil {
+		h.s.refuse(j)
+		return
+	}
+	j.ticket = uint64(ticket)
+	h.waiting[ticket] = j
+	h.deliver()
+}
+
+// deliver sends the jobs that were given a slot.
+func (h *productHost) deliver() {
+	for _, ticket := range append([]admission.Ticket(nil), h.machine.Granted()...) {
+		j := h.waiting[ticket]
+		delete(h.waiting, ticket)
+		h.s.accept(j)
+		h.dispatch(j, "")
+	}
+}
+
+func (h *productHost) dispatch(j *job, excluded core.UpstreamID) bool {
+	request := routing.Request{Pool: modelPool, Estimate: j.estimate, PrefixHash: j.prefix, Random: h.s.choices.Uint64()}
+	if excluded != "" {
+		request.Excluded = []core.UpstreamID{excluded}
+	} else {
+		h.hedges.Request()
+	}
+	member := routing.Pick(h.view, h.s.time(), &request)
+	if member == nil {
+		return false
+	}
+	h.view.Start(h.s.time(), member, j.estimate)
+	target := member.Target()
+	for _, e := range h.s.engines {
+		if e.target == target {
+			e.submit(j)
+		}
+	}
+	if excluded == "" {
+		h.planHedge(j, target.Upstream)
+	}
+	return true
+}
+
+// planHedge sends a second attempt if the first token takes too long.
+func (h *productHost) planHedge(j *job, first core.UpstreamID) {
+	delay := time.Duration(0)
+	h.view.Models(func(_ core.ModelName, usual time.Duration) { delay = retry.HedgeDelay(usual) })
+	if delay == 0 {
+		return
+	}
+	h.s.after(delay, func() {
+		now := h.s.time()
+		if j.ended || j.firstSeen || !retry.MayHedge(true, len(j.attempts), 0, now, epoch.Add(j.deadline)) || !h.hedges.Take(now) {
+			return
+		}
+		if h.dispatch(j, first) {
+			j.hedged = true
+			h.s.result.Hedges++
+		}
+	})
+}
+
+func (p *product) first(a *attempt) {
+	h := p.hosts[a.job.host]
+	h.view.FirstToken(p.s.time(), modelPool, a.engine.target, p.s.now-a.sent)
+	p.s.sawFirst(a.job)
+	for _, other := range a.job.attempts {
+		if other != a && other.phase != over {
+			h.cancel(other)
+		}
+	}
+}
+
+func (h *productHost) cancel(a *attempt) {
+	tokens := int64(0)
+	if a.phase == decoding {
+		tokens = 1
+	}
+	a.engine.remove(a)
+	h.view.End(h.s.time(), modelPool, a.engine.target, upstreams.Cancelled, h.s.now-a.sent, tokens, a.job.estimate)
+}
+
+func (p *product) done(a *attempt) {
+	h := p.hosts[a.job.host]
+	h.view.End(p.s.time(), modelPool, a.engine.target, upstreams.Done, p.s.now-a.sent, int64(a.job.tokens), a.job.estimate)
+	p.s.finish(a.job)
+	h.machine.Leave(p.s.time(), admission.Ticket(a.job.ticket), a.job.tokens)
+	h.deliver()
+}
+
+func (p *product) gone(j *job) {
+	h := p.hosts[j.host]
+	for _, a := range j.attempts {
+		if a.phase != over {
+			h.cancel(a)
+		}
+	}
+	delete(h.waiting, admission.Ticket(j.ticket))
+	h.machine.Abandon(p.s.time(), admission.Ticket(j.ticket))
+	h.deliver()
+}
