Run the whole path: host, local fleet, demo and serve

Cause: the filters and tasks existed apart; nothing served a request from one end to the other. Change: internal/host composes listeners, tasks and pipeline; localfleet runs the stand-ins and hosts in one process; the demo sends a mix with lost platform replies, an edited row, a killed host, a leaving engine and a draining host and checks the promises; serve, check and standin run the parts as processes.

--- a/cmd/peridotreel/main.go
+++ b/cmd/peridotreel/main.go
@@ -1,4 +1,41 @@
-// Command peridotreel is the router fleet's one binary.
+// Command peridotreel is the router fleet's one binary: a host of the fleet,
+// the operators' table, the stand-ins, the demo and the measures.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/peridotreel/peridotreel/internal/settings"
+)
+
+const (
+	exitFailure     = 1
+	exitBadSettings = 2
+)
+
+func main() {
+	root := &cli.Command{
+		Name:  "peridotreel",
+		Usage: "router fleet for language-model work on prepaid token budgets",
+		Commands: []*cli.Command{
+			serveCommand(), checkCommand(), standinCommand(), demoCommand(),
+		},
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var wrong *settings.Error
+	if errors.As(err, &wrong) {
+		return exitBadSettings
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/peridotreel/serve.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/host"
+	"github.com/peridotreel/peridotreel/internal/settings"
+)
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "path of the host's YAML settings", Required: true}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a host's settings and start nothing",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(_ context.Context, command *cli.Command) error {
+			loaded, err := settings.Load(command.String("config"))
+			if err != nil {
+				return err
+			}
+			if err := loaded.Listen.CheckAddresses(); err != nil {
+				return err
+			}
+			fmt.Println("settings are valid")
+			return nil
+		},
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run a host of the fleet",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(_ context.Context, command *cli.Command) error {
+			loaded, err := settings.Load(command.String("config"))
+			if err != nil {
+				return err
+			}
+			return serve(loaded)
+		},
+	}
+}
+
+// newLogger returns a logger that writes JSON lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(parsed)
+	config.DisableStacktrace = true
+	return config.Build()
+}
+
+// serve runs a host until a signal. The first signal drains it; a second one
+// ends it at once.
+func serve(loaded *settings.Settings) error {
+	log, err := newLogger(loaded.Log.Level)
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	started, err := host.New(host.Options{
+		Settings: loaded, Log: log,
+		// Clocks of successive processes of a host may be off by less than
+		// the time a restart takes, so the start time orders incarnations.
+		Incarnation: core.Incarnation(time.Now().UnixMilli()),
+	})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	started.Start()
+	select {
+	case err := <-started.Failed():
+		started.Kill()
+		return fmt.Errorf("a listener ended: %w", err)
+	case <-signals:
+	}
+	return drain(started, time.Duration(loaded.Drain.Limit), signals)
+}
+
+var errSecondSignal = errors.New("a second signal ended the host; what its drain had not handed back is in the log and stays deducted until it is released")
+
+func drain(started *host.Host, limit time.Duration, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- started.Drain(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		cancel()
+		return errors.Join(errSecondSignal, <-done)
+	}
+}
--- /dev/null
+++ b/internal/demo/settle.go
@@ -0,0 +1,87 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/operate"
+)
+
+// settle drains all hosts, so that all bills are in the table, and compares
+// bills, shares and budgets with what the callers received.
+func (d *demo) settle(ctx context.Context) error {
+	for _, running := range d.fleet.Hosts {
+		if !running.Stopped() {
+			if err := d.fleet.DrainHost(ctx, running); err != nil {
+				return fmt.Errorf("draining host %s: %w", running.Name, err)
+			}
+		}
+	}
+	bills, err := operate.Bills{Table: d.fleet.Store, Objects: d.fleet.Store.Objects()}.All(ctx)
+	if err != nil {
+		return err
+	}
+	d.checkBills(bills)
+	return d.checkBudgets(ctx, bills)
+}
+
+// checkBills checks that each answered request has one bill of its cost.
+func (d *demo) checkBills(bills []core.Bill) {
+	c := d.newCheck("P2 each request is billed exactly once")
+	byRequest := make(map[string][]core.Bill, len(bills))
+	for _, bill := range bills {
+		byRequest[bill.Request.String()] = append(byRequest[bill.Request.String()], bill)
+	}
+	for request, of := range byRequest {
+		if len(of) > 1 {
+			c.breakf("request %s has %d bills", request, len(of))
+		}
+	}
+	checked := 0
+	for _, s := range append(d.tally.samples, d.later...) {
+		id := s.request
+		if id == "" && s.key != "" {
+			id = core.KeyedRequestID(s.team, s.key).String()
+		}
+		if !s.answered || id == "" {
+			continue
+		}
+		checked++
+		if of := byRequest[id]; len(of) == 0 {
+			c.breakf("request %s of %s has no bill", id, s.team)
+		} else if of[0].Cost != s.cost {
+			c.breakf("request %s cost %d and was billed %d", id, s.cost, of[0].Cost)
+		}
+	}
+	c.detail = fmt.Sprintf("%d answers compared with %d bills", checked, len(bills))
+}
+
+// checkBudgets checks the sums of the table.
+func (d *demo) checkBudgets(ctx context.Context, bills []core.Bill) error {
+	c := d.newCheck("P1 the table agrees: billed at most prepaid, for every budget")
+	statuses, err := d.fleet.Budgets().Status(ctx)
+	if err != nil {
+		return err
+	}
+	billed := make(map[core.BudgetID]core.Tokens)
+	for _, bill := range bills {
+		billed[bill.Share.Budget] += bill.Cost
+	}
+	var prepaid, spent, held core.Tokens
+	for _, status := range statuses {
+		prepaid, spent, held = prepaid+status.Prepaid, spent+status.Spent, held+status.Held
+		if billed[status.Budget] > status.Prepaid {
+			c.breakf("budget %s: billed %d of %d", status.Budget, billed[status.Budget], status.Prepaid)
+		}
+		if status.Left < 0 || status.Left+status.Spent+status.Held != status.Prepaid {
+			c.breakf("budget %s: left %d, spent %d and held %d do not add up to %d",
+				status.Budget, status.Left, status.Spent, status.Held, status.Prepaid)
+		}
+		if status.Spent > billed[status.Budget] {
+			c.breakf("budget %s: shares say %d spent, bills %d", status.Budget, status.Spent, billed[status.Budget])
+		}
+	}
+	c.detail = fmt.Sprintf("%d budgets: prepaid %d, spent %d, held by the killed host %d", len(statuses), prepaid, spent, held)
+	return nil
+}
--- /dev/null
+++ b/internal/localfleet/fleet.go
@@ -0,0 +1,298 @@
+// Package localfleet runs a small fleet in one process over loopback sockets:
+// the stand-ins of platform and upstreams, and hosts in several zones. The
+// demo, the measures and the end-to-end tests use it.
+package localfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/host"
+	"github.com/peridotreel/peridotreel/internal/operate"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/settings"
+	platformstandin "github.com/peridotreel/peridotreel/internal/standin/platform"
+	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	// readyTimeout bounds the start of all hosts.
+	readyTimeout = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	// balancerWait is short, as no balancer stands before a local fleet.
+	balancerWait = 200 * time.Millisecond
+	drainLimit   = time.Minute
+)
+
+// Engine is a model engine to start.
+type Engine struct {
+	Zone     core.ZoneName
+	Models   []core.ModelName
+	Settings upstreamstandin.EngineSettings
+}
+
+// Service is a plain service to start.
+type Service struct {
+	Zone     core.ZoneName
+	Settings upstreamstandin.ServiceSettings
+}
+
+// Config describes a fleet.
+type Config struct {
+	Zones        []core.ZoneName
+	HostsPerZone int
+	Engines      []Engine
+	Services     []Service
+	// ListLag is the lag of the platform's list of machines.
+	ListLag time.Duration
+	Log     *zap.Logger
+}
+
+// RunningEngine is a started engine.
+type RunningEngine struct {
+	*upstreamstandin.Engine
+	ID      core.UpstreamID
+	Zone    core.ZoneName
+	Address string
+	server  *http.Server
+	member  platform.Member
+}
+
+// RunningService is a started plain service.
+type RunningService struct {
+	*upstreamstandin.Service
+	server *http.Server
+	member platform.Member
+}
+
+// RunningHost is a started host.
+type RunningHost struct {
+	*host.Host
+	Zone    core.ZoneName
+	Name    core.HostID
+	stopped bool
+}
+
+// Stopped reports whether the host was killed or drained.
+func (h *RunningHost) Stopped() bool { return h.stopped }
+
+// Fleet is a running fleet. Its methods are called from one goroutine.
+type Fleet struct {
+	config      Config
+	Platform    *platformstandin.Service
+	PlatformURL string
+	Store       *platform.Client
+	Engines     []*RunningEngine
+	Services    []*RunningService
+	Hosts       []*RunningHost
+	group       task.Group
+	servers     []*http.Server
+	incarnation core.Incarnation
+}
+
+// Start runs the stand-ins. Hosts follow with StartHosts, after the table has
+// been filled.
+func Start(config Config) (*Fleet, error) {
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	limits := platformstandin.DefaultSettings()
+	limits.MembersLag = config.ListLag
+	f := &Fleet{config: config, Platform: platformstandin.NewServiceWith(limits), incarnation: core.Incarnation(time.Now().UnixMilli())}
+	f.group.Start(f.Platform)
+	address, _, err := f.serve(f.Platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	f.PlatformURL = "http://" + address
+	f.Store = platform.NewClient(f.PlatformURL)
+	for _, engine := range config.Engines {
+		if err := f.startEngine(engine); err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+	}
+	for _, service := range config.Services {
+		if err := f.startService(service); err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+	}
+	f.PublishMembers()
+	return f, nil
+}
+
+// serve starts an HTTP server on a free loopback port.
+func (f *Fleet) serve(handler http.Handler) (string, *http.Server, error) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
+	go func() { _ = server.Serve(listener) }()
+	f.servers = append(f.servers, server)
+	return listener.Addr().String(), server, nil
+}
+
+func (f *Fleet) startEngine(engine Engine) error {
+	engine.Settings.Incarnation = f.nextIncarnation()
+	started := upstreamstandin.NewEngine(engine.Settings)
+	f.group.Start(started)
+	address, server, err := f.serve(started.Handler())
+	if err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, &RunningEngine{
+		Engine: started, ID: engine.Settings.ID, Zone: engine.Zone, Address: address, server: server,
+		member: platform.Member{
+			Role: platform.RoleEngine, ID: string(engine.Settings.ID), Incarnation: engine.Settings.Incarnation,
+			Zone: engine.Zone, Address: address, Models: engine.Models, ChecksFencing: engine.Settings.ChecksFencing,
+		},
+	})
+	return nil
+}
+
+func (f *Fleet) startService(service Service) error {
+	service.Settings.Incarnation = f.nextIncarnation()
+	started := upstreamstandin.NewService(service.Settings)
+	f.group.Start(started)
+	address, server, err := f.serve(started.Handler())
+	if err != nil {
+		return err
+	}
+	f.Services = append(f.Services, &RunningService{
+		Service: started, server: server,
+		member: platform.Member{
+			Role: platform.RoleService, ID: string(service.Settings.ID), Incarnation: service.Settings.Incarnation,
+			Zone: service.Zone, Address: address, Service: service.Settings.Name,
+		},
+	})
+	return nil
+}
+
+func (f *Fleet) nextIncarnation() core.Incarnation {
+	f.incarnation++
+	return f.incarnation
+}
+
+// StartHosts starts the hosts of all zones and waits until they are ready.
+func (f *Fleet) StartHosts(ctx context.Context) error {
+	for i := range f.config.HostsPerZone {
+		for _, zone := range f.config.Zones {
+			name := core.HostID(fmt.Sprintf("%s-%d", zone, i+1))
+			if _, err := f.StartHost(name, zone); err != nil {
+				return err
+			}
+		}
+	}
+	return f.WaitReady(ctx)
+}
+
+// StartHost starts one host process and adds it to the platform's list.
+func (f *Fleet) StartHost(name core.HostID, zone core.ZoneName) (*RunningHost, error) {
+	started, err := host.New(host.Options{
+		Settings: &settings.Settings{
+			Host: name, Zone: zone, Platform: f.PlatformURL,
+			Listen: settings.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort},
+			Drain:  settings.Drain{BalancerWait: settings.Duration(balancerWait), Limit: settings.Duration(drainLimit)},
+		},
+		Incarnation: f.nextIncarnation(),
+		Log:         f.config.Log.With(zap.String("host", string(name))),
+	})
+	if err != nil {
+		return nil, err
+	}
+	running := &RunningHost{Host: started, Zone: zone, Name: name}
+	f.Hosts = append(f.Hosts, running)
+	f.PublishMembers()
+	started.Start()
+	return running, nil
+}
+
+// WaitReady waits until all running hosts are ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		waiting := ""
+		for _, running := range f.Hosts {
+			if !running.stopped && !running.Ready() {
+				waiting = string(running.Name)
+			}
+		}
+		if waiting == "" {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("host %s was not ready within %s", waiting, readyTimeout)
+		}
+	}
+}
+
+// KillHost ends a host as the death of its process would.
+func (f *Fleet) KillHost(running *RunningHost) {
+	running.stopped = true
+	running.Kill()
+	f.PublishMembers()
+}
+
+// DrainHost stops a host gracefully.
+func (f *Fleet) DrainHost(ctx context.Context, running *RunningHost) error {
+	running.stopped = true
+	err := running.Drain(ctx)
+	f.PublishMembers()
+	return err
+}
+
+// PublishMembers gives the platform's list its present content, which becomes
+// visible after the list's lag.
+func (f *Fleet) PublishMembers() {
+	var members []platform.Member
+	for _, engine := range f.Engines {
+		members = append(members, engine.member)
+	}
+	for _, service := range f.Services {
+		members = append(members, service.member)
+	}
+	for _, running := range f.Hosts {
+		if !running.stopped {
+			members = append(members, platform.Member{
+				Role: platform.RoleHost, ID: string(running.Name), Incarnation: running.Ref().Incarnation,
+				Zone: running.Zone, Address: running.PeerAddress(),
+			})
+		}
+	}
+	f.Platform.SetMembers(members)
+}
+
+// Budgets returns the operators' actions on budgets.
+func (f *Fleet) Budgets() operate.Budgets {
+	return operate.Budgets{Table: f.Store, Now: time.Now}
+}
+
+// Stop ends everything at once.
+func (f *Fleet) Stop() error {
+	for _, running := range f.Hosts {
+		if !running.stopped {
+			running.stopped = true
+			running.Kill()
+		}
+	}
+	var errs []error
+	for _, server := range f.servers {
+		errs = append(errs, server.Close())
+	}
+	f.group.Stop()
+	return errors.Join(errs...)
+}
--- a/internal/rows/segment.go
+++ b/internal/rows/segment.go
@@ -6,15 +6,32 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/billing"
 )
 
+// SegmentPrefix is the prefix of the rows with the heads of journals.
+const SegmentPrefix = "segment/"
+
+// SegmentOwner returns the host process of a key built by SegmentKey.
+func SegmentOwner(key string) (core.HostRef, error) {
+	fields, err := parts(key, SegmentPrefix, 2)
+	if err != nil {
+		return core.HostRef{}, err
+	}
+	incarnation, err := strconv.ParseUint(fields[1], 10, 64)
+	if err != nil {
+		return core.HostRef{}, fmt.Errorf("row key %q must end in the number of an incarnation: %w", key, err)
+	}
+	return core.HostRef{Host: core.HostID(fields[0]), Incarnation: core.Incarnation(incarnation)}, nil
+}
+
 // SegmentKey returns the key of the row with the head of a journal of bills.
 func SegmentKey(owner core.HostRef) string {
-	return fmt.Sprintf("segment/%s/%d", url.PathEscape(string(owner.Host)), owner.Incarnation)
+	return fmt.Sprintf(SegmentPrefix+"%s/%d", url.PathEscape(string(owner.Host)), owner.Incarnation)
 }
 
 // SegmentObject returns the name of the object with a segment's bills. It
--- a/internal/standin/platform/scripted.go
+++ b/internal/standin/platform/scripted.go
@@ -7,13 +7,13 @@
 	"github.com/peridotreel/peridotreel/internal/platform"
 )
 
-// Fault is what happens to one operation of a Scripted platform.
-type Fault uint8
+// ScriptedFault is what happens to one operation of a Scripted platform.
+type ScriptedFault uint8
 
 // The faults of single operations.
 const (
 	// FaultNone answers normally.
-	FaultNone Fault = iota
+	FaultNone ScriptedFault = iota
 	// FaultDown gives no answer and applies nothing.
 	FaultDown
 	// FaultLoseReply applies the operation and loses its answer.
@@ -29,7 +29,7 @@
 type Scripted struct {
 	Store *Store
 	// Choose returns the fault of the next operation; nil means no faults.
-	Choose func() Fault
+	Choose func() ScriptedFault
 	// Rewrite changes commits before they are applied, so that a test can
 	// show that it fails without a condition; nil changes nothing.
 	Rewrite func(commit platform.Commit) platform.Commit
@@ -60,7 +60,7 @@
 	write()
 }
 
-func (s *Scripted) fault() Fault {
+func (s *Scripted) fault() ScriptedFault {
 	if s.Choose == nil {
 		return FaultNone
 	}
--- a/internal/tasks/bills/machine_test.go
+++ b/internal/tasks/bills/machine_test.go
@@ -378,8 +378,8 @@
 		w := newWorld(mutated)
 		flip := func(label string) bool { return rapid.Bool().Draw(t, label) }
 		pick := func() *node { return w.alive()[rapid.IntRange(0, 2).Draw(t, "host")] }
-		w.platform.Choose = func() standin.Fault {
-			return standin.Fault(max(0, rapid.IntRange(-2, 3).Draw(t, "fault")))
+		w.platform.Choose = func() standin.ScriptedFault {
+			return standin.ScriptedFault(max(0, rapid.IntRange(-2, 3).Draw(t, "fault")))
 		}
 		must := func(err error) {
 			if err != nil {
