Test the budget ledger with a state machine and mutations

Cause: spend must stay within prepaid in any order of lost replies, duplicates, late messages, pauses and deaths.

--- /dev/null
+++ b/internal/decide/budget/model_test.go
@@ -0,0 +1,411 @@
+package budget_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/budget"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/rows"
+	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
+)
+
+// mutation switches one mechanism off.
+type mutation string
+
+const (
+	noMutation       mutation = ""
+	topUpNoToken     mutation = "top-up without its token row"
+	grantRepeated    mutation = "a repeated draw is granted again"
+	reclaimByTimeout mutation = "a share is reclaimed by timeout"
+	refundTwice      mutation = "a hold is refunded twice"
+	blindWrite       mutation = "commits without conditions"
+	transferUndone   mutation = "a transfer is undone when its reply is lost"
+	returnIncrement  mutation = "returned amounts are increments"
+)
+
+const (
+	modelBudget core.BudgetID = "b/1"
+	payment     core.Tokens   = 60
+)
+
+type modelHold struct {
+	serial uint64
+	amount core.Tokens
+}
+
+type modelHost struct {
+	id     core.ShareID
+	holder *budget.Holder
+	alive  bool
+	holds  []modelHold
+}
+
+// draw is a request on its way to an owner.
+type draw struct {
+	request budget.Request
+}
+
+// decision is a commit that its process holds and may apply late or again.
+type decision struct {
+	commit platform.Commit
+	done   func()
+	lost   func()
+}
+
+// model is a fleet without sockets or clocks. Everything that a network, a
+// scheduler or an operator may decide is decided by choose.
+type model struct {
+	choose    func(n int) int
+	broken    mutation
+	store     *standin.Store
+	now       time.Time
+	hosts     []*modelHost
+	network   []draw
+	decisions []decision
+	replies   []func()
+	serial    uint64
+	tokens    int
+	topUps    map[string]core.Tokens
+	// payments counts the distinct payments that were sent.
+	payments int
+	grants   map[core.ShareID]map[uint64]int
+}
+
+func newModel(choose func(n int) int, broken mutation) *model {
+	m := &model{
+		choose: choose, broken: broken, store: standin.NewStore(), now: time.Unix(1_700_000_000, 0),
+		topUps: make(map[string]core.Tokens), grants: make(map[core.ShareID]map[uint64]int),
+	}
+	for range 3 {
+		m.addHost()
+	}
+	m.topUp()
+	return m
+}
+
+func (m *model) addHost() {
+	ref := core.HostRef{Host: core.HostID(fmt.Sprint("h", len(m.hosts)%3)), Incarnation: core.Incarnation(len(m.hosts) + 1)}
+	id := core.ShareID{Budget: modelBudget, Holder: ref}
+	m.hosts = append(m.hosts, &modelHost{id: id, holder: budget.NewHolder(id, m.now), alive: true})
+}
+
+// host returns one of the latest processes of the hosts, which may be gone.
+func (m *model) host() *modelHost {
+	return m.hosts[len(m.hosts)-1-m.choose(min(4, len(m.hosts)))]
+}
+
+func (m *model) ledger() *budget.Ledger {
+	read, err := rows.DecodeBudgetRows(m.store.List(""))
+	if err != nil {
+		panic(err)
+	}
+	return budget.NewLedger(m.now, read.Budgets, read.Shares, read.TopUps...)
+}
+
+// hold keeps a decision for a time that the chooser decides.
+func (m *model) hold(change budget.Change, done, lost func()) {
+	if change.Empty() {
+		done()
+		return
+	}
+	m.tokens++
+	commit, err := rows.BudgetCommit(fmt.Sprint("t", m.tokens), change)
+	if err != nil {
+		panic(err)
+	}
+	if m.broken == blindWrite {
+		commit.Conditions = nil
+	}
+	m.decisions = append(m.decisions, decision{commit, done, lost})
+}
+
+func (m *model) reserve() {
+	host := m.host()
+	if !host.alive {
+		return
+	}
+	m.serial++
+	amount := core.Tokens(m.choose(30) + 1)
+	host.holder.Demand(amount, m.now)
+	if host.holder.Reserve(m.serial, amount) {
+		host.holds = append(host.holds, modelHold{m.serial, amount})
+		return
+	}
+	if host.holder.Closed() {
+		return
+	}
+	m.network = append(m.network, draw{host.holder.Draw(amount-host.holder.Available(), m.now)})
+	if m.choose(4) > 0 {
+		m.exchange()
+	}
+}
+
+// exchange carries the latest message through without a fault.
+func (m *model) exchange() {
+	messages, decisions, answers := m.network, m.decisions, m.replies
+	m.network, m.decisions, m.replies = messages[len(messages)-1:], nil, nil
+	m.serveMessage(0)
+	if len(m.decisions) == 1 {
+		if _, err := m.store.Commit(m.decisions[0].commit); err == nil {
+			m.decisions[0].done()
+		}
+	}
+	for _, reply := range m.replies {
+		reply()
+	}
+	m.network, m.decisions, m.replies = messages, decisions, answers
+}
+
+func (m *model) settle() {
+	host := m.host()
+	if !host.alive || len(host.holds) == 0 {
+		return
+	}
+	i := m.choose(len(host.holds))
+	hold := host.holds[i]
+	host.holds = slices.Delete(host.holds, i, i+1)
+	cost := hold.amount - core.Tokens(m.choose(int(hold.amount)/2+1))
+	host.holder.Settle(hold.serial, cost, m.now)
+	if m.choose(3) == 0 {
+		host.holder.Settle(hold.serial, 0, m.now)
+		if m.broken == refundTwice {
+			host.holder.RefundAgain(hold.amount)
+		}
+	}
+}
+
+func (m *model) report() {
+	if host := m.host(); host.alive {
+		if m.choose(3) == 0 {
+			m.now = m.now.Add(budget.IdleAfter)
+			host.holder.GiveBack(m.now)
+		}
+		m.network = append(m.network, draw{host.holder.Report()})
+	}
+}
+
+// serve lets some owner decide on a message, which may arrive again later.
+func (m *model) serve() {
+	if len(m.network) == 0 {
+		return
+	}
+	i := m.choose(len(m.network))
+	m.serveMessage(i)
+	if m.choose(3) > 0 {
+		m.network = slices.Delete(m.network, i, i+1)
+	}
+}
+
+func (m *model) serveMessage(i int) {
+	request := m.network[i].request
+	number := request.Sequence
+	read, _ := rows.DecodeBudgetRows(m.store.List(""))
+	for _, share := range read.Shares {
+		if share.ID != request.Share {
+			continue
+		}
+		if m.broken == grantRepeated && request.Need > 0 {
+			request.Sequence = share.Sequence + 1
+		}
+		if m.broken == returnIncrement {
+			request.Returned += share.Returned
+		}
+	}
+	ledger := m.ledger()
+	answer := ledger.Serve(request, budget.Fleet{Zones: 1, Hosts: 2})
+	m.hold(ledger.Change(), func() {
+		if answer.Drawn > 0 {
+			if m.grants[request.Share] == nil {
+				m.grants[request.Share] = make(map[uint64]int)
+			}
+			m.grants[request.Share][number]++
+		}
+		m.replies = append(m.replies, func() { m.find(request.Share).holder.Learn(answer.Share) })
+	}, func() {})
+}
+
+func (m *model) find(id core.ShareID) *modelHost {
+	return m.hosts[slices.IndexFunc(m.hosts, func(host *modelHost) bool { return host.id == id })]
+}
+
+// recall starts a transfer, or decides anew on one whose outcome is unknown.
+func (m *model) recall() {
+	giver, receiver := m.host(), m.host()
+	if !giver.alive {
+		return
+	}
+	transfer, pending := giver.holder.Pending()
+	if !pending {
+		if transfer, pending = giver.holder.Give(receiver.id, core.Tokens(m.choose(60)+1)); !pending {
+			return
+		}
+	}
+	ledger := m.ledger()
+	outcome := ledger.Transfer(transfer.From, transfer.To, transfer.Moved)
+	m.hold(ledger.Change(),
+		func() { giver.holder.Finish(transfer, outcome) },
+		func() {
+			if m.broken == transferUndone {
+				giver.holder.Finish(transfer, budget.TransferImpossible)
+			}
+		})
+}
+
+func (m *model) topUp() {
+	number := m.choose(6)
+	m.payments = max(m.payments, min(number, m.payments)+1)
+	token := fmt.Sprint("payment", min(number, m.payments-1))
+	sent := budget.TopUp{Budget: modelBudget, Token: token, Amount: payment}
+	ledger := m.ledger()
+	if m.broken == topUpNoToken {
+		sent.Token = fmt.Sprint("other", m.tokens)
+	}
+	if err := ledger.TopUp(sent); err != nil {
+		panic(err)
+	}
+	m.hold(ledger.Change(), func() { m.topUps[token] = payment }, func() {})
+}
+
+// apply carries out a held decision; the reply may be lost or come twice.
+func (m *model) apply() {
+	if len(m.decisions) == 0 {
+		return
+	}
+	i := m.choose(len(m.decisions))
+	held := m.decisions[i]
+	fate := m.choose(6)
+	if fate == 0 {
+		// The platform is down, or the process died with the decision.
+		held.lost()
+		return
+	}
+	_, err := m.store.Commit(held.commit)
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		m.decisions = slices.Delete(m.decisions, i, i+1)
+	case fate == 1:
+		// The reply is lost; the commit is repeated under its token.
+		held.lost()
+	default:
+		m.decisions = slices.Delete(m.decisions, i, i+1)
+		held.done()
+	}
+}
+
+func (m *model) deliver() {
+	if len(m.replies) == 0 {
+		return
+	}
+	i := m.choose(len(m.replies))
+	m.replies[i]()
+	if m.choose(3) > 0 {
+		m.replies = slices.Delete(m.replies, i, i+1)
+	}
+}
+
+// stop ends a host, by death or, when nothing is in flight, gracefully.
+func (m *model) stop() {
+	host := m.host()
+	if !host.alive || m.choose(8) > 0 {
+		return
+	}
+	_, pending := host.holder.Pending()
+	if len(host.holds) == 0 && !pending && m.choose(2) == 0 {
+		m.network = append(m.network, draw{host.holder.Close()})
+	}
+	host.alive = false
+	m.addHost()
+}
+
+// operate lets an operator release a terminated host, or a peer apply its bills.
+func (m *model) operate() {
+	host := m.hosts[m.choose(len(m.hosts))]
+	if host.alive && m.broken != reclaimByTimeout {
+		return
+	}
+	ledger := m.ledger()
+	if m.choose(2) == 0 {
+		ledger.Settle(host.id, host.holder.Billed())
+	} else {
+		ledger.Release(host.id)
+	}
+	m.hold(ledger.Change(), func() {}, func() {})
+}
+
+// The named checks.
+const (
+	checkSpend  = "spend never exceeds prepaid"
+	checkAmount = "amounts are conserved"
+	checkTopUp  = "a top-up counts once"
+	checkGrant  = "a grant is not doubled"
+)
+
+// violations holds what failed, by check.
+type violations map[string]string
+
+func (m *model) step() violations {
+	actions := []func(){
+		m.reserve, m.reserve, m.reserve, m.settle, m.settle, m.report, m.serve, m.serve, m.serve,
+		m.apply, m.apply, m.apply, m.apply, m.deliver, m.deliver, m.recall, m.topUp, m.stop, m.operate,
+	}
+	m.now = m.now.Add(time.Second)
+	actions[m.choose(len(actions))]()
+	return m.check()
+}
+
+// check compares the table with the oracle.
+func (m *model) check() violations {
+	read, err := rows.DecodeBudgetRows(m.store.List(""))
+	if err != nil {
+		return violations{checkSpend: err.Error(), checkAmount: err.Error()}
+	}
+	failed := violations{}
+	var prepaid, paid, drawn, net, spent core.Tokens
+	for _, amount := range m.topUps {
+		paid += amount
+	}
+	for _, row := range read.Budgets {
+		prepaid, drawn = row.Prepaid, row.Drawn
+	}
+	// A payment whose reply is not known yet may be in the table.
+	if prepaid < paid || prepaid > core.Tokens(m.payments)*payment {
+		failed[checkTopUp] = fmt.Sprintf("prepaid is %d, the payments are %d", prepaid, paid)
+	}
+	for _, row := range read.Shares {
+		net += row.Net()
+		host := m.find(row.ID)
+		if row.Billed+row.WrittenOff > host.holder.Billed() {
+			failed[checkAmount] = fmt.Sprintf("%v has %d billed of %d spent", row.ID, row.Billed, host.holder.Billed())
+		}
+		// What a running host believes it may spend is deducted in the table.
+		believed := host.holder.Billed() + host.holder.Held() + host.holder.Available()
+		if host.alive && !host.holder.Closed() && believed > row.Net() {
+			failed[checkAmount] = fmt.Sprintf("%v believes in %d, its row has %d", row.ID, believed, row.Net())
+		}
+		// Bills that were lost with a terminated host are not charged.
+		if row.State == budget.Released && !host.alive {
+			spent += row.Billed
+		} else {
+			spent += host.holder.Billed()
+		}
+	}
+	if net != drawn {
+		failed[checkAmount] = fmt.Sprintf("shares hold %d, the budget shows %d drawn", net, drawn)
+	}
+	if spent > prepaid {
+		failed[checkSpend] = fmt.Sprintf("%d of %d", spent, prepaid)
+	}
+	for id, sequences := range m.grants {
+		for sequence, count := range sequences {
+			if count > 1 {
+				failed[checkGrant] = fmt.Sprintf("draw %d of %v was granted %d times", sequence, id, count)
+			}
+		}
+	}
+	return failed
+}
--- a/internal/tasks/shares/upkeep.go
+++ b/internal/tasks/shares/upkeep.go
@@ -49,7 +49,7 @@
 
 func (m *recall) apply(t *Task) {
 	entry, found := t.accounts[m.to.Budget]
-	if !found || t.drain != nil || !entry.yields(t.config.Self, m.to.Holder) {
+	if !found || t.drain != nil || !budget.Yields(len(entry.waiting) > 0, t.config.Self, m.to.Holder) {
 		m.reply <- 0
 		return
 	}
@@ -61,12 +61,6 @@
 	t.carryOut(entry)
 }
 
-// yields reports whether this host may give while requests wait here. Of two
-// hosts with waiting requests only one gives, so that they don't swap.
-func (a *account) yields(self, requester core.HostRef) bool {
-	return len(a.waiting) == 0 || requester.String() < self.String()
-}
-
 // carryOut starts the pending transfer, or repeats it after an outage.
 func (t *Task) carryOut(entry *account) {
 	transfer, pending := entry.holder.Pending()
--- a/internal/tasks/shares/zone.go
+++ b/internal/tasks/shares/zone.go
@@ -1,7 +1,6 @@
 package shares
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -10,7 +9,6 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/budget"
-	"github.com/peridotreel/peridotreel/internal/decide/rendezvous"
 	"github.com/peridotreel/peridotreel/internal/fleet"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
@@ -22,9 +20,6 @@
 	ownersTried = 2
 	// serveTimeout bounds the table transactions of an owner for one batch.
 	serveTimeout = time.Second
-	// recalledHolders bounds the calls of one recall. The largest unspent
-	// shares come first, so more holders would add little.
-	recalledHolders = 16
 )
 
 // ownedBudget is a budget on which this host serves draws of its zone.
@@ -53,25 +48,15 @@
 // included, and the size of the fleet.
 func (t *Task) zoneView(id core.BudgetID) ([]core.Peer, budget.Fleet) {
 	self := core.Peer{Ref: t.config.Self, Zone: t.config.Zone, State: core.PeerAlive}
-	candidates := map[string]core.Peer{self.Ref.String(): self}
-	zones := map[core.ZoneName]bool{t.config.Zone: true}
-	if t.config.Peers != nil && t.config.Caller != nil {
-		for _, peer := range t.config.Peers.Peers().Peers {
-			zones[peer.Zone] = true
-			if peer.Usable() && peer.Zone == t.config.Zone {
-				candidates[peer.Ref.String()] = peer
-			}
-		}
-	}
-	names := make([]string, 0, len(candidates))
-	for name := range candidates {
-		names = append(names, name)
-	}
-	ranked := make([]core.Peer, 0, len(names))
-	for _, name := range rendezvous.Rank(string(id), names) {
-		ranked = append(ranked, candidates[name])
+	return budget.Owners(id, self, t.peers())
+}
+
+// peers returns the other hosts of the fleet, none for a host that works alone.
+func (t *Task) peers() []core.Peer {
+	if t.config.Peers == nil || t.config.Caller == nil {
+		return nil
 	}
-	return ranked, budget.Fleet{Zones: len(zones), Hosts: len(candidates)}
+	return t.config.Peers.Peers().Peers
 }
 
 // drawFromZone asks the zone's owner, then the next host in rendezvous order
@@ -191,15 +176,11 @@
 // recallAll sends Recall to the holders with the most unspent tokens and
 // reports whether any of them gave something.
 func (t *Task) recallAll(ctx context.Context, holders []budget.Share, to core.ShareID, need core.Tokens) bool {
-	holders = slices.DeleteFunc(holders, func(share budget.Share) bool {
-		return share.State == budget.Released || share.Unspent() <= 0 || share.ID == to
-	})
-	slices.SortFunc(holders, func(a, b budget.Share) int { return cmp.Compare(b.Unspent(), a.Unspent()) })
-	holders = holders[:min(recalledHolders, len(holders))]
+	targets := budget.RecallTargets(holders, to)
+	given := make([]core.Tokens, len(targets))
 	var calls sync.WaitGroup
-	given := make([]core.Tokens, len(holders))
-	for i, holder := range holders {
-		calls.Go(func() { given[i] = t.recallOne(ctx, holder.ID.Holder, to, need) })
+	for i, target := range targets {
+		calls.Go(func() { given[i] = t.recallOne(ctx, target, to, need) })
 	}
 	calls.Wait()
 	return slices.ContainsFunc(given, func(amount core.Tokens) bool { return amount > 0 })
@@ -212,10 +193,7 @@
 		})
 		return given
 	}
-	if t.config.Peers == nil || t.config.Caller == nil {
-		return 0
-	}
-	for _, peer := range t.config.Peers.Peers().Peers {
+	for _, peer := range t.peers() {
 		if peer.Ref != from || peer.State == core.PeerDead {
 			continue
 		}
