Draw ahead of need, return idle shares through the owner, test the task

Cause: requests waited for a draw each time a share ran out, and returns gave the budget's row one writer per host instead of one per zone. Change: a draw starts when less than a quarter of the covered demand is left; idle shares go back by Return to the zone's owner; operators' top-up, release and late bills are methods of shares.Ledger; tests on a fake clock.

--- a/internal/decide/budget/holder.go
+++ b/internal/decide/budget/holder.go
@@ -102,6 +102,12 @@
 	return request
 }
 
+// Low reports whether the share covers less than a quarter of what it should,
+// so that a draw now spares later requests the wait for one.
+func (h *Holder) Low(now time.Time) bool {
+	return !h.closed && h.Available() < h.demand.covered(now)/lowPart
+}
+
 // Report returns a request that only reports the cumulative totals.
 func (h *Holder) Report() Request {
 	return Request{Share: h.id, Sequence: h.sequence, Billed: h.billed, Returned: h.returned}
--- a/internal/decide/budget/ledger.go
+++ b/internal/decide/budget/ledger.go
@@ -192,29 +192,31 @@
 }
 
 // Release closes the share of a process that an operator states is
-// terminated, and returns what it had not spent. It reports false if there
-// is no such open share.
-func (l *Ledger) Release(id core.ShareID) bool {
+// terminated. It returns how much went back to the budget.
+func (l *Ledger) Release(id core.ShareID) core.Tokens {
 	share, found := l.shares[id]
 	budget, known := l.budgets[id.Budget]
 	if !found || !known || share.State == Released {
-		return false
+		return 0
 	}
+	before := share.Returned
 	l.release(budget, share)
-	return true
+	return share.Returned - before
 }
 
 // Settle raises the billed total of a share that another process held, such
 // as one whose bills a peer applies. The total is cumulative, so it does not
 // matter how much of it the holder had written itself.
-func (l *Ledger) Settle(id core.ShareID, billed core.Tokens) bool {
+// It returns what was written off in addition.
+func (l *Ledger) Settle(id core.ShareID, billed core.Tokens) (writtenOff core.Tokens, found bool) {
 	share, found := l.shares[id]
 	budget, known := l.budgets[id.Budget]
 	if !found || !known {
-		return false
+		return 0, false
 	}
+	before := share.WrittenOff
 	l.settle(budget, share, billed)
-	return true
+	return share.WrittenOff - before, true
 }
 
 // TransferOutcome says how a transfer between holders ended.
--- a/internal/decide/budget/sizing.go
+++ b/internal/decide/budget/sizing.go
@@ -12,6 +12,9 @@
 	// sees one draw per budget and host in ten seconds, short enough that a
 	// host death strands little.
 	coverage = 10 * time.Second
+	// lowPart of the covered demand is left when the next draw starts, which
+	// is 2.5 s of demand and many times the duration of a draw.
+	lowPart = 4
 	// demandWindow is the time constant of the demand estimate.
 	demandWindow = 5 * time.Second
 	// IdleAfter is how long a share stays unused before it is returned.
--- a/internal/tasks/shares/account.go
+++ b/internal/tasks/shares/account.go
@@ -28,6 +28,9 @@
 	// unavailableFor is how long draws pause after the platform gave no
 	// answer, so that each request does not wait for the same time-out.
 	unavailableFor = 500 * time.Millisecond
+	// aheadEvery bounds the draws ahead of need on a budget that is nearly
+	// exhausted and grants little each time.
+	aheadEvery = time.Second
 	// unavailableRetry is the delay told to callers in an outage.
 	unavailableRetry = 2 * time.Second
 )
@@ -47,6 +50,7 @@
 	row            budget.Share
 	written        time.Time
 	exhaustedTill  time.Time
+	aheadFrom      time.Time
 	unreachedUntil time.Time
 }
 
@@ -104,6 +108,7 @@
 	entry := t.account(m.budget)
 	entry.holder.Demand(m.amount, now)
 	if len(entry.waiting) == 0 && m.grant(t, entry) {
+		t.drawAhead(entry, now)
 		return
 	}
 	switch {
@@ -193,6 +198,16 @@
 	})
 }
 
+// drawAhead starts a draw before the share is used up.
+func (t *Task) drawAhead(entry *account, now time.Time) {
+	paused := now.Before(entry.aheadFrom) || now.Before(entry.exhaustedTill) || now.Before(entry.unreachedUntil)
+	if paused || entry.drawing || !entry.holder.Low(now) {
+		return
+	}
+	entry.aheadFrom = now.Add(aheadEvery)
+	t.draw(entry)
+}
+
 func (m *drawn) apply(t *Task) {
 	entry := t.accounts[m.budget]
 	entry.drawing = false
@@ -281,6 +296,9 @@
 		t.config.Log.Error("a share of this running host is released; it is not spent any further, restart the host",
 			zap.String("budget", string(entry.id)))
 	}
+	if lost := row.WrittenOff - entry.row.WrittenOff; lost > 0 {
+		t.logWrittenOff(row.ID, lost)
+	}
 	entry.row = entry.row.Newest(row)
 	entry.written = t.config.Now()
 }
--- /dev/null
+++ b/internal/tasks/shares/fleet_test.go
@@ -0,0 +1,177 @@
+package shares
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/budget"
+	"github.com/peridotreel/peridotreel/internal/fault"
+	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
+)
+
+func ref(name string) core.HostRef {
+	return core.HostRef{Host: core.HostID(name), Incarnation: 1}
+}
+
+func TestDraws(t *testing.T) {
+	conveyInBubble(t, "one draw", func(t *testing.T) {
+		f := newTestFleet(100_000, "a1")
+		defer f.close()
+		Convey("concurrent reservations share the draw in flight, and a lost reply grants once", t, func() {
+			before, _ := f.table.Operations()
+			f.lose.Store(2)
+			var calls sync.WaitGroup
+			for range 20 {
+				calls.Go(func() { _, _ = f.host("a1").Reserve(context.Background(), testBudget, 10) })
+			}
+			calls.Wait()
+			after, _ := f.table.Operations()
+			// Two repeats of the first commit, and one draw for all that came
+			// while it was in flight.
+			So(after-before, ShouldBeLessThanOrEqualTo, 4)
+			list, err := f.host("a1").Status(context.Background())
+			So(err, ShouldBeNil)
+			So(list[0].Held, ShouldEqual, 200)
+			So(f.budget().Drawn, ShouldEqual, list[0].Held+list[0].Available)
+		})
+	})
+	conveyInBubble(t, "recall", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1", "b1", "c1")
+		defer f.close()
+		Convey("what other zones have not reserved is spent before a refusal", t, func() {
+			ctx := context.Background()
+			for _, name := range []string{"a1", "b1"} {
+				hold, err := f.host(name).Reserve(ctx, testBudget, 1000)
+				So(err, ShouldBeNil)
+				f.host(name).Settle(hold, 500)
+			}
+			_, err := f.host("c1").Reserve(ctx, testBudget, 9000)
+			So(err, ShouldBeNil)
+			began := time.Now()
+			_, err = f.host("c1").Reserve(ctx, testBudget, 1)
+			So(codeOf(err), ShouldEqual, fault.InsufficientQuota)
+			So(time.Since(began), ShouldBeLessThan, 2*recallLimit)
+			f.topUp("second", 50)
+			time.Sleep(exhaustedFor)
+			_, err = f.host("c1").Reserve(ctx, testBudget, 50)
+			So(err, ShouldBeNil)
+		})
+	})
+	conveyInBubble(t, "owner", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1", "a2", "a3")
+		defer f.close()
+		Convey("a silent owner is passed over, and idle shares come back", t, func() {
+			ctx := context.Background()
+			owners, _ := f.host("a1").zoneView(testBudget)
+			f.silent[owners[0].Ref] = true
+			for _, name := range []string{"a1", "a2", "a3"} {
+				hold, err := f.host(name).Reserve(ctx, testBudget, 100)
+				So(err, ShouldBeNil)
+				f.host(name).Settle(hold, 40)
+			}
+			time.Sleep(budget.IdleAfter + flushTimeout)
+			So(f.budget().Drawn, ShouldEqual, 120)
+		})
+	})
+}
+
+func TestOutageAndRelease(t *testing.T) {
+	conveyInBubble(t, "outage", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1")
+		defer f.close()
+		Convey("shares serve through an outage, then the refusal names it, then work goes on", t, func() {
+			ctx := context.Background()
+			_, err := f.host("a1").Reserve(ctx, testBudget, 100)
+			So(err, ShouldBeNil)
+			f.table.SetMode(standin.ModeDown)
+			hold, err := f.host("a1").Reserve(ctx, testBudget, 100)
+			So(err, ShouldBeNil)
+			_, err = f.host("a1").Reserve(ctx, testBudget, 5000)
+			So(codeOf(err), ShouldEqual, fault.BudgetUnavailable)
+			So(fault.From(err).Run, ShouldEqual, fault.NotRun)
+			f.host("a1").Settle(hold, 100)
+			f.table.SetMode(standin.ModeNone)
+			time.Sleep(unavailableFor)
+			_, err = f.host("a1").Reserve(ctx, testBudget, 5000)
+			So(err, ShouldBeNil)
+		})
+	})
+	conveyInBubble(t, "release", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1")
+		defer f.close()
+		Convey("a host that learns of its release spends nothing more, and its late bill is paid", t, func() {
+			ctx := context.Background()
+			hold, err := f.host("a1").Reserve(ctx, testBudget, 100)
+			So(err, ShouldBeNil)
+			_, err = NewLedger(f.table, time.Now).Release(ctx, ref("a1"))
+			So(err, ShouldBeNil)
+			So(f.budget().Drawn, ShouldEqual, 0)
+			time.Sleep(budget.RenewEvery + 2*tickEvery)
+			_, err = f.host("a1").Reserve(ctx, testBudget, 1)
+			So(codeOf(err), ShouldEqual, fault.BudgetUnavailable)
+			f.host("a1").Settle(hold, 70)
+			time.Sleep(writeEvery + 2*tickEvery)
+			So(f.budget().Drawn, ShouldEqual, 70)
+		})
+	})
+	conveyInBubble(t, "caller gone", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1")
+		defer f.close()
+		Convey("a reservation whose caller left holds nothing", t, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			defer cancel()
+			_, err := f.host("a1").Reserve(ctx, testBudget, 100)
+			So(codeOf(err), ShouldEqual, fault.DeadlineExceeded)
+			time.Sleep(time.Second)
+			list, _ := f.host("a1").Status(context.Background())
+			So(list[0].Held, ShouldEqual, 0)
+			So(list[0].Waiting, ShouldEqual, 0)
+		})
+	})
+	conveyInBubble(t, "drain", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1", "b1")
+		defer f.close()
+		Convey("a drain waits for holds and ends with an error when the platform stays away", t, func() {
+			hold, err := f.host("a1").Reserve(context.Background(), testBudget, 100)
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			So(f.host("a1").Drain(ctx), ShouldNotBeNil)
+			f.host("a1").Settle(hold, 30)
+			synctest.Wait()
+			time.Sleep(time.Second)
+			So(f.budget().Drawn, ShouldEqual, 30)
+			shares, _ := NewLedger(f.table, time.Now).Shares(context.Background(), testBudget)
+			So(shares[0].State, ShouldEqual, budget.Released)
+		})
+	})
+}
+
+func BenchmarkTaskReserveSettle(b *testing.B) {
+	table := standin.NewService()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { table.Run(ctx) })
+	payment := budget.TopUp{Budget: testBudget, Token: "p", Amount: 1 << 50}
+	if err := NewLedger(table, time.Now).TopUp(ctx, payment); err != nil {
+		b.Fatal(err)
+	}
+	host := New(Config{Table: table, Self: ref("a1"), Zone: "a"})
+	running.Go(func() { host.Run(ctx) })
+	b.ReportAllocs()
+	for b.Loop() {
+		hold, err := host.Reserve(ctx, testBudget, 100)
+		if err != nil {
+			b.Fatal(err)
+		}
+		host.Settle(hold, 60)
+	}
+	cancel()
+	running.Wait()
+}
--- a/internal/tasks/shares/ledger.go
+++ b/internal/tasks/shares/ledger.go
@@ -13,17 +13,22 @@
 	"github.com/peridotreel/peridotreel/internal/rows"
 )
 
-// ledger carries out decisions in the platform's table. It has no state of
+// Ledger carries out decisions in the platform's table. It has no state of
 // its own, so that any worker may use it.
-type ledger struct {
+type Ledger struct {
 	table platform.Table
 	now   func() time.Time
 }
 
+// NewLedger returns a ledger over a table.
+func NewLedger(table platform.Table, now func() time.Time) Ledger {
+	return Ledger{table, now}
+}
+
 // transact reads rows, lets decide change them and commits the change. A row
 // that was changed by others is read and decided again at once; a commit
 // whose reply was lost is repeated under the same token until ctx ends.
-func (l ledger) transact(ctx context.Context, keys []string, decide func(*budget.Ledger) error) error {
+func (l Ledger) transact(ctx context.Context, keys []string, decide func(*budget.Ledger) error) error {
 	for {
 		read, err := l.table.Get(ctx, keys...)
 		if err != nil {
@@ -54,7 +59,7 @@
 }
 
 // exchange serves requests of any budgets in one transaction.
-func (l ledger) exchange(ctx context.Context, fleet budget.Fleet, requests []budget.Request) ([]budget.Answer, error) {
+func (l Ledger) exchange(ctx context.Context, fleet budget.Fleet, requests []budget.Request) ([]budget.Answer, error) {
 	answers := make([]budget.Answer, len(requests))
 	err := l.transact(ctx, requestKeys(requests), func(state *budget.Ledger) error {
 		for i, request := range requests {
@@ -83,7 +88,7 @@
 }
 
 // transfer carries out a transfer between holders.
-func (l ledger) transfer(ctx context.Context, transfer budget.Transfer) (budget.TransferOutcome, error) {
+func (l Ledger) transfer(ctx context.Context, transfer budget.Transfer) (budget.TransferOutcome, error) {
 	var outcome budget.TransferOutcome
 	keys := []string{rows.ShareKey(transfer.From), rows.ShareKey(transfer.To)}
 	err := l.transact(ctx, keys, func(state *budget.Ledger) error {
@@ -93,8 +98,8 @@
 	return outcome, err
 }
 
-// holders returns the shares of a budget.
-func (l ledger) holders(ctx context.Context, id core.BudgetID) ([]budget.Share, error) {
+// Shares returns the shares of a budget.
+func (l Ledger) Shares(ctx context.Context, id core.BudgetID) ([]budget.Share, error) {
 	read, err := l.table.List(ctx, rows.BudgetSharesPrefix(id))
 	if err != nil {
 		return nil, err
@@ -102,3 +107,57 @@
 	found, err := rows.DecodeBudgetRows(read)
 	return found.Shares, err
 }
+
+// TopUp adds a payment to a budget; a token that was counted adds nothing.
+func (l Ledger) TopUp(ctx context.Context, payment budget.TopUp) error {
+	keys := []string{rows.BudgetKey(payment.Budget), rows.TopUpKey(payment.Budget, payment.Token)}
+	return l.transact(ctx, keys, func(state *budget.Ledger) error { return state.TopUp(payment) })
+}
+
+// Settle raises the billed total of a share whose holder is gone. Total is
+// the sum of all its bills, so a repeated call adds nothing. It returns what
+// was written off because the budget is spent.
+func (l Ledger) Settle(ctx context.Context, id core.ShareID, total core.Tokens) (writtenOff core.Tokens, err error) {
+	keys := []string{rows.BudgetKey(id.Budget), rows.ShareKey(id)}
+	err = l.transact(ctx, keys, func(state *budget.Ledger) error {
+		writtenOff, _ = state.Settle(id, total)
+		return nil
+	})
+	return writtenOff, err
+}
+
+// Release closes the shares of a process that an operator states is
+// terminated, and returns how many tokens went back to the budgets. Bills
+// that peers hold for the process should be applied first; later ones are
+// paid from what remains of the budget or written off.
+func (l Ledger) Release(ctx context.Context, holder core.HostRef) (core.Tokens, error) {
+	read, err := l.table.List(ctx, rows.SharePrefix)
+	if err != nil {
+		return 0, err
+	}
+	found, err := rows.DecodeBudgetRows(read)
+	if err != nil {
+		return 0, err
+	}
+	var total core.Tokens
+	for _, share := range found.Shares {
+		if share.ID.Holder != holder || share.State == budget.Released {
+			continue
+		}
+		returned, err := l.release(ctx, share.ID)
+		if err != nil {
+			return total, err
+		}
+		total += returned
+	}
+	return total, nil
+}
+
+func (l Ledger) release(ctx context.Context, id core.ShareID) (returned core.Tokens, err error) {
+	keys := []string{rows.BudgetKey(id.Budget), rows.ShareKey(id)}
+	err = l.transact(ctx, keys, func(state *budget.Ledger) error {
+		returned = state.Release(id)
+		return nil
+	})
+	return returned, err
+}
--- a/internal/tasks/shares/messages.go
+++ b/internal/tasks/shares/messages.go
@@ -50,14 +50,16 @@
 
 // LedgerReply is the state of the holder's share after a request.
 type LedgerReply struct {
-	Wire      int
-	Status    Status
-	Granted   core.Tokens
-	Billed    core.Tokens
-	Returned  core.Tokens
-	Moved     core.Tokens
-	Sequence  uint64
-	Remaining core.Tokens
+	Wire     int
+	Status   Status
+	Granted  core.Tokens
+	Billed   core.Tokens
+	Returned core.Tokens
+	Moved    core.Tokens
+	// WrittenOff was spent after the release and not paid.
+	WrittenOff core.Tokens
+	Sequence   uint64
+	Remaining  core.Tokens
 }
 
 // RecallArgs asks a holder to hand what it has not reserved to another.
@@ -138,7 +140,8 @@
 	reply := LedgerReply{
 		Wire: fleet.WireVersion, Status: StatusUnavailable,
 		Granted: answer.Share.Granted, Billed: answer.Share.Billed, Returned: answer.Share.Returned,
-		Moved: answer.Share.Moved, Sequence: answer.Share.Sequence, Remaining: answer.Remaining,
+		Moved: answer.Share.Moved, WrittenOff: answer.Share.WrittenOff,
+		Sequence: answer.Share.Sequence, Remaining: answer.Remaining,
 	}
 	if answer.err != nil {
 		return reply
@@ -161,7 +164,7 @@
 func decodeReply(id core.ShareID, reply LedgerReply) (budget.Answer, error) {
 	answer := budget.Answer{Remaining: reply.Remaining, Share: budget.Share{
 		ID: id, Granted: reply.Granted, Billed: reply.Billed, Returned: reply.Returned,
-		Moved: reply.Moved, Sequence: reply.Sequence, State: budget.Open,
+		Moved: reply.Moved, WrittenOff: reply.WrittenOff, Sequence: reply.Sequence, State: budget.Open,
 	}}
 	switch reply.Status {
 	case StatusGranted:
--- a/internal/tasks/shares/task.go
+++ b/internal/tasks/shares/task.go
@@ -26,11 +26,9 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
-	"github.com/peridotreel/peridotreel/internal/decide/budget"
 	"github.com/peridotreel/peridotreel/internal/fault"
 	"github.com/peridotreel/peridotreel/internal/fleet"
 	"github.com/peridotreel/peridotreel/internal/platform"
-	"github.com/peridotreel/peridotreel/internal/rows"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
 
@@ -62,7 +60,7 @@
 // goroutine.
 type Task struct {
 	config  Config
-	ledger  ledger
+	ledger  Ledger
 	inbox   *task.Inbox[message]
 	serials atomic.Uint64
 	metrics metrics
@@ -93,7 +91,7 @@
 		config.Meter = noop.Meter{}
 	}
 	return &Task{
-		config: config, ledger: ledger{config.Table, config.Now},
+		config: config, ledger: NewLedger(config.Table, config.Now),
 		inbox: task.NewInbox[message](inboxCapacity), metrics: newMetrics(config.Meter),
 		accounts: make(map[core.BudgetID]*account), owned: make(map[core.BudgetID]*ownedBudget),
 	}
@@ -187,11 +185,16 @@
 // applies the bills of a host that is gone. Total is the sum of all bills of
 // that share, so a repeated call adds nothing.
 func (t *Task) Adopt(ctx context.Context, id core.ShareID, total core.Tokens) error {
-	keys := []string{rows.BudgetKey(id.Budget), rows.ShareKey(id)}
-	return t.ledger.transact(ctx, keys, func(state *budget.Ledger) error {
-		state.Settle(id, total)
-		return nil
-	})
+	writtenOff, err := t.ledger.Settle(ctx, id, total)
+	if writtenOff > 0 {
+		t.logWrittenOff(id, writtenOff)
+	}
+	return err
+}
+
+func (t *Task) logWrittenOff(id core.ShareID, amount core.Tokens) {
+	t.config.Log.Warn("bills on a released share were written off, as the budget is spent",
+		zap.String("budget", string(id.Budget)), zap.Stringer("holder", id.Holder), zap.Int64("tokens", int64(amount)))
 }
 
 // share returns the identity of this process's share of a budget.
--- a/internal/tasks/shares/upkeep.go
+++ b/internal/tasks/shares/upkeep.go
@@ -94,7 +94,7 @@
 // flush writes totals that changed, renews shares and returns idle ones.
 func (t *Task) flush() {
 	now := t.config.Now()
-	var reports []budget.Request
+	var reports, returns []budget.Request
 	for _, entry := range t.accounts {
 		t.carryOut(entry)
 		entry.holder.GiveBack(now)
@@ -103,18 +103,30 @@
 		billed := report.Billed > entry.row.Billed+entry.row.WrittenOff && age >= writeEvery
 		returned := report.Returned > entry.row.Returned && !entry.holder.Closed()
 		renew := entry.row.Unspent() > 0 && age >= budget.RenewEvery && !entry.holder.Closed()
-		if billed || returned || renew {
+		switch {
+		case returned:
+			returns = append(returns, report)
+		case billed || renew:
 			reports = append(reports, report)
 		}
 	}
-	if t.flushing || t.drain != nil || len(reports) == 0 {
+	if t.flushing || t.drain != nil || len(reports)+len(returns) == 0 {
 		return
 	}
 	t.flushing = true
 	_, size := t.zoneView("")
 	t.start(flushTimeout, func(ctx context.Context) message {
-		answers, err := t.report(ctx, size, reports)
-		return &flushed{answers, err}
+		var answers []budget.Answer
+		for _, request := range returns {
+			answer, err := t.returnToOwner(ctx, request)
+			if err != nil {
+				reports = append(reports, request)
+				continue
+			}
+			answers = append(answers, answer)
+		}
+		direct, err := t.report(ctx, size, reports)
+		return &flushed{append(answers, direct...), err}
 	})
 }
 
--- a/internal/tasks/shares/zone.go
+++ b/internal/tasks/shares/zone.go
@@ -96,7 +96,35 @@
 	return decodeReply(request.Share, reply)
 }
 
+// returnToOwner hands what was returned to the zone's owner, so that the
+// budget's row has one writer in each zone. It runs in a worker.
+func (t *Task) returnToOwner(ctx context.Context, request budget.Request) (budget.Answer, error) {
+	owners, _ := t.zoneView(request.Share.Budget)
+	if owners[0].Ref == t.config.Self {
+		return budget.Answer{}, errOwnedHere
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply LedgerReply
+	err := t.config.Caller.Call(ctx, owners[0], ReceiverName+".Return", ReturnArgs{
+		Wire: fleet.WireVersion, Share: request.Share, Billed: request.Billed, Returned: request.Returned,
+	}, &reply)
+	if err != nil {
+		return budget.Answer{}, err
+	}
+	return decodeReply(request.Share, reply)
+}
+
+var (
+	errOwnedHere = errors.New("this host owns the budget in its zone; write the table directly")
+	errStopping  = errors.New("this host is stopping; draw from the next one")
+)
+
 func (m *serve) apply(t *Task) {
+	if t.drain != nil && m.request.Share.Holder != t.config.Self {
+		m.reply <- served{err: errStopping}
+		return
+	}
 	id := m.request.Share.Budget
 	entry, found := t.owned[id]
 	if !found {
@@ -156,7 +184,7 @@
 // recallFor asks other holders to transfer tokens to the requester and then
 // repeats the draw for what is still missing.
 func (t *Task) recallFor(ctx context.Context, size budget.Fleet, request budget.Request, before budget.Answer) served {
-	holders, err := t.ledger.holders(ctx, request.Share.Budget)
+	holders, err := t.ledger.Shares(ctx, request.Share.Budget)
 	if err != nil {
 		return served{before, nil}
 	}
