Keep requests of a host at an upstream to its part of the free batch

Cause: the concurrency limit of latency alone let one host overfill the batch of an engine while others had free places. Change: an upstream is at its limit when this host has as many requests there as its even part of the batch and of the free places allows.

--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -1,6 +1,7 @@
 package upstreams
 
 import (
+	"math"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -119,10 +120,10 @@
 	return tokens / batch * m.Slowness(now)
 }
 
-// AtLimit reports whether this host has as many requests there as the
-// concurrency limit permits.
+// AtLimit reports whether this host has as many requests there as it should:
+// one more would wait for a place in the batch or exceed the limit.
 func (m *Member) AtLimit(now time.Time) bool {
-	return float64(m.ownPool) >= max(1, m.limit.value*m.ejection.ramp(now))
+	return float64(m.ownPool) >= math.Ceil(m.room(now))
 }
 
 // Ejected reports whether the member is kept from new work for being slower
@@ -134,16 +135,16 @@
 // room returns how many requests of this host the member should hold: up to
 // its concurrency limit, and no more than its batch leaves beside the other
 // hosts, but at least an even part of the batch.
-func (m *Member) room(now time.Time, sharers int) float64 {
-	ceiling := m.limit.value * m.ejection.ramp(now)
+func (m *Member) room(now time.Time) float64 {
+	ceiling := max(1, m.limit.value*m.ejection.ramp(now))
 	if !m.reported || m.report.MaxRunning <= 0 {
-		return max(1, ceiling)
+		return ceiling
 	}
-	batch := m.report.MaxRunning
+	batch, sharers := m.report.MaxRunning, float64(m.group.sharers)
 	free := float64(batch - m.Requests(now))
 	// All sharers see the same free places; each takes its part of them, or
 	// gives up its part of an overload.
-	wanted := float64(m.ownRequests) + free/float64(sharers)
-	even := float64(batch) / float64(sharers)
+	wanted := float64(m.ownRequests) + free/sharers
+	even := float64(batch) / sharers
 	return min(ceiling, max(wanted, even))
 }
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -116,11 +116,10 @@
 // whose upstreams have all gone has no slots.
 func (v *View) Capacities(now time.Time, list []Capacity) []Capacity {
 	for pool, group := range v.groups {
-		sharers := max(1, v.hosts*len(group.subset)/max(1, len(group.members)))
 		room := 0.0
 		for _, member := range group.subset {
 			if member.Usable() && !member.Ejected(now) {
-				room += member.room(now, sharers)
+				room += member.room(now)
 			}
 		}
 		slots := int(room)
--- a/internal/decide/upstreams/view.go
+++ b/internal/decide/upstreams/view.go
@@ -45,6 +45,8 @@
 	pool    Pool
 	members []*Member
 	subset  []*Member
+	// sharers estimates how many hosts use one of the upstreams.
+	sharers int
 
 	usualFirstToken float64
 	usualPace       float64
@@ -70,7 +72,7 @@
 	return v.zone
 }
 
-// SetHosts tells how many hosts share the upstreams.
+// SetHosts tells how many hosts share the upstreams, from the next list on.
 func (v *View) SetHosts(hosts int) {
 	v.hosts = max(1, hosts)
 }
@@ -144,7 +146,7 @@
 		}
 		group, found := v.groups[pool]
 		if !found {
-			group = &Group{pool: pool, usualBatch: 1, meanEstimate: initialEstimate}
+			group = &Group{pool: pool, sharers: 1, usualBatch: 1, meanEstimate: initialEstimate}
 			v.groups[pool] = group
 		}
 		member := newMember(upstream, group)
@@ -231,6 +233,7 @@
 	own = own[:min(len(own), ownPlaces)]
 	other = other[:min(len(other), MaxSubset-len(own))]
 	group.subset = append(append(group.subset[:0], own...), other...)
+	group.sharers = max(1, v.hosts*len(group.subset)/max(1, len(group.members)))
 }
 
 func (v *View) rank(members []*Member) {
--- a/internal/measure/load/scenarios.go
+++ b/internal/measure/load/scenarios.go
@@ -27,6 +27,10 @@
 // while the engines can do four times the usual. Goodput counts from the
 // moment that demand exceeds what the engines can do.
 func Crest(seed uint64) Comparison {
+	return compare(crestLoad(seed))
+}
+
+func crestLoad(seed uint64) load {
 	const swing, height, ramp, top = 10 * time.Second, 10, 2 * time.Second, 20 * time.Second
 	usual := shortCapacity / 4
 	rate := func(at time.Duration) float64 {
@@ -35,11 +39,11 @@
 		return usual * (1 + (height-1)*(up-down))
 	}
 	const exceeded = swing + ramp*(4-1)/(height-1)
-	return compare(load{
+	return load{
 		seed: seed, rate: rate, peakRate: usual * height,
 		shortDeadline: 2 * time.Second, reportLag: usualLag,
 		length: swing + 2*ramp + top + 10*time.Second, from: exceeded, to: swing + ramp + top,
-	})
+	}
 }
 
 // HeadOfLineResult is a load with and without the long jobs in it.
@@ -52,17 +56,21 @@
 // HeadOfLine is a steady load of 85% of what the engines can do, in which 5%
 // of the jobs are 50 times longer than the rest.
 func HeadOfLine(seed uint64) HeadOfLineResult {
+	l := headOfLineLoad(seed)
+	result := HeadOfLineResult{Mixed: compare(l)}
+	l.dropLong = true
+	result.ShortOnly = run(l, "short-only", newProduct)
+	return result
+}
+
+func headOfLineLoad(seed uint64) load {
 	const longPart, used = 0.05, 0.85
 	rate := used * shortCapacity / (1 - longPart + longPart*longFactor)
-	l := load{
+	return load{
 		seed: seed, rate: func(time.Duration) float64 { return rate }, peakRate: rate, longPart: longPart,
 		shortDeadline: 5 * time.Second, longDeadline: 5 * time.Minute, reportLag: usualLag,
 		length: 4 * time.Minute, from: time.Minute, to: 4 * time.Minute,
 	}
-	result := HeadOfLineResult{Mixed: compare(l)}
-	l.dropLong = true
-	result.ShortOnly = run(l, "short-only", newProduct)
-	return result
 }
 
 // StragglersResult is a load with and without stragglers.
@@ -75,21 +83,26 @@
 // Stragglers is a steady load of 60% while two of the ten engines are ten
 // times slower for 5 s of each 20 s, not at once, and reports are 2 s late.
 func Stragglers(seed uint64) StragglersResult {
+	l := stragglersLoad(seed)
+	result := StragglersResult{Slow: compare(l)}
+	l.slow = nil
+	result.Steady = run(l, "steady", newProduct)
+	return result
+}
+
+func stragglersLoad(seed uint64) load {
 	const used, spell, period = 0.60, 5 * time.Second, 20 * time.Second
 	rate := used * shortCapacity
-	l := load{
+	return load{
 		seed: seed, rate: func(time.Duration) float64 { return rate }, peakRate: rate,
 		shortDeadline: 10 * time.Second, reportLag: stragglerLag,
 		length: 3 * time.Minute, from: time.Minute, to: 3 * time.Minute,
+		slow: func(engine int, at time.Duration) float64 {
+			offset := time.Duration(engine) * 7 * time.Second
+			if (engine == 2 || engine == 7) && (at+offset)%period < spell {
+				return 0.1
+			}
+			return 1
+		},
 	}
-	result := StragglersResult{Steady: run(l, "steady", newProduct)}
-	l.slow = func(engine int, at time.Duration) float64 {
-		offset := time.Duration(engine) * 7 * time.Second
-		if (engine == 2 || engine == 7) && (at+offset)%period < spell {
-			return 0.1
-		}
-		return 1
-	}
-	result.Slow = compare(l)
-	return result
 }
