Estimate the requests of other hosts from the level of the pool

Cause: a load report of one engine is mostly noise by the time it is used, as short requests last 0.25 s and reports are seconds old; picks followed the noise. Change: the level common to all engines of a pool comes from their latest reports together; the deviation of one engine is averaged, the more the shorter requests last compared with the time between reports.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -161,12 +161,12 @@
 // then a random one go first among equals.
 func (c *candidates) leastInFlight(now time.Time, request *Request) *upstreams.Member {
 	var best *upstreams.Member
-	fewest := 0
+	fewest := 0.0
 	for part, list := range [2][]*upstreams.Member{c.list[:c.own], c.list[c.own:c.count]} {
 		for i := range list {
 			member := list[(uint64(i)+request.Random)%uint64(len(list))]
 			// Another zone must have clearly fewer requests.
-			requests := member.Requests(now) + part
+			requests := member.Requests(now) + float64(part)
 			if best == nil || requests < fewest {
 				best, fewest = member, requests
 			}
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -112,7 +112,7 @@
 // Load estimates the tokens of work at the upstream, relative to the size of
 // its batch and multiplied by its slowness, with estimate tokens added.
 func (m *Member) Load(now time.Time, estimate core.Tokens) float64 {
-	tokens := float64(m.others(now))*m.group.meanEstimate + float64(m.ownTokens+estimate)
+	tokens := m.others(now)*m.group.meanEstimate + float64(m.ownTokens+estimate)
 	batch := m.group.usualBatch
 	if m.reported && m.report.MaxRunning > 0 {
 		batch = float64(m.report.MaxRunning)
@@ -141,7 +141,7 @@
 		return ceiling
 	}
 	batch, sharers := m.report.MaxRunning, float64(m.group.sharers)
-	free := float64(batch - m.Requests(now))
+	free := float64(batch) - m.Requests(now)
 	// All sharers see the same free places; each takes its part of them, or
 	// gives up its part of an overload.
 	wanted := float64(m.ownRequests) + free/sharers
--- a/internal/decide/upstreams/upstreams.go
+++ b/internal/decide/upstreams/upstreams.go
@@ -61,6 +61,7 @@
 
 	report      Report
 	reported    bool
+	foreign     foreign
 	ownRequests int
 	ownTokens   core.Tokens
 	history     history
@@ -91,21 +92,8 @@
 	return u.ownRequests, u.ownTokens
 }
 
-// reportLifetime is the age after which a report says nothing about the
-// present load. Reports lag by about 2 s and are polled every few seconds.
-const reportLifetime = 10 * time.Second
-
-// others estimates the requests of other hosts: the reported ones less those
-// that this host had there when the report was measured.
-func (u *Upstream) others(now time.Time) int {
-	if !u.reported || now.Sub(u.report.MeasuredAt) > reportLifetime {
-		return 0
-	}
-	return max(0, u.report.Running+u.report.Waiting-u.history.at(u.report.MeasuredAt, u.ownRequests))
-}
-
-// Requests estimates the requests at the upstream now: the report corrected by
-// what this host has sent and finished since it was measured.
-func (u *Upstream) Requests(now time.Time) int {
-	return u.others(now) + u.ownRequests
+// Requests estimates the requests at the upstream now: the reports corrected
+// by what this host has sent and finished since they were measured.
+func (u *Upstream) Requests(now time.Time) float64 {
+	return u.others(now) + float64(u.ownRequests)
 }
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -78,6 +78,7 @@
 	switch ending {
 	case Done:
 		member.failures = 0
+		member.group.noteHold(elapsed)
 		member.notePace(now, elapsed, tokens)
 	case Broken:
 		member.failures++
@@ -180,11 +181,12 @@
 
 // Status is an upstream as shown to operators.
 type Status struct {
-	Target     core.Target
-	Pool       Pool
-	Leaving    bool
-	Ejected    bool
-	InFlight   int
+	Target   core.Target
+	Pool     Pool
+	Leaving  bool
+	Ejected  bool
+	InFlight int
+	// Requests is the estimate for all hosts.
 	Requests   int
 	Limit      int
 	FirstToken time.Duration
@@ -200,7 +202,7 @@
 			list = append(list, Status{
 				Target: member.target, Pool: pool, Leaving: member.leaving,
 				Ejected: member.Ejected(now), InFlight: member.ownPool,
-				Requests: member.Requests(now), Limit: int(member.limit.value),
+				Requests: int(member.Requests(now)), Limit: int(member.limit.value),
 				FirstToken: time.Duration(member.firstToken.mean() * float64(time.Second)),
 				Pace:       member.pace.mean(),
 			})
--- a/internal/decide/upstreams/view.go
+++ b/internal/decide/upstreams/view.go
@@ -52,6 +52,11 @@
 	usualPace       float64
 	usualBatch      float64
 	meanEstimate    float64
+	// level, hold and the sums behind hold serve the type foreign.
+	level      float64
+	hold       float64
+	holdMean   float64
+	holdSquare float64
 
 	scratch []*Member
 	values  []float64
@@ -211,7 +216,7 @@
 		// The upstream's clock is ahead of this host's.
 		report.MeasuredAt = now
 	}
-	upstream.report, upstream.reported = report, true
+	upstream.applyReport(now, report)
 }
 
 // chooseSubset keeps the members that this host uses: its own zone first, by
