Assume that other hosts have grown as this one has since their reports

Cause: in a swing every host saw the same free places in late reports and took its part of them again and again; slots rose to 401 for 160 places. Change: the places left for this host are reduced by what the others have sent if they grew as this host has since the reports were measured.

--- a/internal/decide/upstreams/eject.go
+++ b/internal/decide/upstreams/eject.go
@@ -83,6 +83,7 @@
 // never more than the permitted part.
 func (g *Group) evaluate(now time.Time) {
 	g.measure(now)
+	g.setLevel(now)
 	allowed := int(ejectedPart * float64(len(g.subset)))
 	bad := g.scratch[:0]
 	for _, member := range g.subset {
--- a/internal/decide/upstreams/foreign.go
+++ b/internal/decide/upstreams/foreign.go
@@ -45,17 +45,20 @@
 	u.foreign.deviation += (u.foreign.count - group.level*u.batch() - u.foreign.deviation) * part
 }
 
-// setLevel computes the requests of other hosts as a part of the batches.
+// setLevel computes the requests of other hosts as a part of the batches, and
+// by how much this host's own have grown since the reports were measured.
 func (g *Group) setLevel(now time.Time) {
-	count, batches := 0.0, 0.0
+	count, grown, batches := 0.0, 0, 0.0
 	for _, member := range g.subset {
 		if member.fresh(now) {
 			count += member.foreign.count
+			grown += member.ownRequests - member.history.at(member.report.MeasuredAt, member.ownRequests)
 			batches += member.batch()
 		}
 	}
 	if batches > 0 {
 		g.level = count / batches
+		g.growth = max(0, float64(grown)/batches)
 	}
 }
 
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -142,6 +142,9 @@
 	}
 	batch, sharers := m.report.MaxRunning, float64(m.group.sharers)
 	free := float64(batch) - m.Requests(now)
+	// What this host has sent beyond the reports, the others have probably
+	// sent too, as callers are spread over the hosts.
+	free -= (sharers - 1) * m.group.growth * float64(batch)
 	// All sharers see the same free places; each takes its part of them, or
 	// gives up its part of an overload.
 	wanted := float64(m.ownRequests) + free/sharers
--- a/internal/decide/upstreams/view.go
+++ b/internal/decide/upstreams/view.go
@@ -52,8 +52,9 @@
 	usualPace       float64
 	usualBatch      float64
 	meanEstimate    float64
-	// level, hold and the sums behind hold serve the type foreign.
+	// level, growth, hold and the sums behind hold serve the type foreign.
 	level      float64
+	growth     float64
 	hold       float64
 	holdMean   float64
 	holdSquare float64
