Let short work wait at most a twentieth of its deadline

Cause: in the crest the queue filled to its bound of a tenth of the deadline (200 ms of 2 s), so the first token came after 0.36 s too often. Change: shortQueuePart 0.10 -> 0.05.

--- a/internal/decide/admission/refuse.go
+++ b/internal/decide/admission/refuse.go
@@ -9,7 +9,7 @@
 const (
 	// shortQueuePart is the part of its deadline that short work may spend
 	// in the queue. A longer queue serves no more, it only makes all late.
-	shortQueuePart = 0.10
+	shortQueuePart = 0.05
 	// longQueuePart is the same for long work, which may be slow.
 	longQueuePart = 0.50
 	// minRetryAfter and maxRetryAfter bound what callers are told.
