--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -185,7 +185,7 @@
 		result.client = rpc.NewClient(countedConn{conn, c.config.Traffic})
 	}
 	if c.inbox.Send(context.WithoutCancel(ctx), result) != nil && result.client != nil {
-		result.client.Close()
+		_ = result.client.Close()
 	}
 }
 
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -71,7 +71,7 @@
 }
 
 func (l *links) close(old *link) {
-	old.client.Close()
+	_ = old.client.Close()
 	delete(l.all, old)
 }
 
@@ -95,6 +95,6 @@
 
 func (l *links) closeAll() {
 	for open := range l.all {
-		open.client.Close()
+		_ = open.client.Close()
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -70,9 +70,9 @@
 	go s.accept(ctx)
 	open := make(map[net.Conn]bool)
 	defer func() {
-		s.config.Listener.Close()
+		_ = s.config.Listener.Close()
 		for conn := range open {
-			conn.Close()
+			_ = conn.Close()
 		}
 	}()
 	for {
@@ -82,7 +82,7 @@
 			case event.closed:
 				delete(open, event.conn)
 			case len(open) >= s.config.MaxConnections:
-				event.conn.Close()
+				_ = event.conn.Close()
 			default:
 				open[event.conn] = true
 				go s.serve(ctx, event.conn)
@@ -99,7 +99,7 @@
 		switch {
 		case err == nil:
 			if !s.post(ctx, serverEvent{conn: conn}) {
-				conn.Close()
+				_ = conn.Close()
 				return
 			}
 		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
--- /dev/null
+++ b/internal/operate/services.go
@@ -0,0 +1,101 @@
+package operate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/teamtable"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/rows"
+)
+
+// Services returns all services ordered by name. Rows that this binary can't
+// read are left out and counted.
+func (o *Operator) Services(ctx context.Context) (services []core.ServiceRow, unreadable int, err error) {
+	found, err := o.config.Table.List(ctx, rows.ServicePrefix)
+	if err != nil {
+		return nil, 0, fmt.Errorf("list the services: %w", err)
+	}
+	for _, row := range found {
+		name, _ := rows.ParseServiceKey(row.Key)
+		service, err := rows.DecodeService(name, row.Version, row.Value)
+		if err != nil {
+			unreadable++
+			continue
+		}
+		services = append(services, *service)
+	}
+	return services, unreadable, nil
+}
+
+// SaveService writes a service's row if it still has the expected version; 0
+// means that it must not exist. A nil row deletes it.
+func (o *Operator) SaveService(ctx context.Context, service core.ServiceName, expected int64, row *core.ServiceRow) (Saved, error) {
+	if err := teamtable.ValidateName("service", string(service)); err != nil {
+		return Saved{}, err
+	}
+	write := platform.Write{Key: rows.ServiceKey(service), Delete: row == nil}
+	if row != nil {
+		if err := row.Validate(); err != nil {
+			return Saved{}, err
+		}
+		var err error
+		if write.Value, err = rows.EncodeService(row); err != nil {
+			return Saved{}, err
+		}
+	}
+	revision, err := o.write(ctx, platform.Condition{Key: write.Key, Version: expected}, write)
+	if err != nil {
+		return Saved{}, fmt.Errorf("save service %s: %w", service, err)
+	}
+	return o.saved(ctx, write.Key, expected, revision), nil
+}
+
+// Hosts returns this host's view of the fleet, or nil without one.
+func (o *Operator) Hosts() []core.Peer {
+	if o.config.Peers == nil {
+		return nil
+	}
+	view := o.config.Peers.Peers()
+	return append([]core.Peer{view.Self}, view.Peers...)
+}
+
+// Budgets returns all budgets, or ErrNotOffered.
+func (o *Operator) Budgets(ctx context.Context) ([]Budget, error) {
+	if o.config.Budgets == nil {
+		return nil, ErrNotOffered
+	}
+	return o.config.Budgets.List(ctx)
+}
+
+// TopUp adds tokens to a budget. A repeated token adds nothing.
+func (o *Operator) TopUp(ctx context.Context, budget core.BudgetID, amount core.Tokens, token, by string) error {
+	switch {
+	case o.config.Budgets == nil:
+		return ErrNotOffered
+	case amount <= 0:
+		return fmt.Errorf("amount: is %d; set it to 1 token or more", amount)
+	case token == "":
+		return errors.New("token: must not be empty; give each top-up a token of its own, and repeat it only to retry")
+	}
+	if err := teamtable.ValidateName("budget", string(budget)); err != nil {
+		return err
+	}
+	return o.config.Budgets.TopUp(ctx, budget, amount, token, by)
+}
+
+// Release returns the shares of a process that the operator states to be
+// terminated.
+func (o *Operator) Release(ctx context.Context, process core.HostRef, by string) (core.Tokens, error) {
+	switch {
+	case o.config.Budgets == nil:
+		return 0, ErrNotOffered
+	case process.Host == "":
+		return 0, errors.New("host: must not be empty; name the host whose process is terminated")
+	case process.Incarnation == 0:
+		return 0, errors.New("incarnation: must not be 0; name the process that is terminated")
+	}
+	return o.config.Budgets.Release(ctx, process, by)
+}
--- a/internal/tasks/teams/teams.go
+++ b/internal/tasks/teams/teams.go
@@ -135,7 +135,7 @@
 	owned := newState(t)
 	poll := time.NewTimer(0)
 	defer poll.Stop()
-	ask := time.NewTimer(owned.jitter(pollInterval))
+	ask := time.NewTimer(owned.delay())
 	defer ask.Stop()
 	for {
 		select {
@@ -143,7 +143,7 @@
 			go t.readPlatform(ctx, owned.table.Snapshot().Revision)
 		case <-ask.C:
 			if !owned.askPeer(ctx) {
-				ask.Reset(owned.jitter(pollInterval))
+				ask.Reset(owned.delay())
 			}
 		case message := <-t.inbox.Messages():
 			switch message := message.(type) {
@@ -201,10 +201,10 @@
 	}
 }
 
-// jitter returns a delay of 0.8 to 1.2 times the mean, so that hosts started
-// together don't read together.
-func (s *state) jitter(mean time.Duration) time.Duration {
-	return time.Duration(float64(mean) * (0.8 + 0.4*s.random.Float64()))
+// delay returns 0.8 to 1.2 times the interval, so that hosts started together
+// don't read together.
+func (s *state) delay() time.Duration {
+	return time.Duration(float64(pollInterval) * (0.8 + 0.4*s.random.Float64()))
 }
 
 // fromPlatform takes a result and returns the delay to the next read.
@@ -216,7 +216,7 @@
 		s.failures = 0
 		s.known.PlatformReachable = true
 		s.merge(result.set, true)
-		return s.jitter(pollInterval)
+		return s.delay()
 	}
 	s.failures++
 	s.known.PlatformReachable = false
@@ -252,13 +252,13 @@
 // fromPeer takes a result and returns the delay to the next call.
 func (s *state) fromPeer(result peerResult) time.Duration {
 	if result.err != nil {
-		return s.jitter(pollInterval)
+		return s.delay()
 	}
 	s.merge(fromWire(&result.reply), !result.reply.More)
 	if result.reply.More {
 		return 0
 	}
-	return s.jitter(pollInterval)
+	return s.delay()
 }
 
 // merge puts a change set in force. It is complete unless more pages follow.
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,106 @@
+// Package telemetry sets up the meters and serves them for Prometheus.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+const (
+	scope          = "github.com/peridotreel/peridotreel"
+	firstTokenName = "peridotreel_first_token"
+	totalName      = "peridotreel_request"
+	// cardinalityLimit bounds the attribute sets of an instrument, because
+	// 12,000 teams with four classes each would need about 50 MB of histogram
+	// buckets. The sets beyond it are counted together under
+	// otel_metric_overflow.
+	cardinalityLimit = 4000
+)
+
+// firstTokenBounds in seconds surround the target of 0.36 s.
+var firstTokenBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.36, 0.5, 1, 2, 5, 15, 60}
+
+// totalBounds in seconds reach from a lookup to a long appraisal.
+var totalBounds = []float64{0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 180, 600}
+
+// Telemetry owns the meter provider.
+type Telemetry struct {
+	provider *sdk.MeterProvider
+	registry *prometheus.Registry
+}
+
+// New returns a meter provider with its own Prometheus registry.
+func New() (*Telemetry, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("set up the Prometheus exporter: %w", err)
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(reader), sdk.WithCardinalityLimit(cardinalityLimit),
+		sdk.WithView(bounds(firstTokenName, firstTokenBounds), bounds(totalName, totalBounds)))
+	return &Telemetry{provider: provider, registry: registry}, nil
+}
+
+func bounds(name string, boundaries []float64) sdk.View {
+	return sdk.NewView(sdk.Instrument{Name: name},
+		sdk.Stream{Aggregation: sdk.AggregationExplicitBucketHistogram{Boundaries: boundaries}})
+}
+
+// Meter returns the meter of all instruments.
+func (t *Telemetry) Meter() metric.Meter {
+	return t.provider.Meter(scope)
+}
+
+// Handler serves the instruments for Prometheus.
+func (t *Telemetry) Handler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown ends the provider.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	return t.provider.Shutdown(ctx)
+}
+
+// Requests records how long requests took, once a request.
+type Requests struct {
+	firstToken, total metric.Float64Histogram
+}
+
+// NewRequests returns the histograms of requests.
+func NewRequests(meter metric.Meter) (*Requests, error) {
+	firstToken, err := meter.Float64Histogram(firstTokenName, metric.WithUnit("s"),
+		metric.WithDescription("Time from the request to the first token of its answer."))
+	if err != nil {
+		return nil, fmt.Errorf("create the histogram of first tokens: %w", err)
+	}
+	total, err := meter.Float64Histogram(totalName, metric.WithUnit("s"),
+		metric.WithDescription("Time from the request to the end of its answer or refusal."))
+	if err != nil {
+		return nil, fmt.Errorf("create the histogram of requests: %w", err)
+	}
+	return &Requests{firstToken: firstToken, total: total}, nil
+}
+
+// Record records one request. Outcome is "answered" or the code of the error.
+// A request without a token has firstToken 0.
+func (r *Requests) Record(team core.TeamName, class core.ClassName, outcome string, firstToken, total time.Duration) {
+	ctx := context.Background()
+	work := []attribute.KeyValue{attribute.String("team", string(team)), attribute.String("class", string(class))}
+	if firstToken > 0 {
+		r.firstToken.Record(ctx, firstToken.Seconds(), metric.WithAttributes(work...))
+	}
+	r.total.Record(ctx, total.Seconds(), metric.WithAttributes(append(work, attribute.String("outcome", outcome))...))
+}
