--- a/internal/operate/services.go
+++ b/internal/operate/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -11,6 +10,21 @@
 	"github.com/peridotreel/peridotreel/internal/rows"
 )
 
+// ArgumentError names a bad argument and its remedy.
+type ArgumentError struct {
+	// Reason has the form "argument: what is wrong; remedy".
+	Reason string
+}
+
+// Error returns the reason.
+func (e *ArgumentError) Error() string {
+	return e.Reason
+}
+
+func badArgument(format string, args ...any) error {
+	return &ArgumentError{Reason: fmt.Sprintf(format, args...)}
+}
+
 // Services returns all services ordered by name. Rows that this binary can't
 // read are left out and counted.
 func (o *Operator) Services(ctx context.Context) (services []core.ServiceRow, unreadable int, err error) {
@@ -34,12 +48,12 @@
 // means that it must not exist. A nil row deletes it.
 func (o *Operator) SaveService(ctx context.Context, service core.ServiceName, expected int64, row *core.ServiceRow) (Saved, error) {
 	if err := teamtable.ValidateName("service", string(service)); err != nil {
-		return Saved{}, err
+		return Saved{}, badArgument("%v", err)
 	}
 	write := platform.Write{Key: rows.ServiceKey(service), Delete: row == nil}
 	if row != nil {
 		if err := row.Validate(); err != nil {
-			return Saved{}, err
+			return Saved{}, badArgument("%v", err)
 		}
 		var err error
 		if write.Value, err = rows.EncodeService(row); err != nil {
@@ -76,12 +90,12 @@
 	case o.config.Budgets == nil:
 		return ErrNotOffered
 	case amount <= 0:
-		return fmt.Errorf("amount: is %d; set it to 1 token or more", amount)
+		return badArgument("amount: is %d; set it to 1 token or more", amount)
 	case token == "":
-		return errors.New("token: must not be empty; give each top-up a token of its own, and repeat it only to retry")
+		return badArgument("token: must not be empty; give each top-up a token of its own, and repeat it only to retry")
 	}
 	if err := teamtable.ValidateName("budget", string(budget)); err != nil {
-		return err
+		return badArgument("%v", err)
 	}
 	return o.config.Budgets.TopUp(ctx, budget, amount, token, by)
 }
@@ -93,9 +107,9 @@
 	case o.config.Budgets == nil:
 		return 0, ErrNotOffered
 	case process.Host == "":
-		return 0, errors.New("host: must not be empty; name the host whose process is terminated")
+		return 0, badArgument("host: must not be empty; name the host whose process is terminated")
 	case process.Incarnation == 0:
-		return 0, errors.New("incarnation: must not be 0; name the process that is terminated")
+		return 0, badArgument("incarnation: must not be 0; name the process that is terminated")
 	}
 	return o.config.Budgets.Release(ctx, process, by)
 }
