--- a/internal/decide/teamtable/table.go
+++ b/internal/decide/teamtable/table.go
@@ -34,9 +34,11 @@
 
 // slot is the state of one row.
 type slot[R any] struct {
-	// seen is the highest version seen, valid or not, deletions included.
-	seen int64
-	// inForce is the highest valid version, nil if there is none.
+	// valid is the highest valid version or deletion seen.
+	valid int64
+	// invalid is the highest version seen that failed validation.
+	invalid int64
+	// inForce is the content of version valid, nil after a deletion.
 	inForce *R
 }
 
@@ -155,15 +157,19 @@
 // replaced or removed.
 func (s *slot[R]) admit(change *Change, row *R, result *Result) bool {
 	switch {
-	case change.Version <= s.seen:
+	case change.Version <= s.valid:
 		result.Stale++
 		return false
 	case change.Invalid != nil || (row == nil && !change.Deleted):
-		s.seen = change.Version
+		if change.Version <= s.invalid {
+			result.Stale++
+			return false
+		}
+		s.invalid = change.Version
 		result.Invalid++
 		return false
 	}
-	s.seen = change.Version
+	s.valid = change.Version
 	result.Accepted++
 	s.inForce = row
 	if change.Deleted {
