Join the hosts of the local fleet and serve the admin address

Cause: hosts ran alone, so budgets stuck in the share of one host and the bills of a killed host were not applied by a peer. Change: members, calls, peers' receivers, telemetry and the operators' interface are wired into the host; readiness waits for the first known upstream; leaving is announced for at most 1 s.

--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -151,7 +152,7 @@
 		return
 	}
 	list := modelList{Object: "list", Data: []modelEntry{}}
-	for _, model := range h.models.Models() {
+	for _, model := range slices.Sorted(slices.Values(h.models.Models())) {
 		if caller.Team.AllowsModel(model) {
 			list.Data = append(list.Data, modelEntry{model, "model", "peridotreel"})
 		}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -30,6 +30,9 @@
 	detail  string
 }
 
+// operatorName appears in the history of what the demo changes.
+const operatorName = "demo"
+
 // maxShown bounds the violations printed for one promise.
 const maxShown = 3
 
@@ -119,7 +122,7 @@
 	var teamRows []core.TeamRow
 	for _, of := range d.teams {
 		teamRows = append(teamRows, of.row)
-		if err := fleet.Budgets().TopUp(ctx, of.row.Budget, of.budget, "first-payment"); err != nil {
+		if err := fleet.Budgets().TopUp(ctx, of.row.Budget, of.budget, "first-payment", operatorName); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/demo/settle.go
+++ b/internal/demo/settle.go
@@ -60,7 +60,7 @@
 // checkBudgets checks the sums of the table.
 func (d *demo) checkBudgets(ctx context.Context, bills []core.Bill) error {
 	c := d.newCheck("P1 the table agrees: billed at most prepaid, for every budget")
-	statuses, err := d.fleet.Budgets().Status(ctx)
+	statuses, err := d.fleet.Budgets().List(ctx)
 	if err != nil {
 		return err
 	}
@@ -68,20 +68,21 @@
 	for _, bill := range bills {
 		billed[bill.Share.Budget] += bill.Cost
 	}
-	var prepaid, spent, held core.Tokens
+	var prepaid, spent, unspent core.Tokens
 	for _, status := range statuses {
-		prepaid, spent, held = prepaid+status.Prepaid, spent+status.Spent, held+status.Held
+		held := status.Held + status.Stranded
+		prepaid, spent, unspent = prepaid+status.Prepaid, spent+status.Spent, unspent+held
 		if billed[status.Budget] > status.Prepaid {
 			c.breakf("budget %s: billed %d of %d", status.Budget, billed[status.Budget], status.Prepaid)
 		}
-		if status.Left < 0 || status.Left+status.Spent+status.Held != status.Prepaid {
+		if status.Left < 0 || status.Left+status.Spent+held != status.Prepaid {
 			c.breakf("budget %s: left %d, spent %d and held %d do not add up to %d",
-				status.Budget, status.Left, status.Spent, status.Held, status.Prepaid)
+				status.Budget, status.Left, status.Spent, held, status.Prepaid)
 		}
 		if status.Spent > billed[status.Budget] {
 			c.breakf("budget %s: shares say %d spent, bills %d", status.Budget, status.Spent, billed[status.Budget])
 		}
 	}
-	c.detail = fmt.Sprintf("%d budgets: prepaid %d, spent %d, held by the killed host %d", len(statuses), prepaid, spent, held)
+	c.detail = fmt.Sprintf("%d budgets: prepaid %d, spent %d, held by the killed host %d", len(statuses), prepaid, spent, unspent)
 	return nil
 }
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -7,6 +7,7 @@
 	"fmt"
 	mathrand "math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -91,7 +92,7 @@
 	c := d.newCheck("P1 a team's spend never exceeds its prepaid budget")
 	of := newTeam(&sites[0], teamsPerSite)
 	of.row.Team, of.row.Budget = "cartamarca-tight", "cartamarca-tight"
-	if err := d.fleet.Budgets().TopUp(ctx, of.row.Budget, tightBudget, "first-payment"); err != nil {
+	if err := d.fleet.Budgets().TopUp(ctx, of.row.Budget, tightBudget, "first-payment", operatorName); err != nil {
 		return err
 	}
 	version, err := d.fleet.SaveTeam(ctx, &of.row)
@@ -108,16 +109,19 @@
 	}
 	token := uuid.NewString()
 	for range 2 {
-		if err := d.fleet.Budgets().TopUp(ctx, of.row.Budget, topUp, token); err != nil {
+		if err := d.fleet.Budgets().TopUp(ctx, of.row.Budget, topUp, token, operatorName); err != nil {
 			return err
 		}
 	}
-	more, err := d.spend(ctx, of)
-	if err != nil {
-		return err
+	// Hosts remember for a moment that the budget was spent.
+	var more core.Tokens
+	for saved := time.Now(); more == 0 && time.Since(saved) < propagationBound; pause(ctx, propagationPoll) {
+		if more, err = d.spend(ctx, of); err != nil {
+			return err
+		}
 	}
 	if more == 0 {
-		c.breakf("no request was answered after the top-up")
+		c.breakf("no request was answered within %s of the top-up", propagationBound)
 	}
 	if spent+more > tightBudget+topUp {
 		c.breakf("%d tokens spent of %d", spent+more, tightBudget+topUp)
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -129,7 +129,7 @@
 		s.cutBy = append(s.cutBy, address)
 		return true
 	}
-	s.code, s.notRun = typed.Code, typed.Run == "not_run"
+	s.code, s.notRun = typed.Code+": "+typed.Message, typed.Run == "not_run"
 	return typed.Run == "unknown" || typed.Status == http.StatusServiceUnavailable || typed.Code == "overloaded"
 }
 
--- a/internal/host/handlers.go
+++ b/internal/host/handlers.go
@@ -3,8 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/gorilla/mux"
-
+	"github.com/peridotreel/peridotreel/internal/admin"
 	"github.com/peridotreel/peridotreel/internal/api"
 	"github.com/peridotreel/peridotreel/internal/decide/claims"
 	"github.com/peridotreel/peridotreel/internal/filter/admit"
@@ -16,7 +15,9 @@
 	"github.com/peridotreel/peridotreel/internal/filter/reserve"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
 	"github.com/peridotreel/peridotreel/internal/filter/settle"
+	"github.com/peridotreel/peridotreel/internal/operate"
 	"github.com/peridotreel/peridotreel/internal/pipeline"
+	"github.com/peridotreel/peridotreel/internal/telemetry"
 )
 
 // line composes the pipeline over the host's tasks.
@@ -36,14 +37,27 @@
 		},
 		Registry: t.calls,
 		Backlog:  t.bills,
-		Recorder: discard{},
+		Recorder: recorder{h.requests},
 		Now:      h.options.Now,
 	}
 }
 
-type discard struct{}
+// outcomeAnswered is the outcome of requests that ended without an error.
+const outcomeAnswered = "answered"
 
-func (discard) Done(pipeline.Summary) {}
+// recorder gives the summaries of requests to the histograms.
+type recorder struct {
+	requests *telemetry.Requests
+}
+
+// Done implements pipeline.Recorder.
+func (r recorder) Done(summary pipeline.Summary) {
+	outcome := outcomeAnswered
+	if summary.Code != "" {
+		outcome = string(summary.Code)
+	}
+	r.requests.Record(summary.Team, summary.Class, outcome, summary.FirstToken, summary.Total)
+}
 
 // callersHandler serves callers.
 func (h *Host) callersHandler() http.Handler {
@@ -51,12 +65,17 @@
 }
 
 // adminHandler serves operators and the platform's balancer.
-func (h *Host) adminHandler() http.Handler {
-	router := mux.NewRouter()
-	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !h.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+func (h *Host) adminHandler() (http.Handler, error) {
+	t := h.tasks
+	var keys []admin.Key
+	for _, operator := range h.options.Settings.Operators {
+		keys = append(keys, admin.Key{Operator: operator.Name, Digest: operator.KeyDigest})
+	}
+	return admin.New(admin.Config{
+		Operator: operate.New(operate.Config{
+			Table: t.store, View: t.teams, Peers: t.members,
+			Budgets: operate.NewTableBudgets(t.store, h.options.Now), Now: h.options.Now,
+		}),
+		Metrics: h.telemetry.Handler(), Ready: h.Ready, Keys: keys, Log: h.log,
 	})
-	return router
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/settings"
 	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/internal/telemetry"
 )
 
 // headerTimeout bounds the wait for a request's headers, so that idle or
@@ -37,6 +38,8 @@
 	options   Options
 	log       *zap.Logger
 	listeners listeners
+	telemetry *telemetry.Telemetry
+	requests  *telemetry.Requests
 	tasks     *tasks
 	group     task.Group
 	callers   *http.Server
@@ -91,15 +94,37 @@
 		return nil, err
 	}
 	h := &Host{options: options, log: options.Log, listeners: opened, served: make(chan error, 2)}
-	if h.tasks, err = newTasks(options, opened); err != nil {
+	if err := h.compose(); err != nil {
 		opened.close()
 		return nil, err
 	}
-	h.callers = &http.Server{Handler: h.callersHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
-	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
 	return h, nil
 }
 
+// compose builds tasks and front ends; nothing runs yet.
+func (h *Host) compose() (err error) {
+	if h.telemetry, err = telemetry.New(); err != nil {
+		return err
+	}
+	if h.requests, err = telemetry.NewRequests(h.telemetry.Meter()); err != nil {
+		return err
+	}
+	if h.tasks, err = newTasks(h.options, h.listeners, h.telemetry.Meter()); err != nil {
+		return err
+	}
+	adminHandler, err := h.adminHandler()
+	if err != nil {
+		return err
+	}
+	h.callers = h.newServer(h.callersHandler())
+	h.admin = h.newServer(adminHandler)
+	return nil
+}
+
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.log)}
+}
+
 // CallerAddress returns the address on which callers are served.
 func (h *Host) CallerAddress() string { return h.listeners.callers.Addr().String() }
 
@@ -136,9 +161,24 @@
 // by itself.
 func (h *Host) Failed() <-chan error { return h.served }
 
-// Ready reports whether the host takes new requests.
-func (h *Host) Ready() bool {
-	return !h.draining.Load() && h.tasks.teams.Current() != nil
+// The reasons for which a host is not ready.
+var (
+	errDraining        = errors.New("the host is draining; send new requests to another host")
+	errNoConfiguration = errors.New("the host has not loaded the operators' table; check that it reaches the platform or a peer")
+	errNoUpstreams     = errors.New("the host knows no upstream yet; check that it reaches the platform's list of machines")
+)
+
+// Ready returns why the host must get no new requests, nil if it may.
+func (h *Host) Ready() error {
+	switch {
+	case h.draining.Load():
+		return errDraining
+	case h.tasks.teams.Current() == nil:
+		return errNoConfiguration
+	case !h.tasks.balancer.Loaded():
+		return errNoUpstreams
+	}
+	return nil
 }
 
 // TeamVersion returns the version of a team's row in force on this host; 0
@@ -158,7 +198,9 @@
 	h.draining.Store(true)
 	h.callers.SetKeepAlivesEnabled(false)
 	h.log.Info("host is draining; it reports not ready")
-	h.tasks.leave(ctx)
+	if err := h.tasks.leave(ctx); err != nil {
+		h.log.Warn("peers could not be told that this host leaves; they will find out", zap.Error(err))
+	}
 	if err := wait(ctx, time.Duration(h.options.Settings.Drain.BalancerWait)); err != nil {
 		return h.abort(err)
 	}
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
@@ -15,6 +18,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/bills"
 	"github.com/peridotreel/peridotreel/internal/tasks/calls"
 	"github.com/peridotreel/peridotreel/internal/tasks/claimant"
+	"github.com/peridotreel/peridotreel/internal/tasks/members"
 	"github.com/peridotreel/peridotreel/internal/tasks/shares"
 	"github.com/peridotreel/peridotreel/internal/tasks/teams"
 	"github.com/peridotreel/peridotreel/internal/upstream"
@@ -22,7 +26,9 @@
 
 // tasks are the tasks of a host.
 type tasks struct {
+	store    *platform.Client
 	client   *fleet.Client
+	members  *members.Task
 	server   *fleet.Server
 	teams    *teams.Task
 	shares   *shares.Task
@@ -53,37 +59,58 @@
 	return digest.Sum64()
 }
 
-func newTasks(options Options, opened listeners) (*tasks, error) {
-	chosen := options.Settings
+func newTasks(options Options, opened listeners, meter metric.Meter) (*tasks, error) {
+	chosen, now, log := options.Settings, options.Now, options.Log
 	self := core.HostRef{Host: chosen.Host, Incarnation: options.Incarnation}
 	seed := seedOf(self)
 	store := platform.NewClient(chosen.Platform)
+	traffic := &fleet.Traffic{}
 	t := &tasks{
-		client:   fleet.NewClient(fleet.ClientConfig{}),
-		server:   fleet.NewServer(fleet.ServerConfig{Listener: opened.peers, Log: options.Log}),
+		store:    store,
+		client:   fleet.NewClient(fleet.ClientConfig{Traffic: traffic}),
+		server:   fleet.NewServer(fleet.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log}),
 		upstream: upstream.NewClient(),
 	}
-	t.teams = teams.New(teams.Config{Table: store, Now: options.Now, Seed: seed, Log: options.Log})
-	t.shares = shares.New(shares.Config{Table: store, Self: self, Zone: chosen.Zone, Now: options.Now, Log: options.Log})
-	t.bills = bills.New(bills.Config{Self: self, Zone: chosen.Zone, Table: store, Objects: store.Objects(), Now: options.Now, Log: options.Log})
-	t.claimant = claimant.New(claimant.Config{Self: self, Table: store, Objects: store.Objects(), Now: options.Now, Log: options.Log})
-	t.admitter = admitter.New(admitter.Config{Now: options.Now, Log: options.Log})
+	t.members = members.New(members.Config{
+		Self: self, Zone: chosen.Zone, Address: opened.peers.Addr().String(), Directory: store,
+		Seeds: chosen.Peers, Caller: t.client, Now: now, Seed: seed, Log: log, Meter: meter,
+	})
+	t.teams = teams.New(teams.Config{
+		Table: store, Caller: t.client, Peers: t.members, OnRevision: t.members.SetRevision,
+		Now: now, Seed: seed, Log: log, Meter: meter,
+	})
+	t.shares = shares.New(shares.Config{
+		Table: store, Peers: t.members, Caller: t.client, Self: self, Zone: chosen.Zone, Now: now, Log: log, Meter: meter,
+	})
+	t.bills = bills.New(bills.Config{
+		Self: self, Zone: chosen.Zone, Table: store, Objects: store.Objects(), Peers: t.members, Caller: t.client,
+		Now: now, Log: log, Meter: meter,
+	})
+	t.claimant = claimant.New(claimant.Config{
+		Self: self, Table: store, Objects: store.Objects(), Peers: t.members, Now: now, Log: log, Meter: meter,
+	})
+	t.calls = calls.New(calls.Config{Self: self, Zone: chosen.Zone, Peers: t.members, Caller: t.client, Now: now, Meter: meter})
+	t.admitter = admitter.New(admitter.Config{Now: now, Log: log, Meter: meter})
 	t.balancer = balancer.New(balancer.Config{
 		Directory: store, Reporter: reporter{t.upstream}, Capacities: t.admitter,
-		Self: chosen.Host, Zone: chosen.Zone, Now: options.Now, Seed: seed, Log: options.Log,
+		Self: chosen.Host, Zone: chosen.Zone, Now: now, Seed: seed, Log: log, Meter: meter,
 	})
-	t.calls = calls.New(calls.Config{Self: self, Zone: chosen.Zone, Now: options.Now})
-	return t, t.register()
+	return t, errors.Join(traffic.Observe(meter), t.register())
 }
 
 // register makes the tasks reachable by peers.
 func (t *tasks) register() error {
-	return errors.Join(t.bills.Register(t.server), t.calls.Register(t.server))
+	return errors.Join(
+		t.members.Register(t.server), t.teams.Register(t.server),
+		t.server.RegisterName(shares.ReceiverName, t.shares.Receiver()),
+		t.bills.Register(t.server), t.calls.Register(t.server),
+	)
 }
 
 // start runs the tasks; a task relies on those started before it.
 func (t *tasks) start(group *task.Group) {
 	group.Start(t.client)
+	group.Start(t.members)
 	group.Start(t.teams)
 	group.Start(t.shares)
 	group.Start(t.bills)
@@ -94,8 +121,16 @@
 	group.Start(t.server)
 }
 
+// leaveTimeout bounds the wait for a peer to learn that this host leaves.
+// Peers that can't be reached find out from the platform's list.
+const leaveTimeout = time.Second
+
 // leave tells peers that this host is leaving.
-func (t *tasks) leave(context.Context) {}
+func (t *tasks) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return t.members.Leave(ctx)
+}
 
 // handBack returns what this host holds, bills first, as they are paid from
 // the shares.
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -225,7 +225,7 @@
 	for {
 		waiting := ""
 		for _, running := range f.Hosts {
-			if !running.stopped && !running.Ready() {
+			if !running.stopped && running.Ready() != nil {
 				waiting = string(running.Name)
 			}
 		}
@@ -250,6 +250,8 @@
 // DrainHost stops a host gracefully.
 func (f *Fleet) DrainHost(ctx context.Context, running *RunningHost) error {
 	running.stopped = true
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
 	err := running.Drain(ctx)
 	f.PublishMembers()
 	return err
@@ -278,7 +280,7 @@
 
 // Budgets returns the operators' actions on budgets.
 func (f *Fleet) Budgets() operate.Budgets {
-	return operate.Budgets{Table: f.Store, Now: time.Now}
+	return operate.NewTableBudgets(f.Store, time.Now)
 }
 
 // Stop ends everything at once.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -41,8 +42,8 @@
 	Peers []string `yaml:"peers"`
 	// Drain sets the times of a graceful stop.
 	Drain Drain `yaml:"drain"`
-	// Operators holds the keys of the admin interface.
-	Operators Operators `yaml:"operators"`
+	// Operators may use the admin interface.
+	Operators []Operator `yaml:"operators"`
 	// Log sets the log output.
 	Log Log `yaml:"log"`
 }
@@ -63,10 +64,12 @@
 	Limit Duration `yaml:"limit"`
 }
 
-// Operators holds the keys of the admin interface.
-type Operators struct {
-	// KeyDigests are SHA-256 digests of operators' keys in hexadecimal.
-	KeyDigests []string `yaml:"key_digests"`
+// Operator is a person or program with a key for the admin interface.
+type Operator struct {
+	// Name appears in the history of changes.
+	Name string `yaml:"name"`
+	// KeyDigest is the SHA-256 digest of the key in hexadecimal.
+	KeyDigest string `yaml:"key_digest"`
 }
 
 // Log sets the log output.
@@ -170,9 +173,12 @@
 	if s.Drain.Limit <= 0 {
 		return wrong("drain.limit", "is not positive; set it to the longest request, such as 10m")
 	}
-	for i, digest := range s.Operators.KeyDigests {
-		if len(digest) != 64 || strings.Trim(digest, "0123456789abcdef") != "" {
-			return wrong(fmt.Sprintf("operators.key_digests[%d]", i), "is not a SHA-256 digest; write 64 lower-case hexadecimal digits")
+	for i, operator := range s.Operators {
+		if operator.Name == "" {
+			return wrong(fmt.Sprintf("operators[%d].name", i), "is empty; name the operator for the history of changes")
+		}
+		if len(operator.KeyDigest) != 2*sha256.Size || strings.Trim(operator.KeyDigest, "0123456789abcdef") != "" {
+			return wrong(fmt.Sprintf("operators[%d].key_digest", i), "is not a SHA-256 digest; write 64 lower-case hexadecimal digits")
 		}
 	}
 	switch s.Log.Level {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,7 +32,7 @@
 		{"peers: [nowhere]", "peers[0]"},
 		{"drain: {balancer_wait: 5}", "file"},
 		{"drain: {limit: 0s}", "drain.limit"},
-		{"operators: {key_digests: [abc]}", "operators.key_digests[0]"},
+		{"operators: [{name: ana, key_digest: abc}]", "operators[0].key_digest"},
 		{"log: {level: loud}", "log.level"},
 	} {
 		Convey("A bad field is named on one line: "+bad.change, t, func() {
--- a/internal/tasks/balancer/balancer.go
+++ b/internal/tasks/balancer/balancer.go
@@ -81,6 +81,7 @@
 	// done is closed when Run returns, which releases waiting picks.
 	done    chan struct{}
 	models  atomic.Pointer[modelSet]
+	loaded  atomic.Bool
 	view    *upstreams.View
 	budgets map[core.ModelName]*budgets
 	random  *rand.Rand
@@ -191,6 +192,11 @@
 	t.config.Capacities.SetCapacities(t.view.Capacities(now, nil), t.hosts)
 }
 
+// Loaded reports whether the platform's list has shown an upstream.
+func (t *Task) Loaded() bool {
+	return t.loaded.Load()
+}
+
 // Serves reports whether an upstream for the model is known.
 func (t *Task) Serves(model core.ModelName) bool {
 	_, found := (*t.models.Load())[model]
--- a/internal/tasks/balancer/list.go
+++ b/internal/tasks/balancer/list.go
@@ -51,6 +51,7 @@
 	t.view.ApplyList(now, entries)
 	t.polls.forget(t.view)
 	t.publishModels()
+	t.loaded.Store(t.loaded.Load() || len(entries) > 0)
 	t.publishCapacities(now)
 }
 
