--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,88 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/platform"
+)
+
+// Guards against an unknown outcome that is taken for a known one.
+func TestClientFailures(t *testing.T) {
+	status := func(code int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(code)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	// The server notices that the client has gone only once the body is read.
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	cases := []struct {
+		name        string
+		answer      http.HandlerFunc
+		unavailable bool
+	}{
+		{"503", status(http.StatusServiceUnavailable, ""), true},
+		{"500", status(http.StatusInternalServerError, ""), true},
+		{"429", status(http.StatusTooManyRequests, ""), true},
+		{"400", status(http.StatusBadRequest, "bad"), false},
+		{"truncated JSON", status(http.StatusOK, `{"revision":`), true},
+		{"broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
+		{"no answer", silent, true},
+	}
+	Convey("Only a whole answer is a known outcome", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				server := httptest.NewServer(c.answer)
+				defer server.Close()
+				timeout := time.Minute
+				if c.name == "no answer" {
+					timeout = 100 * time.Millisecond
+				}
+				client := platform.NewClient(server.URL, platform.WithTimeout(timeout))
+				_, err := client.Commit(t.Context(), platform.Commit{Token: "t"})
+				So(err, ShouldNotBeNil)
+				So(errors.Is(err, platform.ErrUnavailable), ShouldEqual, c.unavailable)
+			})
+		}
+	})
+}
+
+// limitedTable refuses the first commit by its rate limit.
+type limitedTable struct {
+	platform.Table
+	commits int
+}
+
+func (l *limitedTable) Commit(context.Context, platform.Commit) (platform.Revision, error) {
+	l.commits++
+	if l.commits == 1 {
+		return 0, &platform.RateLimitError{RetryAfter: 5 * time.Second}
+	}
+	return 7, nil
+}
+
+// Guards against retries that ignore the delay the platform asks for.
+func TestCommitUntilKnownHonoursRetryAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A refused commit is repeated after the delay", t, func() {
+			began, table := time.Now(), &limitedTable{}
+			revision, err := platform.CommitUntilKnown(t.Context(), table, platform.Commit{Token: "t"})
+			So(err, ShouldBeNil)
+			So(revision, ShouldEqual, 7)
+			So(time.Since(began), ShouldBeGreaterThanOrEqualTo, 5*time.Second)
+		})
+	})
+}
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -50,7 +50,9 @@
 
 // Run serves until ctx ends and then breaks all connections.
 func (s *Server) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { s.server.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		_ = s.server.Close() // connections are broken whatever it returns
+	})
 	defer stop()
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		panic(fmt.Errorf("serve stand-in: %w", err))
@@ -109,6 +111,10 @@
 	return e
 }
 
+func (e *epoch) isSilent() bool {
+	return e.silent.Err() != nil
+}
+
 // faultListener accepts connections that can be silenced or cut.
 type faultListener struct {
 	net.Listener
@@ -133,7 +139,9 @@
 		return nil, err
 	}
 	accepted := l.current.Load()
-	release := context.AfterFunc(accepted.broken, func() { conn.Close() })
+	release := context.AfterFunc(accepted.broken, func() {
+		_ = conn.Close() // the connection is broken whatever it returns
+	})
 	return &faultConn{Conn: conn, epoch: accepted, release: release}, nil
 }
 
@@ -149,7 +157,7 @@
 func (c *faultConn) Read(buffer []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(buffer)
-		if err != nil || c.epoch.silent.Err() == nil {
+		if err != nil || !c.epoch.isSilent() {
 			return n, err
 		}
 	}
@@ -157,7 +165,7 @@
 
 // Write implements net.Conn. A silent connection pretends to send.
 func (c *faultConn) Write(data []byte) (int, error) {
-	if c.epoch.silent.Err() != nil {
+	if c.epoch.isSilent() {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
--- a/internal/upstream/chunk.go
+++ b/internal/upstream/chunk.go
@@ -1,10 +1,11 @@
 package upstream
 
 import (
+	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/upstream/wire"
@@ -12,7 +13,8 @@
 
 // chunk is what a relay needs of an event's data.
 type chunk struct {
-	id           string
+	// id may be a part of the event's data.
+	id           []byte
 	attempt      int
 	text         string
 	finishReason string
@@ -23,6 +25,9 @@
 
 // parseChunk reads the data of an event.
 func parseChunk(data []byte) (chunk, error) {
+	if parsed, ok := scanChunk(data); ok {
+		return parsed, nil
+	}
 	return parseChunkSlow(data)
 }
 
@@ -32,7 +37,7 @@
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return chunk{}, fmt.Errorf("chunk is not valid JSON: %w", err)
 	}
-	parsed := chunk{id: decoded.ID, attempt: decoded.Attempt}
+	parsed := chunk{id: []byte(decoded.ID), attempt: decoded.Attempt}
 	if len(decoded.Choices) > 0 {
 		choice := decoded.Choices[0]
 		parsed.text = choice.Delta.Content
@@ -52,13 +57,9 @@
 
 // event turns a chunk at a position into an event of an answer.
 func (c *chunk) event(position int64) (core.Event, error) {
-	digits, found := strings.CutPrefix(c.id, wire.ChunkIDPrefix)
-	if !found {
-		return core.Event{}, fmt.Errorf("chunk id %.60q does not begin with %s", c.id, wire.ChunkIDPrefix)
-	}
-	request, err := core.ParseRequestID(digits)
+	request, err := parseChunkID(c.id)
 	if err != nil {
-		return core.Event{}, fmt.Errorf("chunk id: %w", err)
+		return core.Event{}, err
 	}
 	event := core.Event{
 		Kind: core.EventToken, Request: request, Attempt: c.attempt, Position: position, Text: c.text,
@@ -74,3 +75,16 @@
 	}
 	return event, nil
 }
+
+// parseChunkID reads the request id within a chunk's id, without allocating.
+func parseChunkID(id []byte) (core.RequestID, error) {
+	var request core.RequestID
+	digits, found := bytes.CutPrefix(id, []byte(wire.ChunkIDPrefix))
+	if !found || len(digits) != hex.EncodedLen(len(request)) {
+		return core.RequestID{}, fmt.Errorf("chunk id %.60q is not %s and 32 digits", id, wire.ChunkIDPrefix)
+	}
+	if _, err := hex.Decode(request[:], digits); err != nil {
+		return core.RequestID{}, fmt.Errorf("chunk id %.60q: %w", id, err)
+	}
+	return request, nil
+}
