--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -170,6 +170,36 @@
 	})
 }
 
+// Guards against requests that are lost one after the other on idle
+// connections that fell silent together.
+func TestSilentIdleConnectionsAreDropped(t *testing.T) {
+	Convey("After a silent stream, pooled requests use new connections", t, func() {
+		target, server := start(t, standin.NewEngine(standin.EngineSettings{StepTime: testStep}))
+		client := upstream.NewClient()
+		var open []<-chan attempt.Result
+		for _, key := range []string{"a", "b", "c"} {
+			request := completion(target, 50)
+			request.Work.ID = core.KeyedRequestID("team", key)
+			open = append(open, client.Stream(t.Context(), request))
+		}
+		for _, results := range open {
+			take(results, all)
+		}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		request := completion(target, 600)
+		results := client.Stream(ctx, request)
+		begun, last := take(results, 3)
+		server.Silence()
+		cancel(upstream.ErrKeepRunning)
+		for result := range results {
+			_ = result // events that came before the silence
+		}
+		request.Attempt, request.After = 2, last.Position
+		rest, _ := take(client.Stream(t.Context(), request), all)
+		So(begun+rest, ShouldEqual, standin.Expected("m", question, 600).Text)
+	})
+}
+
 // Guards against an answer that reaches a caller who did not ask for it.
 func TestStreamKeepsForeignRequestID(t *testing.T) {
 	engine := standin.NewEngine(standin.EngineSettings{StepTime: testStep})
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -175,6 +175,12 @@
 // end reports the error that ended the stream. If the caller ended it, the
 // request is cancelled at the engine, on a best-effort basis.
 func (t *streamTask) end(ctx context.Context, err error) {
+	replaced := errors.Is(context.Cause(ctx), ErrKeepRunning)
+	if replaced {
+		// What silenced this connection silenced idle ones to the upstream as
+		// well. Dropping the others too costs only new connections.
+		t.client.pooled.CloseIdleConnections()
+	}
 	if ctx.Err() == nil {
 		select {
 		case t.results <- attempt.Result{Err: err}:
@@ -188,7 +194,7 @@
 	default: // the caller has stopped to read
 	}
 	close(t.results)
-	if fault.From(err).Run != fault.NotRun && !errors.Is(context.Cause(ctx), ErrKeepRunning) {
+	if fault.From(err).Run != fault.NotRun && !replaced {
 		t.cancelAtEngine(ctx)
 	}
 }
