--- a/internal/standin/platform/service_test.go
+++ b/internal/standin/platform/service_test.go
@@ -157,11 +157,13 @@
 	})
 }
 
+// insert succeeds once and conflicts without its token.
+var insert = platform.Commit{
+	Token: "t", Conditions: []platform.Condition{{Key: "a"}}, Writes: []platform.Write{put("a", "1")},
+}
+
 // Guards against a write that is applied twice, or lost, when its answer is.
 func TestTokensUnderFaults(t *testing.T) {
-	insert := platform.Commit{
-		Token: "t", Conditions: []platform.Condition{{Key: "a"}}, Writes: []platform.Write{put("a", "1")},
-	}
 	cases := []struct {
 		name    string
 		fault   Fault
@@ -196,6 +198,11 @@
 			})
 		}
 	})
+}
+
+// Guards against a token whose conflict turns into a success later, and
+// against faults that are accepted and do nothing.
+func TestConflictTokensAndInvalidFaults(t *testing.T) {
 	Convey("A conflict is the result of its token, even after the row has gone", t, func() {
 		eachAccess(t, func(_ *Service, used access) {
 			ctx := context.Background()
