--- a/cmd/peridotreel/standin.go
+++ b/cmd/peridotreel/standin.go
@@ -76,7 +76,7 @@
 func serveStandin(ctx context.Context, address string, owner task.Task, handler http.Handler) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	listener, err := net.Listen("tcp", address)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("can't listen on %s; choose another address with --listen: %w", address, err)
 	}
--- a/internal/filter/relay/relay.go
+++ b/internal/filter/relay/relay.go
@@ -138,6 +138,7 @@
 	case stream.Abort:
 		r.end(Broken, err)
 		return true
+	case stream.Deliver:
 	}
 	if result.Event.Kind == core.EventFinish {
 		r.outcome.Finish = result.Event
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,7 +73,7 @@
 		{"listen.peers", addresses.Peers, &opened.peers},
 		{"listen.admin", addresses.Admin, &opened.admin},
 	} {
-		listener, err := net.Listen("tcp", entry.address)
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", entry.address)
 		if err != nil {
 			opened.close()
 			return listeners{}, &settings.Error{Field: entry.field,
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -131,7 +131,7 @@
 
 // serve starts an HTTP server on a free loopback port.
 func (f *Fleet) serve(handler http.Handler) (string, *http.Server, error) {
-	listener, err := net.Listen("tcp", anyPort)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", anyPort)
 	if err != nil {
 		return "", nil, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -214,7 +215,7 @@
 // machine can't listen.
 func (l *Listen) CheckAddresses() error {
 	for _, field := range l.fields() {
-		listener, err := net.Listen("tcp", field[1])
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", field[1])
 		if err != nil {
 			return wrong(field[0], "can't listen on %s (%v); free the address or choose another", field[1], err)
 		}
