--- a/internal/decide/budget/ledger.go
+++ b/internal/decide/budget/ledger.go
@@ -91,19 +91,26 @@
 	for _, id := range slices.Sorted(maps.Keys(l.budgetsChanged)) {
 		change.Budgets = append(change.Budgets, *l.budgets[id])
 	}
-	for id := range l.sharesChanged {
-		change.Shares = append(change.Shares, *l.shares[id])
-	}
-	slices.SortFunc(change.Shares, func(a, b Share) int {
-		return cmp.Or(cmp.Compare(a.ID.Budget, b.ID.Budget), cmp.Compare(a.ID.Holder.Host, b.ID.Holder.Host),
-			cmp.Compare(a.ID.Holder.Incarnation, b.ID.Holder.Incarnation))
-	})
+	change.Shares = slices.DeleteFunc(l.Shares(), func(share Share) bool { return !l.sharesChanged[share.ID] })
 	if l.topUpAdded != nil {
 		change.TopUps = append(change.TopUps, *l.topUpAdded)
 	}
 	return change
 }
 
+// Shares returns all shares, ordered by their identities.
+func (l *Ledger) Shares() []Share {
+	shares := make([]Share, 0, len(l.shares))
+	for _, share := range l.shares {
+		shares = append(shares, *share)
+	}
+	slices.SortFunc(shares, func(a, b Share) int {
+		return cmp.Or(cmp.Compare(a.ID.Budget, b.ID.Budget), cmp.Compare(a.ID.Holder.Host, b.ID.Holder.Host),
+			cmp.Compare(a.ID.Holder.Incarnation, b.ID.Holder.Incarnation))
+	})
+	return shares
+}
+
 // Serve settles the holder's totals and grants its draw.
 func (l *Ledger) Serve(request Request, fleet Fleet) Answer {
 	budget, found := l.budgets[request.Share.Budget]
@@ -150,6 +157,8 @@
 		l.sharesChanged[share.ID] = true
 	}
 	if amount < request.Need {
+		// Other holders can transfer tokens only to a row that exists.
+		l.sharesChanged[share.ID] = l.sharesChanged[share.ID] || share.Version == 0
 		return amount, Exhausted
 	}
 	return amount, Granted
--- a/internal/tasks/shares/fleet_test.go
+++ b/internal/tasks/shares/fleet_test.go
@@ -42,7 +42,7 @@
 		})
 	})
 	conveyInBubble(t, "recall", func(t *testing.T) {
-		f := newTestFleet(10_000, "a1", "b1", "c1")
+		f := newTestFleet(10_000, "a1", "b1", "c1", "d1")
 		defer f.close()
 		Convey("what other zones have not reserved is spent before a refusal", t, func() {
 			ctx := context.Background()
@@ -51,7 +51,11 @@
 				So(err, ShouldBeNil)
 				f.host(name).Settle(hold, 500)
 			}
-			_, err := f.host("c1").Reserve(ctx, testBudget, 9000)
+			hold, err := f.host("c1").Reserve(ctx, testBudget, 9000)
+			So(err, ShouldBeNil)
+			f.host("c1").Settle(hold, 8000)
+			// A host whose first draw finds the budget exhausted has no row yet.
+			_, err = f.host("d1").Reserve(ctx, testBudget, 1000)
 			So(err, ShouldBeNil)
 			began := time.Now()
 			_, err = f.host("c1").Reserve(ctx, testBudget, 1)
