Serve draws of all budgets in one batch, end recalls in time

Cause: each budget had a transaction of its own, which an owner of many budgets multiplies, and a request on an exhausted budget could wait for a second recall before its refusal. Change: one batch of draws of any budgets is in flight per host; if it meets a conflict or an invalid row, each budget gets its own transaction.

--- a/internal/tasks/shares/account.go
+++ b/internal/tasks/shares/account.go
@@ -47,11 +47,19 @@
 	// recalled gets the amount of the pending transfer.
 	recalled chan<- core.Tokens
 	// row is the share row as last seen.
-	row            budget.Share
-	written        time.Time
-	exhaustedTill  time.Time
-	aheadFrom      time.Time
-	unreachedUntil time.Time
+	row     budget.Share
+	written time.Time
+	// refusal is given at once until pausedTill.
+	refusal    *fault.Error
+	pausedTill time.Time
+	// exhausted is true when the last draw got less than its need.
+	exhausted bool
+	aheadFrom time.Time
+}
+
+// pause refuses what does not fit at once, without asking the table again.
+func (a *account) pause(refusal *fault.Error, until time.Time) {
+	a.refusal, a.pausedTill = refusal, until
 }
 
 // waiter is a reservation that waits for a draw.
@@ -90,6 +98,12 @@
 	budget core.BudgetID
 }
 
+// expire ends the wait of requests on an exhausted budget, even if a recall
+// is still under way.
+type expire struct {
+	budget core.BudgetID
+}
+
 func (t *Task) account(id core.BudgetID) *account {
 	entry, found := t.accounts[id]
 	if !found {
@@ -114,10 +128,8 @@
 	switch {
 	case entry.holder.Closed():
 		m.refuse(t, closedFault(m.budget))
-	case now.Before(entry.exhaustedTill):
-		m.refuse(t, exhaustedFault(m.budget))
-	case now.Before(entry.unreachedUntil):
-		m.refuse(t, unavailableFault(m.budget, nil))
+	case now.Before(entry.pausedTill):
+		m.refuse(t, entry.refusal)
 	default:
 		entry.waiting = append(entry.waiting, waiter{reserve: *m, since: now})
 		t.draw(entry)
@@ -154,9 +166,6 @@
 func unavailableFault(id core.BudgetID, cause error) *fault.Error {
 	refusal := fault.Refuse(fault.BudgetUnavailable,
 		"this host has no tokens of budget %s left and can't reach the platform; retry after the delay", id).After(unavailableRetry)
-	if cause == nil {
-		return refusal
-	}
 	return refusal.Because(cause)
 }
 
@@ -200,7 +209,7 @@
 
 // drawAhead starts a draw before the share is used up.
 func (t *Task) drawAhead(entry *account, now time.Time) {
-	paused := now.Before(entry.aheadFrom) || now.Before(entry.exhaustedTill) || now.Before(entry.unreachedUntil)
+	paused := now.Before(entry.aheadFrom) || now.Before(entry.pausedTill)
 	if paused || entry.drawing || !entry.holder.Low(now) {
 		return
 	}
@@ -213,18 +222,22 @@
 	entry.drawing = false
 	now := t.config.Now()
 	if m.err != nil {
-		entry.unreachedUntil = now.Add(unavailableFor)
-		t.config.Log.Warn("no share could be drawn", zap.String("budget", string(m.budget)), zap.Error(m.err))
-		t.refuseWaiting(entry, func(waiter) *fault.Error { return unavailableFault(m.budget, m.err) })
+		refusal := unavailableFault(m.budget, m.err)
+		entry.pause(refusal, now.Add(unavailableFor))
+		t.config.Log.Debug("no share could be drawn", zap.String("budget", string(m.budget)), zap.Error(m.err))
+		t.refuseWaiting(entry, func(waiter) *fault.Error { return refusal })
 		t.continueDrain()
 		return
 	}
 	t.learn(entry, m.answer.Share)
+	entry.exhausted = m.answer.Outcome == budget.Exhausted
 	switch m.answer.Outcome {
 	case budget.Unknown:
-		t.refuseWaiting(entry, func(waiter) *fault.Error { return unknownFault(m.budget) })
+		refusal := unknownFault(m.budget)
+		entry.pause(refusal, now.Add(exhaustedFor))
+		t.refuseWaiting(entry, func(waiter) *fault.Error { return refusal })
 	case budget.Exhausted:
-		t.handleExhausted(entry, now)
+		t.handleExhausted(entry)
 	default:
 		t.grantWaiting(entry)
 	}
@@ -239,19 +252,34 @@
 
 // handleExhausted grants what fits, refuses what has waited for the time
 // that a recall may take, and draws again for the rest.
-func (t *Task) handleExhausted(entry *account, now time.Time) {
+func (t *Task) handleExhausted(entry *account) {
 	entry.waiting = slices.DeleteFunc(entry.waiting, func(w waiter) bool { return w.grant(t, entry) })
+	t.refuseExpired(entry)
+	if len(entry.waiting) == 0 {
+		return
+	}
+	entry.redraw = true
+	t.after(redrawDelay, &redraw{entry.id})
+	oldest := entry.waiting[0].since
+	t.after(recallLimit-t.config.Now().Sub(oldest), &expire{entry.id})
+}
+
+// refuseExpired refuses what has waited for the time that a recall may take
+// since the budget was found exhausted.
+func (t *Task) refuseExpired(entry *account) {
+	now := t.config.Now()
 	t.refuseWaiting(entry, func(w waiter) *fault.Error {
-		if !w.covered || now.Sub(w.since) < recallLimit {
+		if !entry.exhausted || !w.covered || now.Sub(w.since) < recallLimit {
 			return nil
 		}
-		entry.exhaustedTill = now.Add(exhaustedFor)
-		return exhaustedFault(entry.id)
+		refusal := exhaustedFault(entry.id)
+		entry.pause(refusal, now.Add(exhaustedFor))
+		return refusal
 	})
-	if len(entry.waiting) > 0 {
-		entry.redraw = true
-		t.after(redrawDelay, &redraw{entry.id})
-	}
+}
+
+func (m *expire) apply(t *Task) {
+	t.refuseExpired(t.accounts[m.budget])
 }
 
 func (m *redraw) apply(t *Task) {
--- a/internal/tasks/shares/fleet_test.go
+++ b/internal/tasks/shares/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/rpc"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,9 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/budget"
 	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/rows"
 	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
 )
 
@@ -41,6 +46,37 @@
 			So(f.budget().Drawn, ShouldEqual, list[0].Held+list[0].Available)
 		})
 	})
+	conveyInBubble(t, "batch", func(t *testing.T) {
+		f := newTestFleet(100_000, "a1")
+		defer f.close()
+		Convey("budgets share a commit, and an invalid row holds up no other budget", t, func() {
+			ctx := context.Background()
+			for _, id := range []core.BudgetID{"second", "third", "fourth"} {
+				f.topUpOf(id, "p", 1000)
+			}
+			invalid := platform.Commit{Writes: []platform.Write{{Key: rows.BudgetKey("invalid"), Value: []byte("{")}}}
+			_, err := f.table.Commit(ctx, invalid)
+			So(err, ShouldBeNil)
+			reserve := func(ids ...core.BudgetID) []error {
+				var calls sync.WaitGroup
+				errs := make([]error, len(ids))
+				for i, id := range ids {
+					calls.Go(func() { _, errs[i] = f.host("a1").Reserve(ctx, id, 100) })
+					synctest.Wait()
+				}
+				calls.Wait()
+				return errs
+			}
+			before, _ := f.table.Operations()
+			// The first draw is in flight when the others come.
+			reserve(testBudget, "second", testBudget)
+			after, _ := f.table.Operations()
+			So(after-before, ShouldEqual, 2)
+			errs := reserve("third", "invalid", "fourth")
+			So(codeOf(errs[1]), ShouldEqual, fault.BudgetUnavailable)
+			So(errs[2], ShouldBeNil)
+		})
+	})
 	conveyInBubble(t, "recall", func(t *testing.T) {
 		f := newTestFleet(10_000, "a1", "b1", "c1", "d1")
 		defer f.close()
@@ -60,7 +96,7 @@
 			began := time.Now()
 			_, err = f.host("c1").Reserve(ctx, testBudget, 1)
 			So(codeOf(err), ShouldEqual, fault.InsufficientQuota)
-			So(time.Since(began), ShouldBeLessThan, 2*recallLimit)
+			So(time.Since(began), ShouldBeLessThanOrEqualTo, recallLimit)
 			f.topUp("second", 50)
 			time.Sleep(exhaustedFor)
 			_, err = f.host("c1").Reserve(ctx, testBudget, 50)
@@ -85,6 +121,31 @@
 	})
 }
 
+// TestWire guards against messages that net/rpc can't register or carry.
+func TestWire(t *testing.T) {
+	conveyInBubble(t, "net/rpc", func(t *testing.T) {
+		f := newTestFleet(10_000, "a1")
+		defer f.close()
+		Convey("a draw passes through net/rpc, and a newer wire version is refused", t, func() {
+			server := rpc.NewServer()
+			So(server.RegisterName(ReceiverName, f.host("a1").Receiver()), ShouldBeNil)
+			near, far := net.Pipe()
+			go server.ServeConn(far)
+			client := rpc.NewClient(near)
+			defer func() { _ = client.Close() }()
+			args := DrawArgs{Wire: 1, Share: core.ShareID{Budget: testBudget, Holder: ref("a2")}, Sequence: 1, Need: 70}
+			for range 2 {
+				var reply LedgerReply
+				So(client.Call(ReceiverName+".Draw", args, &reply), ShouldBeNil)
+				So(reply.Status, ShouldEqual, StatusGranted)
+				So(reply.Granted, ShouldEqual, 70)
+			}
+			args.Wire = fleet.WireVersion + 1
+			So(client.Call(ReceiverName+".Draw", args, &LedgerReply{}), ShouldNotBeNil)
+		})
+	})
+}
+
 func TestOutageAndRelease(t *testing.T) {
 	conveyInBubble(t, "outage", func(t *testing.T) {
 		f := newTestFleet(10_000, "a1")
--- a/internal/tasks/shares/ledger.go
+++ b/internal/tasks/shares/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -30,27 +31,7 @@
 // whose reply was lost is repeated under the same token until ctx ends.
 func (l Ledger) transact(ctx context.Context, keys []string, decide func(*budget.Ledger) error) error {
 	for {
-		read, err := l.table.Get(ctx, keys...)
-		if err != nil {
-			return err
-		}
-		found, err := rows.DecodeBudgetRows(read)
-		if err != nil {
-			return err
-		}
-		state := budget.NewLedger(l.now(), found.Budgets, found.Shares, found.TopUps...)
-		if err := decide(state); err != nil {
-			return err
-		}
-		change := state.Change()
-		if change.Empty() {
-			return nil
-		}
-		commit, err := rows.BudgetCommit(uuid.NewString(), change)
-		if err != nil {
-			return err
-		}
-		_, err = platform.CommitUntilKnown(ctx, l.table, commit)
+		err := l.attempt(ctx, keys, decide)
 		var conflict *platform.ConflictError
 		if !errors.As(err, &conflict) || ctx.Err() != nil {
 			return err
@@ -58,23 +39,86 @@
 	}
 }
 
-// exchange serves requests of any budgets in one transaction.
-func (l Ledger) exchange(ctx context.Context, fleet budget.Fleet, requests []budget.Request) ([]budget.Answer, error) {
-	answers := make([]budget.Answer, len(requests))
-	err := l.transact(ctx, requestKeys(requests), func(state *budget.Ledger) error {
-		for i, request := range requests {
-			answers[i] = state.Serve(request, fleet)
+// attempt runs a transaction once; a conflict is returned.
+func (l Ledger) attempt(ctx context.Context, keys []string, decide func(*budget.Ledger) error) error {
+	read, err := l.table.Get(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	found, err := rows.DecodeBudgetRows(read)
+	if err != nil {
+		return err
+	}
+	state := budget.NewLedger(l.now(), found.Budgets, found.Shares, found.TopUps...)
+	if err := decide(state); err != nil {
+		return err
+	}
+	change := state.Change()
+	if change.Empty() {
+		return nil
+	}
+	commit, err := rows.BudgetCommit(uuid.NewString(), change)
+	if err != nil {
+		return err
+	}
+	_, err = platform.CommitUntilKnown(ctx, l.table, commit)
+	return err
+}
+
+// result is the end of one request to the ledger.
+type result struct {
+	budget.Answer
+	err error
+}
+
+// exchange serves requests of any budgets in one transaction. If that fails
+// for another reason than an outage, each budget gets a transaction of its
+// own, so that neither a contended row nor an invalid one holds up the others.
+func (l Ledger) exchange(ctx context.Context, fleet budget.Fleet, requests []budget.Request) []result {
+	results := make([]result, len(requests))
+	all := make([]int, len(requests))
+	groups := make(map[core.BudgetID][]int)
+	for i, request := range requests {
+		all[i] = i
+		groups[request.Share.Budget] = append(groups[request.Share.Budget], i)
+	}
+	if len(groups) > 1 {
+		err := l.serve(ctx, fleet, requests, all, results, l.attempt)
+		if err == nil || errors.Is(err, platform.ErrUnavailable) {
+			return results
+		}
+	}
+	var transactions sync.WaitGroup
+	for _, group := range groups {
+		transactions.Go(func() { _ = l.serve(ctx, fleet, requests, group, results, l.transact) })
+	}
+	transactions.Wait()
+	return results
+}
+
+// serve carries out the requests with the given indexes in one transaction
+// and sets their results.
+func (l Ledger) serve(ctx context.Context, fleet budget.Fleet, requests []budget.Request, indexes []int, results []result,
+	carryOut func(context.Context, []string, func(*budget.Ledger) error) error,
+) error {
+	err := carryOut(ctx, requestKeys(requests, indexes), func(state *budget.Ledger) error {
+		for _, i := range indexes {
+			results[i].Answer = state.Serve(requests[i], fleet)
 		}
 		return nil
 	})
-	return answers, err
+	for _, i := range indexes {
+		results[i].err = err
+	}
+	return err
 }
 
-func requestKeys(requests []budget.Request) []string {
-	keys := make([]string, 0, 2*len(requests))
-	budgets := make(map[core.BudgetID]bool, len(requests))
-	shares := make(map[core.ShareID]bool, len(requests))
-	for _, request := range requests {
+func requestKeys(requests []budget.Request, indexes []int) []string {
+	keys := make([]string, 0, 2*len(indexes))
+	budgets := make(map[core.BudgetID]bool, len(indexes))
+	shares := make(map[core.ShareID]bool, len(indexes))
+	for _, i := range indexes {
+		request := requests[i]
 		if !budgets[request.Share.Budget] {
 			budgets[request.Share.Budget] = true
 			keys = append(keys, rows.BudgetKey(request.Share.Budget))
--- a/internal/tasks/shares/messages.go
+++ b/internal/tasks/shares/messages.go
@@ -114,7 +114,7 @@
 func (r *Receiver) serve(request budget.Request, reply *LedgerReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	answer, err := task.Ask(ctx, r.inbox, func(replies chan<- served) message { return &serve{request, replies} })
+	answer, err := task.Ask(ctx, r.inbox, func(replies chan<- result) message { return &serve{request, replies} })
 	if err != nil {
 		return err
 	}
@@ -136,7 +136,7 @@
 	return err
 }
 
-func encodeReply(answer served) LedgerReply {
+func encodeReply(answer result) LedgerReply {
 	reply := LedgerReply{
 		Wire: fleet.WireVersion, Status: StatusUnavailable,
 		Granted: answer.Share.Granted, Billed: answer.Share.Billed, Returned: answer.Share.Returned,
--- a/internal/tasks/shares/metrics.go
+++ b/internal/tasks/shares/metrics.go
@@ -14,6 +14,7 @@
 	draws    metric.Int64Counter
 	recalls  metric.Int64Counter
 	refusals metric.Int64Counter
+	lost     metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) metrics {
@@ -28,6 +29,7 @@
 	return metrics{
 		draws:    counter("peridotreel_share_draws", "Draws that this host started."),
 		recalls:  counter("peridotreel_share_recalls", "Recalls that this host sent for exhausted budgets."),
+		lost:     counter("peridotreel_written_off_tokens", "Tokens billed on released shares that no budget could pay."),
 		refusals: counter("peridotreel_reservation_refusals", "Reservations refused, by code."),
 	}
 }
--- a/internal/tasks/shares/task.go
+++ b/internal/tasks/shares/task.go
@@ -69,7 +69,9 @@
 	ctx      context.Context
 	workers  sync.WaitGroup
 	accounts map[core.BudgetID]*account
-	owned    map[core.BudgetID]*ownedBudget
+	// queue holds requests of this zone for the next batch.
+	queue    []serve
+	serving  bool
 	flushing bool
 	drain    *drain
 }
@@ -93,7 +95,7 @@
 	return &Task{
 		config: config, ledger: NewLedger(config.Table, config.Now),
 		inbox: task.NewInbox[message](inboxCapacity), metrics: newMetrics(config.Meter),
-		accounts: make(map[core.BudgetID]*account), owned: make(map[core.BudgetID]*ownedBudget),
+		accounts: make(map[core.BudgetID]*account),
 	}
 }
 
@@ -193,6 +195,7 @@
 }
 
 func (t *Task) logWrittenOff(id core.ShareID, amount core.Tokens) {
+	t.metrics.lost.Add(context.Background(), int64(amount))
 	t.config.Log.Warn("bills on a released share were written off, as the budget is spent",
 		zap.String("budget", string(id.Budget)), zap.Stringer("holder", id.Holder), zap.Int64("tokens", int64(amount)))
 }
--- a/internal/tasks/shares/task_test.go
+++ b/internal/tasks/shares/task_test.go
@@ -84,7 +84,11 @@
 }
 
 func (f *testFleet) topUp(token string, amount core.Tokens) {
-	payment := budget.TopUp{Budget: testBudget, Token: token, Amount: amount}
+	f.topUpOf(testBudget, token, amount)
+}
+
+func (f *testFleet) topUpOf(id core.BudgetID, token string, amount core.Tokens) {
+	payment := budget.TopUp{Budget: id, Token: token, Amount: amount}
 	if err := NewLedger(f.table, time.Now).TopUp(context.Background(), payment); err != nil {
 		panic(err)
 	}
--- a/internal/tasks/shares/upkeep.go
+++ b/internal/tasks/shares/upkeep.go
@@ -133,14 +133,17 @@
 // report carries out requests in batches. It runs in a worker.
 func (t *Task) report(ctx context.Context, size budget.Fleet, requests []budget.Request) ([]budget.Answer, error) {
 	var answers []budget.Answer
+	var failed error
 	for batch := range slices.Chunk(requests, flushBatch) {
-		part, err := t.ledger.exchange(ctx, size, batch)
-		if err != nil {
-			return answers, err
+		for _, part := range t.ledger.exchange(ctx, size, batch) {
+			if part.err != nil {
+				failed = part.err
+				continue
+			}
+			answers = append(answers, part.Answer)
 		}
-		answers = append(answers, part...)
 	}
-	return answers, nil
+	return answers, failed
 }
 
 func (m *flushed) apply(t *Task) {
--- a/internal/tasks/shares/zone.go
+++ b/internal/tasks/shares/zone.go
@@ -18,31 +18,21 @@
 	callTimeout = 600 * time.Millisecond
 	// ownersTried bounds the owners tried before this host draws for itself.
 	ownersTried = 2
+	// serveBatchSize bounds the requests of one transaction, and with them
+	// the chance that a row changed by others makes it run again.
+	serveBatchSize = 50
 	// serveTimeout bounds the table transactions of an owner for one batch.
 	serveTimeout = time.Second
 )
 
-// ownedBudget is a budget on which this host serves draws of its zone.
-type ownedBudget struct {
-	queue   []serve
-	serving bool
-}
-
 // serve asks this host, as the zone's owner, to carry out a request.
 type serve struct {
 	request budget.Request
-	reply   chan<- served
-}
-
-type served struct {
-	budget.Answer
-	err error
+	reply   chan<- result
 }
 
 // servedBatch is the end of a batch.
-type servedBatch struct {
-	budget core.BudgetID
-}
+type servedBatch struct{}
 
 // zoneView returns the ranked owners of a budget in this zone, this host
 // included, and the size of the fleet.
@@ -75,7 +65,7 @@
 		}
 		failures = append(failures, err)
 	}
-	answer, err := task.Ask(ctx, t.inbox, func(replies chan<- served) message { return &serve{request, replies} })
+	answer, err := task.Ask(ctx, t.inbox, func(replies chan<- result) message { return &serve{request, replies} })
 	if err = errors.Join(err, answer.err); err != nil {
 		return budget.Answer{}, errors.Join(append(failures, err)...)
 	}
@@ -122,42 +112,32 @@
 
 func (m *serve) apply(t *Task) {
 	if t.drain != nil && m.request.Share.Holder != t.config.Self {
-		m.reply <- served{err: errStopping}
+		m.reply <- result{err: errStopping}
 		return
 	}
-	id := m.request.Share.Budget
-	entry, found := t.owned[id]
-	if !found {
-		entry = &ownedBudget{}
-		t.owned[id] = entry
-	}
-	entry.queue = append(entry.queue, *m)
-	t.serveQueue(id, entry)
+	t.queue = append(t.queue, *m)
+	t.serveQueue()
 }
 
-// serveQueue carries out all waiting requests in one transaction; one
-// transaction per budget is in flight.
-func (t *Task) serveQueue(id core.BudgetID, entry *ownedBudget) {
-	if entry.serving || len(entry.queue) == 0 {
+// serveQueue carries out what waits in one batch. One batch is in flight, so
+// that the batches grow and the writes don't when the platform slows down.
+func (t *Task) serveQueue() {
+	if t.serving || len(t.queue) == 0 {
 		return
 	}
-	batch := entry.queue
-	entry.queue, entry.serving = nil, true
-	_, size := t.zoneView(id)
+	batch := slices.Clone(t.queue[:min(serveBatchSize, len(t.queue))])
+	t.queue = slices.Delete(t.queue, 0, len(batch))
+	t.serving = true
+	_, size := t.zoneView("")
 	t.start(serveTimeout, func(ctx context.Context) message {
 		t.serveBatch(ctx, size, batch)
-		return &servedBatch{id}
+		return &servedBatch{}
 	})
 }
 
-func (m *servedBatch) apply(t *Task) {
-	entry := t.owned[m.budget]
-	entry.serving = false
-	if len(entry.queue) == 0 {
-		delete(t.owned, m.budget)
-		return
-	}
-	t.serveQueue(m.budget, entry)
+func (*servedBatch) apply(t *Task) {
+	t.serving = false
+	t.serveQueue()
 }
 
 // serveBatch runs in a worker. Draws that found the budget exhausted go on
@@ -167,38 +147,38 @@
 	for i, entry := range batch {
 		requests[i] = entry.request
 	}
-	answers, err := t.ledger.exchange(ctx, size, requests)
+	results := t.ledger.exchange(ctx, size, requests)
 	for i, entry := range batch {
-		answer := answers[i]
-		if err == nil && answer.Outcome == budget.Exhausted {
+		answer := results[i]
+		if answer.err == nil && answer.Outcome == budget.Exhausted {
 			t.start(recallLimit, func(ctx context.Context) message {
-				entry.reply <- t.recallFor(ctx, size, entry.request, answer)
+				entry.reply <- t.recallFor(ctx, size, entry.request, answer.Answer)
 				return nil
 			})
 			continue
 		}
-		entry.reply <- served{answer, err}
+		entry.reply <- answer
 	}
 }
 
 // recallFor asks other holders to transfer tokens to the requester and then
 // repeats the draw for what is still missing.
-func (t *Task) recallFor(ctx context.Context, size budget.Fleet, request budget.Request, before budget.Answer) served {
+func (t *Task) recallFor(ctx context.Context, size budget.Fleet, request budget.Request, before budget.Answer) result {
 	holders, err := t.ledger.Shares(ctx, request.Share.Budget)
 	if err != nil {
-		return served{before, nil}
+		return result{before, nil}
 	}
 	// What was granted as the budget ran out counts towards the need.
 	missing := request.Need - before.Drawn
 	if !t.recallAll(ctx, holders, request.Share, missing) {
-		return served{before, nil}
+		return result{before, nil}
 	}
 	request.Sequence = before.Share.Sequence
-	answers, err := t.ledger.exchange(ctx, size, []budget.Request{request})
-	if err != nil {
-		return served{before, nil}
+	after := t.ledger.exchange(ctx, size, []budget.Request{request})
+	if after[0].err != nil {
+		return result{before, nil}
 	}
-	return served{answers[0], nil}
+	return after[0]
 }
 
 // recallAll sends Recall to the holders with the most unspent tokens and
