Give back the cost of bills that are dropped as duplicates

Cause: a keyed bill that exists already is dropped from its segment, and the billed total of a share never falls. Change: a share row has a cumulative credited amount, written with the next commit on the row; Task.Credit is the bills task's way to it. The state machine credits settled requests.

--- a/internal/decide/budget/holder.go
+++ b/internal/decide/budget/holder.go
@@ -12,6 +12,7 @@
 	id       core.ShareID
 	granted  core.Tokens
 	billed   core.Tokens
+	credited core.Tokens
 	returned core.Tokens
 	moved    core.Tokens
 	held     core.Tokens
@@ -41,7 +42,7 @@
 
 // Available is what may be reserved.
 func (h *Holder) Available() core.Tokens {
-	return h.granted - h.returned - h.moved - h.billed - h.held
+	return h.granted - h.returned - h.moved - h.billed + h.credited - h.held
 }
 
 // Held is the sum of the reservations.
@@ -54,6 +55,17 @@
 	return h.billed
 }
 
+// Credited is the cumulative total that was taken back from what was billed.
+func (h *Holder) Credited() core.Tokens {
+	return h.credited
+}
+
+// Credit takes back a cost that was settled, because another process had
+// billed the same request. The caller credits each request once.
+func (h *Holder) Credit(amount core.Tokens) {
+	h.credited += min(max(amount, 0), h.billed-h.credited)
+}
+
 // Closed reports whether the share is released and must not be spent.
 func (h *Holder) Closed() bool {
 	return h.closed
@@ -110,7 +122,7 @@
 
 // Report returns a request that only reports the cumulative totals.
 func (h *Holder) Report() Request {
-	return Request{Share: h.id, Sequence: h.sequence, Billed: h.billed, Returned: h.returned}
+	return Request{Share: h.id, Sequence: h.sequence, Billed: h.billed, Credited: h.credited, Returned: h.returned}
 }
 
 // Learn takes over the row as the table shows it. Rows that arrive late or
@@ -121,7 +133,7 @@
 	}
 	// Totals above this process's own were written by another process with
 	// the same host and incarnation, so the row can't be trusted.
-	foreign := row.Billed > h.billed || row.Returned > h.returned || row.Moved > h.moved
+	foreign := row.Billed > h.billed || row.Credited > h.credited || row.Returned > h.returned || row.Moved > h.moved
 	if row.State == Released || foreign {
 		h.closed = true
 		return
--- a/internal/decide/budget/ledger.go
+++ b/internal/decide/budget/ledger.go
@@ -37,8 +37,9 @@
 	// Need is what waits at the holder; Want would cover its demand.
 	Need core.Tokens
 	Want core.Tokens
-	// Billed and Returned are the holder's cumulative totals.
+	// Billed, Credited and Returned are the holder's cumulative totals.
 	Billed   core.Tokens
+	Credited core.Tokens
 	Returned core.Tokens
 	// Close releases the share; the holder keeps nothing unspent.
 	Close bool
@@ -118,8 +119,14 @@
 		return Answer{Outcome: Unknown}
 	}
 	share := l.share(request.Share)
+	// The credit comes first, as the holder may have spent it again.
+	if request.Credited > share.Credited {
+		share.Credited = request.Credited
+		l.sharesChanged[share.ID] = true
+	}
 	l.settle(budget, share, request.Billed)
 	if share.State == Released {
+		l.takeBack(budget, share, share.Returned+share.Unspent())
 		return Answer{Outcome: Closed, Share: *share, Remaining: budget.Remaining()}
 	}
 	l.takeBack(budget, share, request.Returned)
--- a/internal/decide/budget/model_test.go
+++ b/internal/decide/budget/model_test.go
@@ -170,6 +170,9 @@
 	host.holds = slices.Delete(host.holds, i, i+1)
 	cost := hold.amount - core.Tokens(m.choose(int(hold.amount)/2+1))
 	host.holder.Settle(hold.serial, cost, m.now)
+	if m.choose(8) == 0 {
+		host.holder.Credit(cost)
+	}
 	if m.choose(3) == 0 {
 		host.holder.Settle(hold.serial, 0, m.now)
 		if m.broken == refundTwice {
@@ -383,15 +386,15 @@
 			failed[checkAmount] = fmt.Sprintf("%v has %d billed of %d spent", row.ID, row.Billed, host.holder.Billed())
 		}
 		// What a running host believes it may spend is deducted in the table.
-		believed := host.holder.Billed() + host.holder.Held() + host.holder.Available()
+		believed := host.holder.Billed() - host.holder.Credited() + host.holder.Held() + host.holder.Available()
 		if host.alive && !host.holder.Closed() && believed > row.Net() {
 			failed[checkAmount] = fmt.Sprintf("%v believes in %d, its row has %d", row.ID, believed, row.Net())
 		}
 		// Bills that were lost with a terminated host are not charged.
 		if row.State == budget.Released && !host.alive {
-			spent += row.Billed
+			spent += row.Billed - row.Credited
 		} else {
-			spent += host.holder.Billed()
+			spent += host.holder.Billed() - host.holder.Credited()
 		}
 	}
 	if net != drawn {
--- a/internal/decide/budget/values.go
+++ b/internal/decide/budget/values.go
@@ -59,6 +59,9 @@
 	Granted core.Tokens
 	// Billed was spent.
 	Billed core.Tokens
+	// Credited is the part of Billed that was taken back, because the same
+	// keyed request had been billed before.
+	Credited core.Tokens
 	// Returned went back to the budget.
 	Returned core.Tokens
 	// Moved went to other holders.
@@ -82,7 +85,7 @@
 
 // Unspent is what the holder may still spend.
 func (s *Share) Unspent() core.Tokens {
-	return s.Net() - s.Billed
+	return s.Net() - s.Billed + s.Credited
 }
 
 // Newest returns the totals of two views of one row. All of them only grow,
@@ -91,6 +94,7 @@
 	s.ID = other.ID
 	s.Granted = max(s.Granted, other.Granted)
 	s.Billed = max(s.Billed, other.Billed)
+	s.Credited = max(s.Credited, other.Credited)
 	s.Returned = max(s.Returned, other.Returned)
 	s.Moved = max(s.Moved, other.Moved)
 	s.WrittenOff = max(s.WrittenOff, other.WrittenOff)
@@ -107,10 +111,11 @@
 
 // Validate returns an error if the row breaks a rule of the ledger.
 func (s *Share) Validate() error {
-	lowest := min(s.Granted, s.Billed, s.Returned, s.Moved, s.WrittenOff)
-	if lowest < 0 || s.Returned > s.Granted || s.Moved > s.Granted-s.Returned || s.Billed > s.Net() {
-		return fmt.Errorf("share of %s at %s: granted %d, returned %d, moved %d, billed %d; repair the row so that billed <= granted - returned - moved",
-			s.ID.Budget, s.ID.Holder, s.Granted, s.Returned, s.Moved, s.Billed)
+	lowest := min(s.Granted, s.Billed, s.Credited, s.Returned, s.Moved, s.WrittenOff)
+	if lowest < 0 || s.Returned > s.Granted || s.Moved > s.Granted-s.Returned ||
+		s.Credited > s.Billed || s.Billed-s.Credited > s.Net() {
+		return fmt.Errorf("share of %s at %s: granted %d, returned %d, moved %d, billed %d, credited %d; repair the row so that 0 <= billed - credited <= granted - returned - moved",
+			s.ID.Budget, s.ID.Holder, s.Granted, s.Returned, s.Moved, s.Billed, s.Credited)
 	}
 	if s.State != Open && s.State != Released {
 		return fmt.Errorf("share of %s at %s: state is %q; use open or released", s.ID.Budget, s.ID.Holder, s.State)
--- a/internal/rows/budget.go
+++ b/internal/rows/budget.go
@@ -51,6 +51,7 @@
 type shareJSON struct {
 	Granted    core.Tokens  `json:"granted"`
 	Billed     core.Tokens  `json:"billed"`
+	Credited   core.Tokens  `json:"credited,omitempty"`
 	Returned   core.Tokens  `json:"returned"`
 	Moved      core.Tokens  `json:"moved,omitempty"`
 	WrittenOff core.Tokens  `json:"written_off,omitempty"`
@@ -121,7 +122,7 @@
 		ID: core.ShareID{Budget: core.BudgetID(names[0]), Holder: core.HostRef{
 			Host: core.HostID(names[1]), Incarnation: core.Incarnation(incarnation),
 		}},
-		Granted: content.Granted, Billed: content.Billed, Returned: content.Returned, Moved: content.Moved,
+		Granted: content.Granted, Billed: content.Billed, Credited: content.Credited, Returned: content.Returned, Moved: content.Moved,
 		WrittenOff: content.WrittenOff, Sequence: content.Sequence, Renewed: content.RenewedAt,
 		State: content.State, Version: row.Version,
 	}
@@ -150,7 +151,7 @@
 // EncodeShare returns the content of a share row.
 func EncodeShare(value budget.Share) ([]byte, error) {
 	return json.Marshal(shareJSON{
-		Granted: value.Granted, Billed: value.Billed, Returned: value.Returned, Moved: value.Moved,
+		Granted: value.Granted, Billed: value.Billed, Credited: value.Credited, Returned: value.Returned, Moved: value.Moved,
 		WrittenOff: value.WrittenOff, Sequence: value.Sequence, RenewedAt: value.Renewed, State: value.State,
 	})
 }
--- a/internal/rows/budget_test.go
+++ b/internal/rows/budget_test.go
@@ -20,7 +20,7 @@
 		change := budget.Change{
 			Budgets: []budget.Budget{{ID: id.Budget, Prepaid: 9, Drawn: 5}},
 			Shares: []budget.Share{{
-				ID: id, Granted: 9, Billed: 2, Returned: 1, Moved: 3, WrittenOff: 4, Sequence: 6,
+				ID: id, Granted: 9, Billed: 2, Credited: 1, Returned: 1, Moved: 3, WrittenOff: 4, Sequence: 6,
 				Renewed: time.Unix(5, 0).UTC(), State: budget.Open,
 			}},
 			TopUps: []budget.TopUp{{Budget: id.Budget, Token: "p/1", Amount: 9}},
--- a/internal/tasks/shares/account.go
+++ b/internal/tasks/shares/account.go
@@ -87,6 +87,11 @@
 	cost core.Tokens
 }
 
+type credit struct {
+	share  core.ShareID
+	amount core.Tokens
+}
+
 // drawn is the result of a draw.
 type drawn struct {
 	budget core.BudgetID
@@ -186,6 +191,15 @@
 	t.continueDrain()
 }
 
+func (m *credit) apply(t *Task) {
+	entry, found := t.accounts[m.share.Budget]
+	if !found || m.share != t.share(entry.id) {
+		return
+	}
+	entry.holder.Credit(m.amount)
+	t.grantWaiting(entry)
+}
+
 // draw starts a draw for what waits, unless one is in flight: concurrent
 // reservations on one budget share one draw.
 func (t *Task) draw(entry *account) {
--- a/internal/tasks/shares/messages.go
+++ b/internal/tasks/shares/messages.go
@@ -34,8 +34,9 @@
 	Sequence uint64
 	Need     core.Tokens
 	Want     core.Tokens
-	// Billed and Returned are the holder's cumulative totals.
+	// Billed, Credited and Returned are the holder's cumulative totals.
 	Billed   core.Tokens
+	Credited core.Tokens
 	Returned core.Tokens
 }
 
@@ -45,6 +46,7 @@
 	Wire     int
 	Share    core.ShareID
 	Billed   core.Tokens
+	Credited core.Tokens
 	Returned core.Tokens
 }
 
@@ -54,6 +56,7 @@
 	Status   Status
 	Granted  core.Tokens
 	Billed   core.Tokens
+	Credited core.Tokens
 	Returned core.Tokens
 	Moved    core.Tokens
 	// WrittenOff was spent after the release and not paid.
@@ -99,7 +102,7 @@
 	}
 	return r.serve(budget.Request{
 		Share: args.Share, Sequence: args.Sequence, Need: args.Need, Want: args.Want,
-		Billed: args.Billed, Returned: args.Returned,
+		Billed: args.Billed, Credited: args.Credited, Returned: args.Returned,
 	}, reply)
 }
 
@@ -108,7 +111,7 @@
 	if err := checkWire(args.Wire); err != nil {
 		return err
 	}
-	return r.serve(budget.Request{Share: args.Share, Billed: args.Billed, Returned: args.Returned}, reply)
+	return r.serve(budget.Request{Share: args.Share, Billed: args.Billed, Credited: args.Credited, Returned: args.Returned}, reply)
 }
 
 func (r *Receiver) serve(request budget.Request, reply *LedgerReply) error {
@@ -139,7 +142,7 @@
 func encodeReply(answer result) LedgerReply {
 	reply := LedgerReply{
 		Wire: fleet.WireVersion, Status: StatusUnavailable,
-		Granted: answer.Share.Granted, Billed: answer.Share.Billed, Returned: answer.Share.Returned,
+		Granted: answer.Share.Granted, Billed: answer.Share.Billed, Credited: answer.Share.Credited, Returned: answer.Share.Returned,
 		Moved: answer.Share.Moved, WrittenOff: answer.Share.WrittenOff,
 		Sequence: answer.Share.Sequence, Remaining: answer.Remaining,
 	}
@@ -163,7 +166,7 @@
 // the platform.
 func decodeReply(id core.ShareID, reply LedgerReply) (budget.Answer, error) {
 	answer := budget.Answer{Remaining: reply.Remaining, Share: budget.Share{
-		ID: id, Granted: reply.Granted, Billed: reply.Billed, Returned: reply.Returned,
+		ID: id, Granted: reply.Granted, Billed: reply.Billed, Credited: reply.Credited, Returned: reply.Returned,
 		Moved: reply.Moved, WrittenOff: reply.WrittenOff, Sequence: reply.Sequence, State: budget.Open,
 	}}
 	switch reply.Status {
--- a/internal/tasks/shares/task.go
+++ b/internal/tasks/shares/task.go
@@ -183,8 +183,18 @@
 	}
 }
 
+// Credit takes back a cost that was settled, for the bills task when it drops
+// the bill of a keyed request that had been billed before. The caller credits
+// each request once.
+func (t *Task) Credit(id core.ShareID, amount core.Tokens) {
+	if err := t.inbox.Send(context.Background(), &credit{id, amount}); err != nil {
+		t.config.Log.Warn("a credit came after the shares task ended; the cost stays deducted",
+			zap.String("budget", string(id.Budget)), zap.Int64("tokens", int64(amount)))
+	}
+}
+
 // Adopt raises the billed total of another process's share, for a peer that
-// applies the bills of a host that is gone. Total is the sum of all bills of
+// applies the bills of a host that is gone. Total is the sum of all bills kept for
 // that share, so a repeated call adds nothing.
 func (t *Task) Adopt(ctx context.Context, id core.ShareID, total core.Tokens) error {
 	writtenOff, err := t.ledger.Settle(ctx, id, total)
--- a/internal/tasks/shares/upkeep.go
+++ b/internal/tasks/shares/upkeep.go
@@ -100,7 +100,8 @@
 		entry.holder.GiveBack(now)
 		report := entry.holder.Report()
 		age := now.Sub(entry.written)
-		billed := report.Billed > entry.row.Billed+entry.row.WrittenOff && age >= writeEvery
+		billed := age >= writeEvery &&
+			(report.Billed > entry.row.Billed+entry.row.WrittenOff || report.Credited > entry.row.Credited)
 		returned := report.Returned > entry.row.Returned && !entry.holder.Closed()
 		renew := entry.row.Unspent() > 0 && age >= budget.RenewEvery && !entry.holder.Closed()
 		switch {
@@ -255,7 +256,7 @@
 	for _, entry := range t.accounts {
 		list = append(list, ShareStatus{
 			Budget: entry.id, Available: entry.holder.Available(), Held: entry.holder.Held(),
-			Billed: entry.holder.Billed(), Waiting: len(entry.waiting), Closed: entry.holder.Closed(),
+			Billed: entry.holder.Billed() - entry.holder.Credited(), Waiting: len(entry.waiting), Closed: entry.holder.Closed(),
 		})
 	}
 	slices.SortFunc(list, func(a, b ShareStatus) int { return cmp.Compare(a.Budget, b.Budget) })
--- a/internal/tasks/shares/zone.go
+++ b/internal/tasks/shares/zone.go
@@ -78,7 +78,7 @@
 	var reply LedgerReply
 	err := t.config.Caller.Call(ctx, owner, ReceiverName+".Draw", DrawArgs{
 		Wire: fleet.WireVersion, Share: request.Share, Sequence: request.Sequence,
-		Need: request.Need, Want: request.Want, Billed: request.Billed, Returned: request.Returned,
+		Need: request.Need, Want: request.Want, Billed: request.Billed, Credited: request.Credited, Returned: request.Returned,
 	}, &reply)
 	if err != nil {
 		return budget.Answer{}, err
@@ -97,7 +97,7 @@
 	defer cancel()
 	var reply LedgerReply
 	err := t.config.Caller.Call(ctx, owners[0], ReceiverName+".Return", ReturnArgs{
-		Wire: fleet.WireVersion, Share: request.Share, Billed: request.Billed, Returned: request.Returned,
+		Wire: fleet.WireVersion, Share: request.Share, Billed: request.Billed, Credited: request.Credited, Returned: request.Returned,
 	}, &reply)
 	if err != nil {
 		return budget.Answer{}, err
