Test with nine tasks that a budget is spent before the first refusal

Cause: the measurement drives decisions only, not draws and recalls of tasks. Change: nine tasks in three zones with skewed demand spend one budget on a fake clock without sockets.

--- a/internal/tasks/shares/random_test.go
+++ b/internal/tasks/shares/random_test.go
@@ -121,3 +121,36 @@
 	}
 	synctest.Wait()
 }
+
+// TestNineHostsSpendTheBudget guards against tokens that stay with hosts that
+// don't need them while another refuses: the design page asks for 99.5%.
+func TestNineHostsSpendTheBudget(t *testing.T) {
+	for seed := range uint64(3) {
+		conveyInBubble(t, fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			const prepaid = 2_000_000
+			names := []string{"a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3"}
+			f := newTestFleet(prepaid, names...)
+			defer f.close()
+			Convey("nine hosts with skewed demand spend 99.5% before the first refusal", t, func() {
+				random := rand.New(rand.NewPCG(seed, 3))
+				var spent core.Tokens
+				for {
+					time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+					// The smaller of two draws makes the first hosts the busiest.
+					host := f.host(names[min(random.IntN(9), random.IntN(9))])
+					hold, err := host.Reserve(context.Background(), testBudget, core.Tokens(100+random.IntN(1900)))
+					if err != nil {
+						So(codeOf(err), ShouldEqual, fault.InsufficientQuota)
+						break
+					}
+					cost := hold.Amount - core.Tokens(random.Int64N(int64(hold.Amount)*2/3))
+					host.Settle(hold, cost)
+					spent += cost
+				}
+				So(spent, ShouldBeGreaterThanOrEqualTo, core.Tokens(prepaid*995/1000))
+				So(spent, ShouldBeLessThanOrEqualTo, core.Tokens(prepaid))
+				t.Logf("spent %d of %d before the first refusal", spent, prepaid)
+			})
+		})
+	}
+}
