--- a/internal/tasks/shares/task.go
+++ b/internal/tasks/shares/task.go
@@ -69,7 +69,9 @@
 	ctx      context.Context
 	workers  sync.WaitGroup
 	accounts map[core.BudgetID]*account
-	owned    map[core.BudgetID]*ownedBudget
+	// queue holds requests of this zone for the next batch.
+	queue    []serve
+	serving  bool
 	flushing bool
 	drain    *drain
 }
@@ -93,7 +95,7 @@
 	return &Task{
 		config: config, ledger: NewLedger(config.Table, config.Now),
 		inbox: task.NewInbox[message](inboxCapacity), metrics: newMetrics(config.Meter),
-		accounts: make(map[core.BudgetID]*account), owned: make(map[core.BudgetID]*ownedBudget),
+		accounts: make(map[core.BudgetID]*account),
 	}
 }
 
@@ -181,8 +183,18 @@
 	}
 }
 
+// Credit takes back a cost that was settled, for the bills task when it drops
+// the bill of a keyed request that had been billed before. The caller credits
+// each request once.
+func (t *Task) Credit(id core.ShareID, amount core.Tokens) {
+	if err := t.inbox.Send(context.Background(), &credit{id, amount}); err != nil {
+		t.config.Log.Warn("a credit came after the shares task ended; the cost stays deducted",
+			zap.String("budget", string(id.Budget)), zap.Int64("tokens", int64(amount)))
+	}
+}
+
 // Adopt raises the billed total of another process's share, for a peer that
-// applies the bills of a host that is gone. Total is the sum of all bills of
+// applies the bills of a host that is gone. Total is the sum of all bills kept for
 // that share, so a repeated call adds nothing.
 func (t *Task) Adopt(ctx context.Context, id core.ShareID, total core.Tokens) error {
 	writtenOff, err := t.ledger.Settle(ctx, id, total)
@@ -193,6 +205,7 @@
 }
 
 func (t *Task) logWrittenOff(id core.ShareID, amount core.Tokens) {
+	t.metrics.lost.Add(context.Background(), int64(amount))
 	t.config.Log.Warn("bills on a released share were written off, as the budget is spent",
 		zap.String("budget", string(id.Budget)), zap.Stringer("holder", id.Holder), zap.Int64("tokens", int64(amount)))
 }
