--- a/internal/decide/claims/commit.go
+++ b/internal/decide/claims/commit.go
@@ -107,7 +107,7 @@
 			}
 			again = append(again, member)
 		case member.phase == ending:
-			r.reviewOutcome(member, row, now)
+			r.reviewOutcome(member, row, gone, now)
 		default:
 			r.review(member, row, gone, now)
 		}
@@ -120,17 +120,22 @@
 
 // reviewOutcome handles a failed write of an outcome. Only this host writes a
 // row that it has claimed, so the row has either another version than
-// expected, or this very outcome, or it was deleted because of its age.
-func (r *Register) reviewOutcome(ended *call, row Row, now time.Time) {
+// expected, or it has this very outcome, and another host may have claimed it
+// after that, or it was deleted because of its age.
+func (r *Register) reviewOutcome(ended *call, row Row, gone Gone, now time.Time) {
 	record := row.Record
 	ours := row.Version != 0 && record.Holder == r.self && record.Attempt == ended.attempt
-	if ours && record.State == Claimed && !record.Abandoned {
+	switch {
+	case ours && record.State == Claimed && !record.Abandoned:
 		ended.version = row.Version
 		r.enqueue(ended, now)
-		return
+	case !ours && ended.outcome.State == NotRun && len(ended.others) > 0:
+		r.endWaiter(ended)
+		r.review(ended, row, gone, now)
+	default:
+		ended.version = row.Version
+		r.closed(ended, now)
 	}
-	ended.version = row.Version
-	r.closed(ended, now)
 }
 
 // review decides what a claim's existing row means for those who wait.
--- a/internal/decide/claims/register.go
+++ b/internal/decide/claims/register.go
@@ -55,6 +55,10 @@
 		r.calls[key] = created
 		r.waiters[waiter] = created
 		r.enqueueClaim(created, now)
+	case current.fingerprint != fingerprint && (current.phase == queued || current.phase == writing):
+		// The call at hand may be the one that has used the key: the row of
+		// the call in the register is not known.
+		r.reply(Reply{Waiter: waiter, Kind: InProgress})
 	case current.fingerprint != fingerprint:
 		r.reply(Reply{Waiter: waiter, Kind: Reused})
 	default:
