--- a/internal/decide/billing/outbox.go
+++ b/internal/decide/billing/outbox.go
@@ -54,13 +54,13 @@
 	return sequences
 }
 
-// settled returns the sequence number below which all bills are in the table.
-func (b *Book) settled() uint64 {
-	lowest := b.sequence + 1
-	for _, pending := range b.own.entries {
-		lowest = min(lowest, pending.Sequence)
+// Settled returns the sequence number below which no bill is pending.
+func (b *Book) Settled() uint64 {
+	if len(b.own.entries) == 0 {
+		return b.sequence + 1
 	}
-	return lowest
+	// Bills are appended in the order of their numbers and only removed.
+	return b.own.entries[0].Sequence
 }
 
 // NextBatch returns copies for the first candidate that is not avoided, or
@@ -85,7 +85,7 @@
 }
 
 func (b *Book) fill(state *keeper) *Batch {
-	batch := &Batch{Peer: state.peer, Settled: b.settled()}
+	batch := &Batch{Peer: state.peer, Settled: b.Settled()}
 	batch.entries = b.outbox.queue[:min(len(b.outbox.queue), maxBatch)]
 	b.outbox.queue = b.outbox.queue[len(batch.entries):]
 	for _, pending := range batch.entries {
@@ -148,7 +148,7 @@
 // Acknowledgements returns what peers with outdated copies must be told.
 func (b *Book) Acknowledgements(now time.Time) []Acknowledgement {
 	var due []Acknowledgement
-	settled := b.settled()
+	settled := b.Settled()
 	for _, ref := range b.outbox.refs() {
 		state := b.outbox.keepers[ref]
 		switch {
--- a/internal/decide/claims/claims.go
+++ b/internal/decide/claims/claims.go
@@ -53,7 +53,8 @@
 	// Abandoned is true of a claimed call whose holder does not know whether
 	// it ran and no longer tries to find out.
 	Abandoned bool
-	// Answer is set when Done, unless Object names where it is stored.
+	// Answer is set when Done, unless Object names where it is stored. A host
+	// that has just run the call has both.
 	Answer *core.Answer
 	Object string
 }
--- /dev/null
+++ b/internal/decide/claims/key_test.go
@@ -0,0 +1,69 @@
+package claims
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/ulid/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
+)
+
+// Guards against keys whose record may be gone, and against not_run being
+// said of them.
+func TestValidateKey(t *testing.T) {
+	issued := time.UnixMilli(1_800_000_000_000)
+	id, _ := ulid.New(ulid.Timestamp(issued), nil)
+	v7 := uuid.UUID{0x01, 0xA3, 0x18, 0x5C, 0x50, 0x00, 0x70, 0, 0x80}
+	check := func(key string, age time.Duration) (fault.Code, fault.RunState) {
+		if err := ValidateKey(key, issued.Add(age)); err != nil {
+			return fault.From(err).Code, fault.From(err).Run
+		}
+		return "", ""
+	}
+	Convey("A key is valid within the retry window and the clock skew", t, func() {
+		So(v7.Version(), ShouldEqual, 7)
+		for _, key := range []string{id.String(), v7.String()} {
+			for _, age := range []time.Duration{-ClockSkew, 0, RetryWindow + ClockSkew} {
+				code, _ := check(key, age)
+				So(code, ShouldBeEmpty)
+			}
+			code, run := check(key, RetryWindow+ClockSkew+time.Millisecond)
+			So([]any{code, run}, ShouldResemble, []any{fault.KeyExpired, fault.Unknown})
+			code, run = check(key, -ClockSkew-time.Millisecond)
+			So([]any{code, run}, ShouldResemble, []any{fault.KeyInvalid, fault.NotRun})
+			So(Deletable(key, issued.Add(KeepRecords)), ShouldBeFalse)
+			So(Deletable(key, issued.Add(KeepRecords+time.Millisecond)), ShouldBeTrue)
+		}
+		for _, key := range []string{"order-17", "f47ac10b-58cc-4372-a567-0e02b2c3d479", "{" + v7.String()[:34] + "}"} {
+			code, _ := check(key, 0)
+			So(code, ShouldEqual, fault.KeyInvalid)
+		}
+	})
+}
+
+// Guards against a waiter that claims over another host's newer claim, after
+// the write of not_run took effect and its answer was lost.
+func TestLostReleaseIsNotClaimedOver(t *testing.T) {
+	self, other := core.HostRef{Host: "a"}, core.HostRef{Host: "b"}
+	register, now := NewRegister(self), time.Unix(0, 0)
+	key := Key{Team: "t", Key: "k"}
+	next := func() *Batch {
+		now = now.Add(GroupFor)
+		return register.NextBatch(now)
+	}
+	register.Claim(1, key, [32]byte{}, now)
+	register.Committed(next(), now)
+	register.Withdraw(1, func(core.HostRef) bool { return false }, now)
+	release := next()
+	register.Claim(2, key, [32]byte{}, now)
+	newer := Row{Version: 3, Record: Record{State: Claimed, Holder: other, Attempt: 1}}
+	register.Conflicted(release, map[Key]Row{key: newer}, func(core.HostRef) bool { return false }, now)
+	Convey("The waiter watches the other host's call", t, func() {
+		So(next(), ShouldBeNil)
+		So(register.NextPoll(now.Add(PollInterval)), ShouldResemble, []Key{key})
+	})
+}
--- a/internal/rows/claim.go
+++ b/internal/rows/claim.go
@@ -32,10 +32,10 @@
 }
 
 // AnswerObject returns the name of the object with an answer that is too
-// large for its row. A holder's attempt has one answer only.
-func AnswerObject(key claims.Key, holder core.HostRef, attempt uint64) string {
+// large for its row. The serial is unique within the holder.
+func AnswerObject(key claims.Key, holder core.HostRef, serial uint64) string {
 	return fmt.Sprintf("answer/%s/%s/%d/%d", strings.TrimPrefix(ClaimKey(key), ClaimPrefix),
-		url.PathEscape(string(holder.Host)), holder.Incarnation, attempt)
+		url.PathEscape(string(holder.Host)), holder.Incarnation, serial)
 }
 
 type completionForm struct {
--- a/internal/rows/segment.go
+++ b/internal/rows/segment.go
@@ -114,10 +114,15 @@
 	if f.Cost < 0 {
 		return core.Bill{}, fmt.Errorf("bill %s: cost is %d; it must be 0 or more", f.Request, f.Cost)
 	}
+	// JSON has no form for other years.
+	finished := f.Finished.UTC()
+	if year := finished.Year(); year < 0 || year > 9999 {
+		return core.Bill{}, fmt.Errorf("bill %s: finish time is in the year %d; it must be from 0 to 9999", f.Request, year)
+	}
 	return core.Bill{
 		Request: request, Keyed: f.Keyed, Team: f.Team, Class: f.Class,
 		Share: core.ShareID{Budget: f.Budget, Holder: f.Holder.ref()},
-		Usage: core.Usage{Prompt: f.Prompt, Generated: f.Generated}, Cost: f.Cost, Finished: f.Finished,
+		Usage: core.Usage{Prompt: f.Prompt, Generated: f.Generated}, Cost: f.Cost, Finished: finished,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/rows/segment_test.go
@@ -0,0 +1,75 @@
+package rows
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/billing"
+	"github.com/peridotreel/peridotreel/internal/decide/claims"
+)
+
+// Guards against values that change on their way through the table.
+func TestRowsKeepTheirValues(t *testing.T) {
+	ref := core.HostRef{Host: "a/b", Incarnation: 7}
+	bill := core.Bill{
+		Request: core.RequestID{1, 2}, Keyed: true, Team: "t", Class: "c", Share: core.ShareID{Budget: "x", Holder: ref},
+		Usage: core.Usage{Prompt: 3, Generated: 4}, Cost: 7, Finished: time.Unix(1_800_000_000, 5).UTC(),
+	}
+	mark := billing.Mark{By: ref, Attempt: 9}
+	segment := billing.Segment{Owner: ref, Number: 2, Mark: mark, Previous: mark, Bills: []core.Bill{bill}}
+	head := billing.Head{Number: 2, Mark: mark, Count: 5, Tokens: 6}
+	record := claims.Record{State: claims.Done, Holder: ref, Attempt: 3, Fingerprint: [32]byte{4}, Answer: &core.Answer{
+		Completion: &core.CompletionAnswer{Text: "x", FinishReason: "stop", Usage: core.Usage{Prompt: 1, Generated: 2}}}}
+	key := claims.Key{Team: "a/b%", Key: "k"}
+	Convey("Decode returns what was encoded", t, func() {
+		segmentAgain, segmentErr := DecodeSegment(EncodeSegment(segment))
+		headAgain, headErr := DecodeHead(EncodeHead(head))
+		recordAgain, recordErr := DecodeClaim(EncodeClaim(record))
+		billAgain, billErr := DecodeBill(EncodeBill(bill))
+		keyAgain, keyValid := ParseClaimKey(ClaimKey(key))
+		request, isBill := BillRequest(BillKey(bill.Request))
+		So([]any{segmentAgain, headAgain, recordAgain, billAgain, keyAgain, request}, ShouldResemble,
+			[]any{segment, head, record, bill, key, bill.Request})
+		So([]any{segmentErr, headErr, recordErr, billErr, keyValid, isBill}, ShouldResemble, []any{nil, nil, nil, nil, true, true})
+	})
+}
+
+// fuzzDecoder checks that a decoder refuses or reads any input, and that what
+// it reads has a form which reads back the same.
+func fuzzDecoder[V any](f *testing.F, decode func([]byte) (V, error), encode func(V) []byte) {
+	f.Fuzz(func(t *testing.T, value []byte) {
+		first, err := decode(value)
+		if err != nil {
+			return
+		}
+		again, err := decode(encode(first))
+		if err != nil {
+			t.Fatalf("%s does not read back: %v", encode(first), err)
+		}
+		if !reflect.DeepEqual(encode(first), encode(again)) {
+			t.Fatalf("%s reads back as %s", encode(first), encode(again))
+		}
+	})
+}
+
+// Guards against rows that crash a host or change when they are written back.
+func FuzzDecodeSegment(f *testing.F) {
+	f.Add([]byte(`{"owner":{"host":"a"},"number":1,"bills":[{"request":"00000000000000000000000000000000","finished":"9999-12-31T23:59:59-01:00"}]}`))
+	fuzzDecoder(f, DecodeSegment, EncodeSegment)
+}
+
+// Guards against the same for the head of a journal.
+func FuzzDecodeHead(f *testing.F) {
+	f.Add([]byte(`{"number":1,"count":2,"tokens":3}`))
+	fuzzDecoder(f, DecodeHead, EncodeHead)
+}
+
+// Guards against the same for claims and the answers in them.
+func FuzzDecodeClaim(f *testing.F) {
+	f.Add(EncodeClaim(claims.Record{State: claims.Done, Answer: &core.Answer{Service: &core.ServiceAnswer{Status: 200}}}))
+	fuzzDecoder(f, DecodeClaim, EncodeClaim)
+}
--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -35,6 +35,12 @@
 	now := s.config.Now()
 	s.view.update(&s.config, now)
 	s.book.Lost(s.view.gone, now)
+	// A bill may be in the table before a peer has answered.
+	for sequence := range s.waiting {
+		if sequence < s.book.Settled() {
+			s.release(sequence)
+		}
+	}
 	for _, told := range s.book.Acknowledgements(now) {
 		if !s.telling[told.Peer.Ref] {
 			s.telling[told.Peer.Ref] = true
--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -118,8 +118,9 @@
 	return t.backlogged.Load()
 }
 
-// Drain writes all pending bills. It returns once they are in the table and
-// peers have been told so, or an error that says what is left when ctx ends.
+// Drain writes all pending bills. It returns once they are in the table, or an
+// error that says what is left when ctx ends. Peers that still hold copies
+// then find the bills in the table once this host is gone.
 func (t *Task) Drain(ctx context.Context) error {
 	done := make(chan struct{}, 1)
 	if err := t.inbox.Send(ctx, drainMessage{done}); err != nil {
--- /dev/null
+++ b/internal/tasks/calls/task_test.go
@@ -0,0 +1,91 @@
+package calls
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/calls"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+// hosts is a fleet in one process; a host without a receiver is silent.
+type hosts struct {
+	view      core.PeerView
+	receivers map[core.HostID]*Receiver
+}
+
+func (h *hosts) Peers() *core.PeerView { return &h.view }
+
+func (h *hosts) Call(ctx context.Context, peer core.Peer, method string, args, reply any) error {
+	receiver, found := h.receivers[peer.Ref.Host]
+	switch {
+	case !found:
+		<-ctx.Done()
+		return fleet.ErrUnreachable
+	case method == "Calls.Find":
+		return receiver.Find(args.(FindArgs), reply.(*FindReply))
+	default:
+		return receiver.Update(args.(UpdateArgs), reply.(*UpdateReply))
+	}
+}
+
+// Guards against retries that don't find a running request, and against
+// lookups that hold a request up when the keepers are silent.
+func TestFindAtAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var group task.Group
+		defer group.Stop()
+		fleet := &hosts{receivers: make(map[core.HostID]*Receiver)}
+		tasks := make(map[core.HostID]*Task)
+		for _, host := range []core.HostID{"a", "b", "c", "d"} {
+			zone := core.ZoneName("z" + host[:1])
+			ref := core.HostRef{Host: host, Incarnation: 1}
+			fleet.view.Peers = append(fleet.view.Peers, core.Peer{Ref: ref, Zone: zone, State: core.PeerAlive})
+			tasks[host] = New(Config{Self: ref, Zone: zone, Peers: fleet, Caller: fleet})
+			fleet.receivers[host] = &Receiver{tasks[host]}
+			group.Start(tasks[host])
+		}
+		id, target := core.RequestID{4}, core.Target{Upstream: "u", Address: "127.0.0.1:1"}
+		find := func(host core.HostID) bool {
+			found, ok := tasks[host].Find(t.Context(), id)
+			return ok && found == target
+		}
+		tasks["a"].Begin(id)
+		tasks["a"].Located(id, target)
+		time.Sleep(time.Second)
+		var running, finished, expired int
+		for host := range tasks {
+			if find(host) {
+				running++
+			}
+		}
+		tasks["a"].Finished(id)
+		time.Sleep(time.Second)
+		for host := range tasks {
+			if find(host) {
+				finished++
+			}
+		}
+		time.Sleep(2 * calls.FinishedExpiry)
+		for host := range tasks {
+			if !find(host) {
+				expired++
+			}
+		}
+		clear(fleet.receivers)
+		begun := time.Now()
+		silent := find("b")
+		waited := time.Since(begun)
+		Convey("Every host finds it until it expires, and no longer waits than 20 ms", t, func() {
+			So([]int{running, finished, expired}, ShouldResemble, []int{4, 4, 4})
+			So(silent, ShouldBeFalse)
+			So(waited, ShouldBeLessThanOrEqualTo, findTimeout)
+		})
+	})
+}
--- a/internal/tasks/claimant/commit.go
+++ b/internal/tasks/claimant/commit.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// maxInline is the largest answer in a row, in encoded bytes; larger ones
-	// go to the object store.
-	maxInline = 16 << 10
 	// firstBackoff and maxBackoff bound the delay between tries of a commit,
 	// which has full jitter. The bound is lower than that of other tasks,
 	// because callers wait.
@@ -27,30 +24,35 @@
 // commit starts a worker that repeats a batch until its outcome is known.
 func (s *state) commit(ctx context.Context, batch *claims.Batch) {
 	go func() {
-		found, err := s.try(ctx, batch)
-		for backoff := firstBackoff; err != nil; backoff = min(2*backoff, maxBackoff) {
-			s.counters.retries.Add(ctx, 1)
-			select {
-			case <-time.After(rand.N(2 * backoff)):
-			case <-ctx.Done():
-				return
-			}
-			found, err = s.try(ctx, batch)
+		var failed map[claims.Key]claims.Row
+		err := s.repeat(ctx, func() (err error) {
+			failed, err = s.try(ctx, batch)
+			return err
+		})
+		if err == nil {
+			_ = s.inbox.Send(ctx, committedMessage{batch, failed})
 		}
-		_ = s.inbox.Send(ctx, committedMessage{batch, found})
 	}()
 }
 
+// repeat performs an operation until it succeeds or ctx ends.
+func (t *Task) repeat(ctx context.Context, operation func() error) error {
+	err := operation()
+	for backoff := firstBackoff; err != nil; backoff = min(2*backoff, maxBackoff) {
+		t.counters.retries.Add(ctx, 1)
+		select {
+		case <-time.After(rand.N(2 * backoff)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		err = operation()
+	}
+	return nil
+}
+
 // try returns nil rows if the batch took effect, else the current rows of the
 // conditions that failed. An error means that the outcome is unknown.
 func (t *Task) try(ctx context.Context, batch *claims.Batch) (map[claims.Key]claims.Row, error) {
-	for i := range batch.Ops {
-		if name, content := largeAnswer(t.config.Self, &batch.Ops[i]); name != "" {
-			if err := t.config.Objects.Put(ctx, name, content); err != nil {
-				return nil, fmt.Errorf("store %s: %w", name, err)
-			}
-		}
-	}
 	_, err := t.config.Table.Commit(ctx, batchCommit(t.config.Self, batch))
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) {
@@ -59,25 +61,13 @@
 	return failedRows(ctx, t.config.Table, batch, conflict)
 }
 
-// largeAnswer returns the object in which an operation's answer is stored, or
-// no name if it fits into the row.
-func largeAnswer(self core.HostRef, op *claims.Op) (name string, content []byte) {
-	if op.Record.Answer == nil {
-		return "", nil
-	}
-	if content = rows.EncodeAnswer(op.Record.Answer); len(content) <= maxInline {
-		return "", nil
-	}
-	return rows.AnswerObject(op.Key, self, op.Record.Attempt), content
-}
-
 func batchCommit(self core.HostRef, batch *claims.Batch) platform.Commit {
 	commit := platform.Commit{Token: fmt.Sprintf("claims/%s/%d", self, batch.Serial)}
 	for i := range batch.Ops {
 		op := &batch.Ops[i]
 		key, record := rows.ClaimKey(op.Key), op.Record
-		if name, _ := largeAnswer(self, op); name != "" {
-			record.Answer, record.Object = nil, name
+		if record.Object != "" {
+			record.Answer = nil
 		}
 		commit.Conditions = append(commit.Conditions, platform.Condition{Key: key, Version: op.Version})
 		commit.Writes = append(commit.Writes, platform.Write{Key: key, Value: rows.EncodeClaim(record)})
--- a/internal/tasks/claimant/state.go
+++ b/internal/tasks/claimant/state.go
@@ -17,7 +17,9 @@
 	register *claims.Register
 	waiting  map[claims.WaiterID]chan<- claims.Reply
 	draining []chan<- struct{}
-	sweep    sweepState
+	// storing counts the answers on their way to the object store.
+	storing int
+	sweep   sweepState
 }
 
 func newState(t *Task) *state {
@@ -47,7 +49,7 @@
 	}
 	s.sweepIfDue(ctx, now)
 	s.deliver(ctx)
-	if s.register.Idle() {
+	if s.register.Idle() && s.storing == 0 {
 		for _, done := range s.draining {
 			done <- struct{}{}
 		}
@@ -113,20 +115,6 @@
 	m.done <- struct{}{}
 }
 
-type finishMessage struct {
-	waiter  claims.WaiterID
-	key     claims.Key
-	outcome claims.Record
-	replies chan<- claims.Reply
-}
-
-func (m finishMessage) handle(_ context.Context, owned *state) {
-	if m.replies != nil {
-		owned.waiting[m.waiter] = m.replies
-	}
-	owned.register.Finish(m.key, m.outcome, m.waiter, owned.config.Now())
-}
-
 type drainMessage struct{ done chan<- struct{} }
 
 func (m drainMessage) handle(_ context.Context, owned *state) {
--- a/internal/tasks/claimant/task.go
+++ b/internal/tasks/claimant/task.go
@@ -118,7 +118,7 @@
 // Complete implements claim.Claims.
 func (t *Task) Complete(ctx context.Context, work *core.Work, answer *core.Answer) {
 	waiter, replies := t.newWaiter(), make(chan claims.Reply, 1)
-	t.finish(finishMessage{waiter, keyOf(work), claims.Record{State: claims.Done, Answer: answer}, replies})
+	t.finish(finishMessage{waiter: waiter, key: keyOf(work), outcome: claims.Record{State: claims.Done, Answer: answer}, replies: replies})
 	select {
 	case <-replies:
 	case <-ctx.Done():
--- a/internal/tasks/claimant/task_test.go
+++ b/internal/tasks/claimant/task_test.go
@@ -1,6 +1,9 @@
 package claimant
 
 import (
+	"context"
+	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,6 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/claims"
 	"github.com/peridotreel/peridotreel/internal/fault"
 	"github.com/peridotreel/peridotreel/internal/filter/claim"
 	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
@@ -122,3 +126,90 @@
 		})
 	})
 }
+
+// Guards against records that stay for good, and against records that go
+// while their key is still accepted.
+func TestSweepDeletesOldRecords(t *testing.T) {
+	inFleet(t, func(t *testing.T, platform *standin.Service, a, _ *Task) {
+		key := ulid.Make().String()
+		_, err := a.Claim(t.Context(), workOf(key, 1))
+		a.Complete(t.Context(), workOf(key, 1), service("ok"))
+		rowsAfter := func(wait time.Duration) int {
+			time.Sleep(wait)
+			listed, _ := platform.List(t.Context(), "claim/")
+			return len(listed)
+		}
+		kept, left := rowsAfter(claims.RetryWindow), rowsAfter(3*claims.ClockSkew+sweepInterval)
+		Convey("A record is deleted when its key can't be accepted any more", t, func() {
+			So(err, ShouldBeNil)
+			So([]int{kept, left}, ShouldResemble, []int{1, 0})
+		})
+	})
+}
+
+// Compares two claimants with one naive list of calls, without faults.
+func TestClaimantsAgreeWithNaiveList(t *testing.T) {
+	inFleet(t, func(t *testing.T, _ *standin.Service, a, b *Task) {
+		random := rand.New(rand.NewPCG(1, 2))
+		type entry struct {
+			body   byte
+			state  claims.State
+			answer *core.Answer
+		}
+		list := make(map[string]*entry)
+		var keys []string
+		for range 8 {
+			keys = append(keys, ulid.Make().String())
+		}
+		var got, want []string
+		for i := range 400 {
+			host := []*Task{a, b}[random.IntN(2)]
+			work := workOf(keys[random.IntN(len(keys))], byte(random.IntN(8)/7))
+			work.Deadline = time.Now().Add(time.Second)
+			answer, err := host.Claim(t.Context(), work)
+			got = append(got, describe(answer, err))
+			known := list[work.Call.IdempotencyKey]
+			switch {
+			case known != nil && known.body != work.Call.Fingerprint[0]:
+				want = append(want, string(fault.KeyReused))
+			case known != nil && known.state == claims.Done:
+				want = append(want, describe(known.answer, nil))
+			case known != nil && known.state == claims.Claimed:
+				want = append(want, string(fault.OutcomeUnknown))
+			default:
+				want = append(want, describe(nil, nil))
+				known = &entry{body: work.Call.Fingerprint[0]}
+				list[work.Call.IdempotencyKey] = known
+				finish(host, work, i, &known.state, &known.answer)
+			}
+		}
+		Convey("The claimants and the list agree", t, func() { So(got, ShouldResemble, want) })
+	})
+}
+
+// finish ends a call in one of the three ways in turn.
+func finish(host *Task, work *core.Work, turn int, state *claims.State, answer **core.Answer) {
+	switch turn % 5 {
+	case 0:
+		*state, *answer = claims.Done, service(strconv.Itoa(turn))
+		host.Complete(context.Background(), work, *answer)
+	case 1:
+		*state = claims.Claimed
+		host.Abandon(work)
+	default:
+		*state = claims.NotRun
+		host.Release(work)
+	}
+	time.Sleep(time.Second)
+}
+
+func describe(answer *core.Answer, err error) string {
+	switch {
+	case err != nil:
+		return string(fault.From(err).Code)
+	case answer != nil:
+		return string(answer.Service.Body)
+	default:
+		return "runs"
+	}
+}
