Bound tries on silent connections and late copies of bills

- Each try on the platform has a time limit, so that a connection that has gone silent does not hold a task for good.
The watermark now stays until the owner is gone.
- A repeat whose holder is missing from the fleet's view or suspected is told outcome_unknown at its deadline.

--- a/internal/decide/billing/book.go
+++ b/internal/decide/billing/book.go
@@ -62,7 +62,7 @@
 func NewBook(self core.HostRef) *Book {
 	return &Book{
 		self: self, own: newJournal(self, true), kept: make(map[core.HostRef]*keptJournal),
-		outbox: outbox{keepers: make(map[core.HostRef]*keeper)},
+		outbox: newOutbox(),
 	}
 }
 
@@ -186,15 +186,14 @@
 	apply(journal)
 	if step.Owner != b.self {
 		b.keptSize -= before - len(journal.entries)
-		b.forget(step.Owner)
 	}
 }
 
 // Keep takes over copies of a peer's bills. Bills below settled are in the
 // table, so their copies are dropped, also those of a message that arrives
-// late. It reports false if there is no room.
+// late. It reports false if there is no room, or if the owner is this host.
 func (b *Book) Keep(owner core.HostRef, settled uint64, copies []Copy, now time.Time) bool {
-	if b.keptSize+len(copies) > MaxPending {
+	if owner == b.self || b.keptSize+len(copies) > MaxPending {
 		return false
 	}
 	journal, found := b.kept[owner]
@@ -219,14 +218,16 @@
 	}
 	journal.settled = max(journal.settled, settled)
 	b.keptSize -= len(journal.remove(func(candidate *entry) bool { return candidate.Sequence < journal.settled }))
-	b.forget(owner)
 }
 
-// forget drops a journal without copies. A copy that arrives later starts a
-// new one, whose segments are read before anything is written.
-func (b *Book) forget(owner core.HostRef) {
-	if journal, found := b.kept[owner]; found && len(journal.entries) == 0 && journal.running == nil {
-		delete(b.kept, owner)
+// Forget drops the empty journals of host processes that are gone. Those of
+// others stay, because their watermark refuses copies that arrive late, which
+// the owner would never settle again.
+func (b *Book) Forget(gone func(core.HostRef) bool) {
+	for owner, journal := range b.kept {
+		if len(journal.entries) == 0 && journal.running == nil && gone(owner) {
+			delete(b.kept, owner)
+		}
 	}
 }
 
--- a/internal/decide/billing/outbox.go
+++ b/internal/decide/billing/outbox.go
@@ -11,8 +11,11 @@
 const (
 	// maxBatch bounds the copies in one message to about 100 KB.
 	maxBatch = 500
-	// avoidFor is how long a peer that gave no answer is passed over.
-	avoidFor = time.Second
+	// firstAvoidance is how long a peer that gave no answer is passed over;
+	// the time doubles with each further one up to maxAvoidance. A host so
+	// settles on peers that are near enough to answer in time.
+	firstAvoidance = time.Second
+	maxAvoidance   = 5 * time.Minute
 	// tellFor is how long a peer that seems to be gone is still told what is
 	// settled: if it is not gone, it would keep its copies without need.
 	tellFor = 10 * time.Minute
@@ -24,7 +27,8 @@
 	// sent is the highest sequence number sent, settled the one below which
 	// the peer has dropped its copies.
 	sent, settled uint64
-	avoidUntil    time.Time
+	// tellAt is when the peer may be told again what is settled.
+	tellAt time.Time
 	// goneSince is when the peer was found to be gone, or zero.
 	goneSince time.Time
 }
@@ -35,6 +39,29 @@
 	queue   []*entry
 	keepers map[core.HostRef]*keeper
 	sending bool
+	// avoided holds the peers that gave no answer lately.
+	avoided map[core.HostRef]avoidance
+}
+
+// avoidance says how long a peer is passed over.
+type avoidance struct {
+	until time.Time
+	times int
+}
+
+func newOutbox() outbox {
+	return outbox{keepers: make(map[core.HostRef]*keeper), avoided: make(map[core.HostRef]avoidance)}
+}
+
+// avoid passes a peer over after it gave no answer.
+func (o *outbox) avoid(ref core.HostRef, now time.Time) {
+	known := o.avoided[ref]
+	delay := min(firstAvoidance<<min(known.times, 10), maxAvoidance)
+	o.avoided[ref] = avoidance{until: now.Add(delay), times: known.times + 1}
+}
+
+func (o *outbox) avoids(ref core.HostRef, now time.Time) bool {
+	return now.Before(o.avoided[ref].until)
 }
 
 // Batch is a message with copies for one peer.
@@ -72,14 +99,13 @@
 	}
 	b.outbox.trim(b.own)
 	for _, peer := range candidates {
-		state := b.outbox.keeper(peer)
-		if now.Before(state.avoidUntil) {
+		if b.outbox.avoids(peer.Ref, now) {
 			continue
 		}
 		if len(b.outbox.queue) == 0 {
 			return nil, true
 		}
-		return b.fill(state), true
+		return b.fill(b.outbox.keeper(peer)), true
 	}
 	return nil, false
 }
@@ -102,6 +128,7 @@
 	b.outbox.sending = false
 	state := b.outbox.keeper(batch.Peer)
 	if held {
+		delete(b.outbox.avoided, batch.Peer.Ref)
 		for _, pending := range batch.entries {
 			pending.keeper = batch.Peer.Ref
 		}
@@ -110,7 +137,7 @@
 		state.goneSince = time.Time{}
 		return
 	}
-	state.avoidUntil = now.Add(avoidFor)
+	b.outbox.avoid(batch.Peer.Ref, now)
 	b.outbox.queue = slices.Concat(batch.entries, b.outbox.queue)
 }
 
@@ -128,6 +155,11 @@
 			delete(b.outbox.keepers, ref)
 		}
 	}
+	for ref, known := range b.outbox.avoided {
+		if now.Sub(known.until) >= tellFor {
+			delete(b.outbox.avoided, ref)
+		}
+	}
 }
 
 func (b *Book) requeue(lost core.HostRef) {
@@ -152,8 +184,8 @@
 	for _, ref := range b.outbox.refs() {
 		state := b.outbox.keepers[ref]
 		switch {
-		case b.outbox.sending || now.Before(state.avoidUntil):
-		case state.sent == 0 || state.settled > state.sent:
+		case b.outbox.sending || now.Before(state.tellAt):
+		case state.settled > state.sent:
 			delete(b.outbox.keepers, ref)
 		case settled > state.settled:
 			due = append(due, Acknowledgement{Peer: state.peer, Settled: settled})
@@ -170,7 +202,7 @@
 	case answered:
 		state.settled = max(state.settled, told.Settled)
 	default:
-		state.avoidUntil = now.Add(avoidFor)
+		state.tellAt = now.Add(firstAvoidance)
 	}
 }
 
--- a/internal/decide/claims/register.go
+++ b/internal/decide/claims/register.go
@@ -86,7 +86,7 @@
 
 // Withdraw ends the wait of a waiter whose deadline has come; it has no
 // effect if the waiter has a reply other than Won.
-func (r *Register) Withdraw(waiter WaiterID, gone Gone, now time.Time) {
+func (r *Register) Withdraw(waiter WaiterID, silent Gone, now time.Time) {
 	current, found := r.waiters[waiter]
 	if !found {
 		return
@@ -100,16 +100,16 @@
 	if current.claimant == waiter {
 		current.claimant = current.takeOther()
 	}
-	r.reply(Reply{Waiter: waiter, Kind: current.lateReply(gone)})
+	r.reply(Reply{Waiter: waiter, Kind: current.lateReply(silent)})
 	r.drop(current)
 }
 
 // lateReply is what a waiter is told whose deadline comes first.
-func (c *call) lateReply(gone Gone) ReplyKind {
+func (c *call) lateReply(silent Gone) ReplyKind {
 	switch {
 	case c.phase == queued || c.phase == writing:
 		return Unreachable
-	case c.phase == ending && c.outcome.Abandoned, c.phase == watching && gone(c.holder):
+	case c.phase == ending && c.outcome.Abandoned, c.phase == watching && silent(c.holder):
 		return Unknown
 	default:
 		return InProgress
--- a/internal/tasks/bills/counters.go
+++ b/internal/tasks/bills/counters.go
@@ -22,6 +22,9 @@
 	conflicts metric.Int64Counter
 	// takeovers counts steps taken for hosts that are gone.
 	takeovers metric.Int64Counter
+	// pending is the number of bills that are not known to be in the table,
+	// kept that of copies held for peers.
+	pending, kept metric.Int64Gauge
 	// retries counts repeated steps.
 	retries metric.Int64Counter
 }
@@ -35,7 +38,12 @@
 		created, _ := meter.Int64Counter("peridotreel_bills_" + name)
 		return created
 	}
+	gauge := func(name string) metric.Int64Gauge {
+		created, _ := meter.Int64Gauge("peridotreel_bills_" + name)
+		return created
+	}
 	return counters{
+		pending: gauge("pending"), kept: gauge("kept"),
 		sameZone: counter("copied_same_zone"), uncopied: counter("uncopied"), duplicates: counter("duplicate"),
 		lost: counter("lost"), unanswered: counter("copy_unanswered"), conflicts: counter("segment_conflicts"),
 		takeovers: counter("takeover_steps"), retries: counter("step_retries"),
--- a/internal/tasks/bills/machine_test.go
+++ b/internal/tasks/bills/machine_test.go
@@ -203,6 +203,7 @@
 
 // begin lets a host ask for its next steps.
 func (w *world) begin(at *node, flush bool) {
+	at.book.Forget(at.gone(w))
 	for _, step := range []*billing.Step{at.book.NextOwn(w.now, flush), at.book.NextTakeover(at.gone(w))} {
 		if step != nil {
 			at.steps = append(at.steps, step)
--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -35,6 +35,9 @@
 	now := s.config.Now()
 	s.view.update(&s.config, now)
 	s.book.Lost(s.view.gone, now)
+	s.book.Forget(s.view.gone)
+	s.counters.pending.Record(ctx, int64(s.book.Pending()))
+	s.counters.kept.Record(ctx, int64(s.book.Kept()))
 	// A bill may be in the table before a peer has answered.
 	for sequence := range s.waiting {
 		if sequence < s.book.Settled() {
--- a/internal/tasks/bills/steps.go
+++ b/internal/tasks/bills/steps.go
@@ -20,6 +20,9 @@
 	// which has full jitter; see platform.CommitUntilKnown for the bound.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 4 * time.Second
+	// tryTimeout ends a try on a connection that has gone silent; the next
+	// one uses another.
+	tryTimeout = 5 * time.Second
 )
 
 // result is the outcome of a step. Exactly one of its forms is set: conflict,
@@ -49,6 +52,8 @@
 }
 
 func (t *Task) try(ctx context.Context, step *billing.Step) (result, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
 	if step.Kind == billing.StepRead {
 		head, contained, err := readJournal(ctx, t.config.Table, t.config.Objects, step)
 		return result{step: step, head: head, contained: contained}, err
--- a/internal/tasks/claimant/answers.go
+++ b/internal/tasks/claimant/answers.go
@@ -37,7 +37,7 @@
 	s.storing++
 	finished.outcome.Object = rows.AnswerObject(finished.key, s.config.Self, uint64(finished.waiter))
 	go func() {
-		err := s.repeat(ctx, func() error { return s.config.Objects.Put(ctx, finished.outcome.Object, content) })
+		err := s.repeat(ctx, func(ctx context.Context) error { return s.config.Objects.Put(ctx, finished.outcome.Object, content) })
 		if err == nil {
 			_ = s.inbox.Send(ctx, storedMessage{finished})
 		}
--- a/internal/tasks/claimant/commit.go
+++ b/internal/tasks/claimant/commit.go
@@ -19,13 +19,16 @@
 	// because callers wait.
 	firstBackoff = 25 * time.Millisecond
 	maxBackoff   = time.Second
+	// tryTimeout ends a try on a connection that has gone silent; the next
+	// one uses another.
+	tryTimeout = 2 * time.Second
 )
 
 // commit starts a worker that repeats a batch until its outcome is known.
 func (s *state) commit(ctx context.Context, batch *claims.Batch) {
 	go func() {
 		var failed map[claims.Key]claims.Row
-		err := s.repeat(ctx, func() (err error) {
+		err := s.repeat(ctx, func(ctx context.Context) (err error) {
 			failed, err = s.try(ctx, batch)
 			return err
 		})
@@ -36,8 +39,13 @@
 }
 
 // repeat performs an operation until it succeeds or ctx ends.
-func (t *Task) repeat(ctx context.Context, operation func() error) error {
-	err := operation()
+func (t *Task) repeat(ctx context.Context, operation func(context.Context) error) error {
+	limited := func() error {
+		ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+		defer cancel()
+		return operation(ctx)
+	}
+	err := limited()
 	for backoff := firstBackoff; err != nil; backoff = min(2*backoff, maxBackoff) {
 		t.counters.retries.Add(ctx, 1)
 		select {
@@ -45,7 +53,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		err = operation()
+		err = limited()
 	}
 	return nil
 }
--- a/internal/tasks/claimant/state.go
+++ b/internal/tasks/claimant/state.go
@@ -92,6 +92,20 @@
 	return false
 }
 
+// silent reports whether a host process may be gone. It decides what a caller
+// is told whose deadline has come, not whether the wait ends early.
+func (s *state) silent(ref core.HostRef) bool {
+	if s.config.Peers == nil || s.gone(ref) {
+		return s.gone(ref)
+	}
+	for _, peer := range s.config.Peers.Peers().Peers {
+		if peer.Ref == ref && (peer.State == core.PeerAlive || peer.State == core.PeerLeaving) {
+			return false
+		}
+	}
+	return true
+}
+
 type claimMessage struct {
 	waiter      claims.WaiterID
 	key         claims.Key
@@ -110,7 +124,7 @@
 }
 
 func (m withdrawMessage) handle(ctx context.Context, owned *state) {
-	owned.register.Withdraw(m.waiter, owned.gone, owned.config.Now())
+	owned.register.Withdraw(m.waiter, owned.silent, owned.config.Now())
 	owned.deliver(ctx)
 	m.done <- struct{}{}
 }
