Let only the winner of a claim end it

Complete, Release and Abandon named the call by its key only, so a request that was refused could have given back the claim of a running one. The winner is now known by its Call.

--- a/internal/decide/claims/register.go
+++ b/internal/decide/claims/register.go
@@ -158,12 +158,13 @@
 	r.replies = append(r.replies, Reply{Waiter: won.claimant, Kind: Won})
 }
 
-// Finish records the outcome of a call that this host runs: Done with an
+// Finish records the outcome of a call that the claimant runs: Done with an
 // answer, NotRun, or Claimed with Abandoned. The waiter, if not 0, gets Ended
-// once the outcome is in the table.
-func (r *Register) Finish(key Key, outcome Record, waiter WaiterID, now time.Time) {
+// once the outcome is in the table. It has no effect for anyone but the
+// claimant, whose claim another request must not end.
+func (r *Register) Finish(claimant WaiterID, key Key, outcome Record, waiter WaiterID, now time.Time) {
 	current, found := r.calls[key]
-	if !found || current.phase != running {
+	if !found || current.phase != running || current.claimant != claimant {
 		if waiter != 0 {
 			r.reply(Reply{Waiter: waiter, Kind: Ended})
 		}
--- a/internal/tasks/bills/task_test.go
+++ b/internal/tasks/bills/task_test.go
@@ -9,11 +9,14 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/filter/settle"
 	"github.com/peridotreel/peridotreel/internal/rows"
 	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
 
+var _ settle.Bills = (*Task)(nil)
+
 // Guards against bills that a graceful stop leaves behind.
 func TestDrainWritesAllBills(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/tasks/claimant/machine_test.go
+++ b/internal/tasks/claimant/machine_test.go
@@ -191,7 +191,7 @@
 	// The host may be paused or die between the answer and its record.
 	at.callbacks = append(at.callbacks, func() {
 		at.callers[waiter] = nil
-		at.register.Finish(sender.call.key, outcome, 0, w.now)
+		at.register.Finish(claims.WaiterID(waiter), sender.call.key, outcome, 0, w.now)
 	})
 }
 
--- a/internal/tasks/claimant/state.go
+++ b/internal/tasks/claimant/state.go
@@ -15,18 +15,26 @@
 type state struct {
 	*Task
 	register *claims.Register
-	waiting  map[claims.WaiterID]chan<- claims.Reply
+	waiting  map[claims.WaiterID]waiting
+	// won holds the waiters that run a call, by the call given to Claim.
+	won      map[*core.Call]claims.WaiterID
 	draining []chan<- struct{}
 	// storing counts the answers on their way to the object store.
 	storing int
 	sweep   sweepState
 }
 
+// waiting is who waits for a reply; call is nil if it is not for a claim.
+type waiting struct {
+	replies chan<- claims.Reply
+	call    *core.Call
+}
+
 func newState(t *Task) *state {
 	return &state{
 		Task: t, register: claims.NewRegister(t.config.Self),
-		waiting: make(map[claims.WaiterID]chan<- claims.Reply),
-		sweep:   sweepState{due: t.config.Now().Add(sweepInterval)},
+		waiting: make(map[claims.WaiterID]waiting), won: make(map[*core.Call]claims.WaiterID),
+		sweep: sweepState{due: t.config.Now().Add(sweepInterval)},
 	}
 }
 
@@ -63,11 +71,18 @@
 		if reply.Kind == claims.Unknown {
 			s.counters.unknown.Add(ctx, 1)
 		}
-		if replies, found := s.waiting[reply.Waiter]; found {
-			replies <- reply
-			if reply.Kind != claims.Won {
-				delete(s.waiting, reply.Waiter)
-			}
+		waiter, found := s.waiting[reply.Waiter]
+		if !found {
+			continue
+		}
+		waiter.replies <- reply
+		if reply.Kind == claims.Won {
+			s.won[waiter.call] = reply.Waiter
+			continue
+		}
+		delete(s.waiting, reply.Waiter)
+		if s.won[waiter.call] == reply.Waiter {
+			delete(s.won, waiter.call)
 		}
 	}
 }
@@ -107,15 +122,15 @@
 }
 
 type claimMessage struct {
-	waiter      claims.WaiterID
-	key         claims.Key
-	fingerprint [32]byte
-	replies     chan<- claims.Reply
+	waiter  claims.WaiterID
+	key     claims.Key
+	call    *core.Call
+	replies chan<- claims.Reply
 }
 
 func (m claimMessage) handle(_ context.Context, owned *state) {
-	owned.waiting[m.waiter] = m.replies
-	owned.register.Claim(m.waiter, m.key, m.fingerprint, owned.config.Now())
+	owned.waiting[m.waiter] = waiting{m.replies, m.call}
+	owned.register.Claim(m.waiter, m.key, m.call.Fingerprint, owned.config.Now())
 }
 
 type withdrawMessage struct {
--- a/internal/tasks/claimant/task.go
+++ b/internal/tasks/claimant/task.go
@@ -86,12 +86,13 @@
 	return claims.WaiterID(t.waiters.Add(1))
 }
 
-// Claim implements claim.Claims. It waits until the work's deadline at most.
+// Claim implements claim.Claims. It waits until the work's deadline at most. The
+// work given to Complete, Release or Abandon must have the same Call.
 func (t *Task) Claim(ctx context.Context, work *core.Work) (*core.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, work.Deadline.Sub(t.config.Now()))
 	defer cancel()
 	waiter, replies := t.newWaiter(), make(chan claims.Reply, 2)
-	asked := claimMessage{waiter: waiter, key: keyOf(work), fingerprint: work.Call.Fingerprint, replies: replies}
+	asked := claimMessage{waiter: waiter, key: keyOf(work), call: work.Call, replies: replies}
 	if err := t.inbox.Send(ctx, asked); err != nil {
 		return nil, unreachable().Because(err)
 	}
@@ -118,7 +119,7 @@
 // Complete implements claim.Claims.
 func (t *Task) Complete(ctx context.Context, work *core.Work, answer *core.Answer) {
 	waiter, replies := t.newWaiter(), make(chan claims.Reply, 1)
-	t.finish(finishMessage{waiter: waiter, key: keyOf(work), outcome: claims.Record{State: claims.Done, Answer: answer}, replies: replies})
+	t.finish(finishMessage{call: work.Call, waiter: waiter, key: keyOf(work), outcome: claims.Record{State: claims.Done, Answer: answer}, replies: replies})
 	select {
 	case <-replies:
 	case <-ctx.Done():
@@ -128,12 +129,12 @@
 
 // Release implements claim.Claims.
 func (t *Task) Release(work *core.Work) {
-	t.finish(finishMessage{key: keyOf(work), outcome: claims.Record{State: claims.NotRun}})
+	t.finish(finishMessage{call: work.Call, key: keyOf(work), outcome: claims.Record{State: claims.NotRun}})
 }
 
 // Abandon implements claim.Claims.
 func (t *Task) Abandon(work *core.Work) {
-	t.finish(finishMessage{key: keyOf(work), outcome: claims.Record{State: claims.Claimed, Abandoned: true}})
+	t.finish(finishMessage{call: work.Call, key: keyOf(work), outcome: claims.Record{State: claims.Claimed, Abandoned: true}})
 }
 
 // finish hands over an outcome. It must arrive even if the request's context
--- a/internal/tasks/claimant/task_test.go
+++ b/internal/tasks/claimant/task_test.go
@@ -52,14 +52,18 @@
 	})
 }
 
-// Guards against a second run of a call that has an answer, and against
-// answers that differ from the recorded one.
+// Guards against a second run of a call that has an answer, against answers
+// that differ from the recorded one, and against a claim that is given back by
+// another request with the same key.
 func TestRepeatGetsRecordedAnswer(t *testing.T) {
 	for name, body := range map[string]string{"small": "ok", "large": strings.Repeat("x", 3*maxInline)} {
 		inFleet(t, func(t *testing.T, _ *standin.Service, a, b *Task) {
 			ctx, key := t.Context(), ulid.Make().String()
-			first, firstErr := a.Claim(ctx, workOf(key, 1))
-			a.Complete(ctx, workOf(key, 1), service(body))
+			work := workOf(key, 1)
+			first, firstErr := a.Claim(ctx, work)
+			repeat := workOf(key, 1)
+			a.Release(repeat)
+			a.Complete(ctx, work, service(body))
 			again, againErr := b.Claim(ctx, workOf(strings.ToLower(key), 1))
 			_, reusedErr := b.Claim(ctx, workOf(key, 2))
 			Convey("A repeat gets the recorded answer: "+name, t, func() {
@@ -97,23 +101,24 @@
 func TestRunningCallIsNotRepeated(t *testing.T) {
 	inFleet(t, func(t *testing.T, _ *standin.Service, a, b *Task) {
 		ctx, taken, free := t.Context(), ulid.Make().String(), ulid.Make().String()
-		_, won := a.Claim(ctx, workOf(taken, 1))
+		work, freeWork := workOf(taken, 1), workOf(free, 1)
+		_, won := a.Claim(ctx, work)
 		var local, remote, other error
 		done := make(chan struct{}, 3)
-		ask := func(at *Task, key string, result *error) {
-			_, *result = at.Claim(ctx, workOf(key, 1))
+		ask := func(at *Task, repeat *core.Work, result *error) {
+			_, *result = at.Claim(ctx, repeat)
 			done <- struct{}{}
 		}
-		go ask(a, taken, &local)
-		go ask(b, taken, &remote)
-		go ask(b, free, &other)
+		go ask(a, workOf(taken, 1), &local)
+		go ask(b, workOf(taken, 1), &remote)
+		go ask(b, freeWork, &other)
 		for range cap(done) {
 			<-done
 		}
-		a.Abandon(workOf(taken, 1))
+		a.Abandon(work)
 		time.Sleep(time.Second)
 		_, abandoned := b.Claim(ctx, workOf(taken, 1))
-		b.Release(workOf(free, 1))
+		b.Release(freeWork)
 		time.Sleep(time.Second)
 		_, released := a.Claim(ctx, workOf(free, 1))
 		Convey("Repeats wait, and learn that the outcome is unknown", t, func() {
@@ -131,9 +136,9 @@
 // while their key is still accepted.
 func TestSweepDeletesOldRecords(t *testing.T) {
 	inFleet(t, func(t *testing.T, platform *standin.Service, a, _ *Task) {
-		key := ulid.Make().String()
-		_, err := a.Claim(t.Context(), workOf(key, 1))
-		a.Complete(t.Context(), workOf(key, 1), service("ok"))
+		work := workOf(ulid.Make().String(), 1)
+		_, err := a.Claim(t.Context(), work)
+		a.Complete(t.Context(), work, service("ok"))
 		rowsAfter := func(wait time.Duration) int {
 			time.Sleep(wait)
 			listed, _ := platform.List(t.Context(), "claim/")
