--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -26,7 +26,8 @@
 )
 
 // Refunder takes back the cost of bills that are not charged, because their
-// request was billed before.
+// request was billed before. The bills task calls it, so it must not wait for
+// anything that waits for that task.
 type Refunder interface {
 	Refund(share core.ShareID, cost core.Tokens)
 }
