--- a/internal/decide/claims/register.go
+++ b/internal/decide/claims/register.go
@@ -55,6 +55,10 @@
 		r.calls[key] = created
 		r.waiters[waiter] = created
 		r.enqueueClaim(created, now)
+	case current.fingerprint != fingerprint && (current.phase == queued || current.phase == writing):
+		// The call at hand may be the one that has used the key: the row of
+		// the call in the register is not known.
+		r.reply(Reply{Waiter: waiter, Kind: InProgress})
 	case current.fingerprint != fingerprint:
 		r.reply(Reply{Waiter: waiter, Kind: Reused})
 	default:
@@ -82,7 +86,7 @@
 
 // Withdraw ends the wait of a waiter whose deadline has come; it has no
 // effect if the waiter has a reply other than Won.
-func (r *Register) Withdraw(waiter WaiterID, gone Gone, now time.Time) {
+func (r *Register) Withdraw(waiter WaiterID, silent Gone, now time.Time) {
 	current, found := r.waiters[waiter]
 	if !found {
 		return
@@ -96,16 +100,16 @@
 	if current.claimant == waiter {
 		current.claimant = current.takeOther()
 	}
-	r.reply(Reply{Waiter: waiter, Kind: current.lateReply(gone)})
+	r.reply(Reply{Waiter: waiter, Kind: current.lateReply(silent)})
 	r.drop(current)
 }
 
 // lateReply is what a waiter is told whose deadline comes first.
-func (c *call) lateReply(gone Gone) ReplyKind {
+func (c *call) lateReply(silent Gone) ReplyKind {
 	switch {
 	case c.phase == queued || c.phase == writing:
 		return Unreachable
-	case c.phase == ending && c.outcome.Abandoned, c.phase == watching && gone(c.holder):
+	case c.phase == ending && c.outcome.Abandoned, c.phase == watching && silent(c.holder):
 		return Unknown
 	default:
 		return InProgress
@@ -154,12 +158,13 @@
 	r.replies = append(r.replies, Reply{Waiter: won.claimant, Kind: Won})
 }
 
-// Finish records the outcome of a call that this host runs: Done with an
+// Finish records the outcome of a call that the claimant runs: Done with an
 // answer, NotRun, or Claimed with Abandoned. The waiter, if not 0, gets Ended
-// once the outcome is in the table.
-func (r *Register) Finish(key Key, outcome Record, waiter WaiterID, now time.Time) {
+// once the outcome is in the table. It has no effect for anyone but the
+// claimant, whose claim another request must not end.
+func (r *Register) Finish(claimant WaiterID, key Key, outcome Record, waiter WaiterID, now time.Time) {
 	current, found := r.calls[key]
-	if !found || current.phase != running {
+	if !found || current.phase != running || current.claimant != claimant {
 		if waiter != 0 {
 			r.reply(Reply{Waiter: waiter, Kind: Ended})
 		}
--- a/internal/tasks/claimant/state.go
+++ b/internal/tasks/claimant/state.go
@@ -15,16 +15,26 @@
 type state struct {
 	*Task
 	register *claims.Register
-	waiting  map[claims.WaiterID]chan<- claims.Reply
+	waiting  map[claims.WaiterID]waiting
+	// won holds the waiters that run a call, by the call given to Claim.
+	won      map[*core.Call]claims.WaiterID
 	draining []chan<- struct{}
-	sweep    sweepState
+	// storing counts the answers on their way to the object store.
+	storing int
+	sweep   sweepState
+}
+
+// waiting is who waits for a reply; call is nil if it is not for a claim.
+type waiting struct {
+	replies chan<- claims.Reply
+	call    *core.Call
 }
 
 func newState(t *Task) *state {
 	return &state{
 		Task: t, register: claims.NewRegister(t.config.Self),
-		waiting: make(map[claims.WaiterID]chan<- claims.Reply),
-		sweep:   sweepState{due: t.config.Now().Add(sweepInterval)},
+		waiting: make(map[claims.WaiterID]waiting), won: make(map[*core.Call]claims.WaiterID),
+		sweep: sweepState{due: t.config.Now().Add(sweepInterval)},
 	}
 }
 
@@ -47,7 +57,7 @@
 	}
 	s.sweepIfDue(ctx, now)
 	s.deliver(ctx)
-	if s.register.Idle() {
+	if s.register.Idle() && s.storing == 0 {
 		for _, done := range s.draining {
 			done <- struct{}{}
 		}
@@ -61,11 +71,18 @@
 		if reply.Kind == claims.Unknown {
 			s.counters.unknown.Add(ctx, 1)
 		}
-		if replies, found := s.waiting[reply.Waiter]; found {
-			replies <- reply
-			if reply.Kind != claims.Won {
-				delete(s.waiting, reply.Waiter)
-			}
+		waiter, found := s.waiting[reply.Waiter]
+		if !found {
+			continue
+		}
+		waiter.replies <- reply
+		if reply.Kind == claims.Won {
+			s.won[waiter.call] = reply.Waiter
+			continue
+		}
+		delete(s.waiting, reply.Waiter)
+		if s.won[waiter.call] == reply.Waiter {
+			delete(s.won, waiter.call)
 		}
 	}
 }
@@ -90,16 +107,30 @@
 	return false
 }
 
+// silent reports whether a host process may be gone. It decides what a caller
+// is told whose deadline has come, not whether the wait ends early.
+func (s *state) silent(ref core.HostRef) bool {
+	if s.config.Peers == nil || s.gone(ref) {
+		return s.gone(ref)
+	}
+	for _, peer := range s.config.Peers.Peers().Peers {
+		if peer.Ref == ref && (peer.State == core.PeerAlive || peer.State == core.PeerLeaving) {
+			return false
+		}
+	}
+	return true
+}
+
 type claimMessage struct {
-	waiter      claims.WaiterID
-	key         claims.Key
-	fingerprint [32]byte
-	replies     chan<- claims.Reply
+	waiter  claims.WaiterID
+	key     claims.Key
+	call    *core.Call
+	replies chan<- claims.Reply
 }
 
 func (m claimMessage) handle(_ context.Context, owned *state) {
-	owned.waiting[m.waiter] = m.replies
-	owned.register.Claim(m.waiter, m.key, m.fingerprint, owned.config.Now())
+	owned.waiting[m.waiter] = waiting{m.replies, m.call}
+	owned.register.Claim(m.waiter, m.key, m.call.Fingerprint, owned.config.Now())
 }
 
 type withdrawMessage struct {
@@ -108,25 +139,11 @@
 }
 
 func (m withdrawMessage) handle(ctx context.Context, owned *state) {
-	owned.register.Withdraw(m.waiter, owned.gone, owned.config.Now())
+	owned.register.Withdraw(m.waiter, owned.silent, owned.config.Now())
 	owned.deliver(ctx)
 	m.done <- struct{}{}
 }
 
-type finishMessage struct {
-	waiter  claims.WaiterID
-	key     claims.Key
-	outcome claims.Record
-	replies chan<- claims.Reply
-}
-
-func (m finishMessage) handle(_ context.Context, owned *state) {
-	if m.replies != nil {
-		owned.waiting[m.waiter] = m.replies
-	}
-	owned.register.Finish(m.key, m.outcome, m.waiter, owned.config.Now())
-}
-
 type drainMessage struct{ done chan<- struct{} }
 
 func (m drainMessage) handle(_ context.Context, owned *state) {
