Count a cancelled attempt without a token as a slow sample

Cause: a hedged attempt that lost was forgotten, so an upstream that was slow for all its requests showed no slow samples and was not ejected. Change: an attempt that ends without a token after longer than usual adds its time as a first-token sample.

--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -75,6 +75,10 @@
 	if tokens == 0 || len(member.pending) > member.ownPool {
 		member.unpend(now.Add(-elapsed))
 	}
+	if tokens == 0 && ending != Done && elapsed.Seconds() > member.group.usualFirstToken {
+		// The first token would have come later still.
+		member.firstToken.add(now, elapsed.Seconds())
+	}
 	switch ending {
 	case Done:
 		member.failures = 0
