Eject an upstream after three slow first tokens in a row

Cause: at the start of a slow spell the decaying mean still held many usual samples, and the spell was over before the mean showed it. Change: three first tokens in a row beyond three times the usual time eject a member, within the same cap.

--- a/internal/decide/upstreams/eject.go
+++ b/internal/decide/upstreams/eject.go
@@ -14,6 +14,10 @@
 	ejectRatio = 3
 	// ejectSamples is the decayed number of samples needed to judge.
 	ejectSamples = 3
+	// ejectSlowInRow first tokens beyond the ratio, one after the other, eject
+	// a member too. At the start of a slow spell the mean still holds many
+	// usual samples.
+	ejectSlowInRow = 3
 	// ejectFailures in a row eject a member.
 	ejectFailures = 3
 	// firstEjection doubles with each one up to lastEjection. A slow spell
@@ -57,9 +61,12 @@
 		return float64(ejectRatio * m.failures)
 	}
 	worst := 0.0
+	if m.slowInRow >= ejectSlowInRow {
+		worst = ejectRatio
+	}
 	if usual := m.group.usualFirstToken; usual > 0 {
 		if m.firstToken.confidence(now) >= ejectSamples {
-			worst = m.firstToken.mean() / usual
+			worst = max(worst, m.firstToken.mean()/usual)
 		}
 		worst = max(worst, m.oldestPending(now).Seconds()/usual/2)
 	}
@@ -75,6 +82,7 @@
 // forget drops what the member was judged by.
 func (m *Member) forget() {
 	m.failures = 0
+	m.slowInRow = 0
 	m.firstToken = average{}
 	m.pace = average{}
 }
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -20,8 +20,10 @@
 	firstToken average // seconds
 	pace       average // tokens per second of one stream
 	failures   int
-	limit      limit
-	ejection   ejection
+	// slowInRow counts the latest first tokens that were all too slow.
+	slowInRow int
+	limit     limit
+	ejection  ejection
 	// pending holds the start times of attempts without a first token.
 	pending []time.Time
 }
@@ -53,6 +55,17 @@
 	}
 }
 
+// noteFirstToken adds a first-token time, or the time after which an attempt
+// without one was ended.
+func (m *Member) noteFirstToken(now time.Time, seconds float64) {
+	m.firstToken.add(now, seconds)
+	if usual := m.group.usualFirstToken; usual > 0 && seconds > ejectRatio*usual {
+		m.slowInRow++
+	} else {
+		m.slowInRow = 0
+	}
+}
+
 // unpend forgets the pending attempt that started nearest to the given time.
 func (m *Member) unpend(started time.Time) {
 	if len(m.pending) == 0 {
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -61,7 +61,7 @@
 		return
 	}
 	member.unpend(now.Add(-elapsed))
-	member.firstToken.add(now, elapsed.Seconds())
+	member.noteFirstToken(now, elapsed.Seconds())
 	member.limit.sample(elapsed.Seconds(), member.ownPool)
 }
 
@@ -77,7 +77,7 @@
 	}
 	if tokens == 0 && ending != Done && elapsed.Seconds() > member.group.usualFirstToken {
 		// The first token would have come later still.
-		member.firstToken.add(now, elapsed.Seconds())
+		member.noteFirstToken(now, elapsed.Seconds())
 	}
 	switch ending {
 	case Done:
@@ -94,7 +94,7 @@
 // its first token.
 func (m *Member) notePace(now time.Time, elapsed time.Duration, tokens int64) {
 	if m.group.pool.Service != "" {
-		m.firstToken.add(now, elapsed.Seconds())
+		m.noteFirstToken(now, elapsed.Seconds())
 		m.limit.sample(elapsed.Seconds(), m.ownPool+1)
 		return
 	}
