Use the full waiting time of a stalled attempt as the slowness

Cause: an attempt that waited three times the usual time made its upstream look only 1.5 times slower, so new work still went there. Change: the waiting time is no longer halved.

--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -108,7 +108,7 @@
 	weight := m.firstToken.confidence(now)
 	ratio := (weight*m.firstToken.mean()/usual + priorSamples) / (weight + priorSamples)
 	if waited := m.oldestPending(now).Seconds() / usual; waited > 2 {
-		return max(ratio, waited/2)
+		return max(ratio, waited)
 	}
 	return ratio
 }
