Hedge after twice the usual time to the first token

Cause: a hedge after three times the usual time can't bring the first token within 1.5 times the usual p99. Change: hedgeRatio 3 -> 2; the hedge budget stays at 5%.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -25,7 +25,7 @@
 	maxBackoff   = time.Second
 	// hedgeRatio times the usual first-token time is when a second attempt
 	// is made. Less would hedge attempts that are merely queued.
-	hedgeRatio    = 3
+	hedgeRatio    = 2
 	minHedgeDelay = 50 * time.Millisecond
 	// maxAttempts bounds the attempts of one request, whatever the budget.
 	maxAttempts = 5
@@ -122,5 +122,5 @@
 	if usual <= 0 {
 		return 0
 	}
-	return max(minHedgeDelay, hedgeRatio*usual)
+	return max(minHedgeDelay, time.Duration(hedgeRatio*float64(usual)))
 }
