Let prefix affinity yield earlier to an upstream that is filling up

Cause: at 60% load an upstream with 1.25 times the mean has a full batch one time in five, and requests wait there although others have places.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -13,6 +13,10 @@
 	// affinityYield is the load relative to the mean above which a prompt
 	// goes elsewhere although its prefix is cached there.
 	affinityYield = 1.25
+	// affinityOccupancy is the part of its batch above which an upstream may
+	// have no more than the mean load: its batch will be full at times, and
+	// waiting for a place costs more than a cached prefix saves.
+	affinityOccupancy = 0.6
 	// spillRatio is how much less loaded an upstream of another zone must
 	// be. It covers the longer way and the traffic between zones.
 	spillRatio = 1.25
@@ -116,7 +120,11 @@
 			best, bestWeight, bestLoad = member, weight, load
 		}
 	}
-	if bestLoad > affinityYield*total/float64(len(near)) {
+	allowed := total / float64(len(near))
+	if best.Occupancy(now) < affinityOccupancy {
+		allowed *= affinityYield
+	}
+	if bestLoad > allowed {
 		return nil
 	}
 	return best
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -133,6 +133,14 @@
 	return tokens / batch * m.Slowness(now)
 }
 
+// Occupancy estimates the part of the batch that is in use; 0 if unknown.
+func (m *Member) Occupancy(now time.Time) float64 {
+	if !m.reported || m.report.MaxRunning <= 0 {
+		return 0
+	}
+	return m.Requests(now) / float64(m.report.MaxRunning)
+}
+
 // AtLimit reports whether this host has as many requests there as it should:
 // one more would wait for a place in the batch or exceed the limit.
 func (m *Member) AtLimit(now time.Time) bool {
