Suspect an upstream after one slow first token

Cause: each host sent about three requests into a slow spell before it ejected the upstream, and probed again after the first ejection.

--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -20,8 +20,11 @@
 	firstToken average // seconds
 	pace       average // tokens per second of one stream
 	failures   int
-	// slowInRow counts the latest first tokens that were all too slow.
+	// slowInRow counts the latest first tokens that were all too slow; the
+	// last of them came at slowAt and took slowFor seconds.
 	slowInRow int
+	slowAt    time.Time
+	slowFor   float64
 	limit     limit
 	ejection  ejection
 	// pending holds the start times of attempts without a first token.
@@ -59,8 +62,9 @@
 // without one was ended.
 func (m *Member) noteFirstToken(now time.Time, seconds float64) {
 	m.firstToken.add(now, seconds)
-	if usual := m.group.usualFirstToken; usual > 0 && seconds > ejectRatio*usual {
+	if usual := m.group.usualFirstToken; usual > 0 && seconds > suspectRatio*usual {
 		m.slowInRow++
+		m.slowAt, m.slowFor = now, seconds
 	} else {
 		m.slowInRow = 0
 	}
@@ -88,9 +92,18 @@
 	return now.Sub(m.pending[0])
 }
 
-// priorSamples is the weight, in samples, of the assumption that a member is
-// as fast as its peers. It keeps one odd sample from deciding.
-const priorSamples = 2
+const (
+	// priorSamples is the weight, in samples, of the assumption that a member
+	// is as fast as its peers. It keeps a few odd samples from deciding.
+	priorSamples = 2
+	// suspectRatio times the usual first-token time makes a member suspect:
+	// for suspectTime, twice that after the next slow one, and so on, it
+	// counts as that slow. A suspicion costs less than an ejection, as the
+	// member still gets work that finds no place elsewhere. The ratio is
+	// below what a hedged attempt shows that lost.
+	suspectRatio = 2.5
+	suspectTime  = 2 * time.Second
+)
 
 // Slowness returns how many times slower than its peers the member serves;
 // 1 is usual. An attempt that has waited longer than the mean first-token
@@ -107,6 +120,9 @@
 	}
 	weight := m.firstToken.confidence(now)
 	ratio := (weight*m.firstToken.mean()/usual + priorSamples) / (weight + priorSamples)
+	if m.slowInRow > 0 && now.Sub(m.slowAt) < suspectTime<<min(m.slowInRow-1, 3) {
+		ratio = max(ratio, m.slowFor/usual)
+	}
 	if waited := m.oldestPending(now).Seconds() / usual; waited > 2 {
 		return max(ratio, waited)
 	}
