Compare first-token times of work of usual size only

Cause: long prompts take longer anywhere, so long work made its upstreams look slow, and each long job was hedged at the delay of short work. Change: work of more than four times the mean estimate adds no first-token samples, and the hedge delay grows with the size of the work.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -117,10 +117,11 @@
 }
 
 // HedgeDelay returns how long to wait for the first token before hedging,
-// given its usual time; 0 if that is not known, which means not to hedge.
-func HedgeDelay(usual time.Duration) time.Duration {
+// given its usual time and the size of the work relative to the usual one; 0
+// if the time is not known, which means not to hedge.
+func HedgeDelay(usual time.Duration, size float64) time.Duration {
 	if usual <= 0 {
 		return 0
 	}
-	return max(minHedgeDelay, time.Duration(hedgeRatio*float64(usual)))
+	return max(minHedgeDelay, time.Duration(hedgeRatio*max(1, size)*float64(usual)))
 }
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -161,7 +161,7 @@
 		member := Pick(view, now, &request)
 		target := member.Target()
 		view.Start(now, member, 100)
-		view.FirstToken(now, pool, target, 50*time.Millisecond)
+		view.FirstToken(now, pool, target, 50*time.Millisecond, 100)
 		view.End(now, pool, target, upstreams.Done, time.Second, 10, 100)
 	}
 }
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -40,7 +40,7 @@
 	m.ownRequests++
 	m.ownTokens += estimate
 	m.ownPool++
-	if len(m.pending) < maxPending {
+	if len(m.pending) < maxPending && m.group.typical(estimate) {
 		m.pending = append(m.pending, now)
 	}
 }
--- a/internal/decide/upstreams/upstreams_test.go
+++ b/internal/decide/upstreams/upstreams_test.go
@@ -109,7 +109,7 @@
 	m.attempts = append(m.attempts[:i], m.attempts[i+1:]...)
 	elapsed := m.now.Sub(a.started)
 	if ending == Done {
-		m.view.FirstToken(m.now, pool, a.target, elapsed/2)
+		m.view.FirstToken(m.now, pool, a.target, elapsed/2, 100)
 	}
 	tokens := int64(0)
 	if ending == Done {
@@ -207,7 +207,7 @@
 			for _, member := range view.Subset(pool) {
 				view.Start(now, member, 10)
 				latency := time.Duration(rapid.SampledFrom([]int{10, 20, 500, 5000}).Draw(t, "latency")) * time.Millisecond
-				view.FirstToken(now, pool, member.Target(), latency)
+				view.FirstToken(now, pool, member.Target(), latency, 10)
 				view.End(now, pool, member.Target(), Ending(rapid.IntRange(1, 2).Draw(t, "ending")), latency, 1, 10)
 			}
 			view.Evaluate(now)
@@ -238,7 +238,7 @@
 					latency = slow
 				}
 				view.Start(now, member, 10)
-				view.FirstToken(now, pool, member.Target(), latency)
+				view.FirstToken(now, pool, member.Target(), latency, 10)
 				view.End(now, pool, member.Target(), Done, latency, 1, 10)
 			}
 			view.Evaluate(now)
@@ -263,7 +263,7 @@
 			view.Start(epoch, member, 10)
 			if i != 5 {
 				for range 3 {
-					view.FirstToken(epoch, pool, member.Target(), 100*time.Millisecond)
+					view.FirstToken(epoch, pool, member.Target(), 100*time.Millisecond, 10)
 				}
 			}
 		}
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -54,10 +54,18 @@
 	return upstream.member(pool)
 }
 
+// typicalRatio times the mean estimate bounds the work whose first-token time
+// is compared between upstreams. Longer prompts take longer anywhere.
+const typicalRatio = 4
+
+func (g *Group) typical(estimate core.Tokens) bool {
+	return float64(estimate) <= typicalRatio*g.meanEstimate
+}
+
 // FirstToken notes the time from dispatch to the first token.
-func (v *View) FirstToken(now time.Time, pool Pool, target core.Target, elapsed time.Duration) {
+func (v *View) FirstToken(now time.Time, pool Pool, target core.Target, elapsed time.Duration, estimate core.Tokens) {
 	member := v.locate(pool, target)
-	if member == nil {
+	if member == nil || !member.group.typical(estimate) {
 		return
 	}
 	member.unpend(now.Add(-elapsed))
@@ -72,10 +80,11 @@
 		return
 	}
 	member.end(now, estimate)
-	if tokens == 0 || len(member.pending) > member.ownPool {
+	typical := member.group.typical(estimate)
+	if (tokens == 0 && typical) || len(member.pending) > member.ownPool {
 		member.unpend(now.Add(-elapsed))
 	}
-	if tokens == 0 && ending != Done && elapsed.Seconds() > member.group.usualFirstToken {
+	if tokens == 0 && typical && ending != Done && elapsed.Seconds() > member.group.usualFirstToken {
 		// The first token would have come later still.
 		member.noteFirstToken(now, elapsed.Seconds())
 	}
@@ -136,16 +145,26 @@
 	return list
 }
 
-// Models calls yield for each model with a usable upstream, and the usual time
-// to the first token there, 0 if unknown.
-func (v *View) Models(yield func(model core.ModelName, firstToken time.Duration)) {
+// Usual is what is usual for the requests of a model.
+type Usual struct {
+	// FirstToken is the time to the first token; 0 if unknown.
+	FirstToken time.Duration
+	// Estimate is the mean estimate of work in tokens.
+	Estimate core.Tokens
+}
+
+// Models calls yield for each model with a usable upstream.
+func (v *View) Models(yield func(model core.ModelName, usual Usual)) {
 	for pool, group := range v.groups {
 		if pool.Model == "" {
 			continue
 		}
 		for _, member := range group.subset {
 			if member.Usable() {
-				yield(pool.Model, time.Duration(group.usualFirstToken*float64(time.Second)))
+				yield(pool.Model, Usual{
+					FirstToken: time.Duration(group.usualFirstToken * float64(time.Second)),
+					Estimate:   core.Tokens(group.meanEstimate),
+				})
 				break
 			}
 		}
--- a/internal/measure/load/product.go
+++ b/internal/measure/load/product.go
@@ -129,7 +129,9 @@
 // planHedge sends a second attempt if the first token takes too long.
 func (h *productHost) planHedge(j *job, first core.UpstreamID) {
 	delay := time.Duration(0)
-	h.view.Models(func(_ core.ModelName, usual time.Duration) { delay = retry.HedgeDelay(usual) })
+	h.view.Models(func(_ core.ModelName, usual upstreams.Usual) {
+		delay = retry.HedgeDelay(usual.FirstToken, float64(j.estimate)/max(1, float64(usual.Estimate)))
+	})
 	if delay == 0 {
 		return
 	}
@@ -147,7 +149,7 @@
 
 func (p *product) first(a *attempt) {
 	h := p.hosts[a.job.host]
-	h.view.FirstToken(p.s.time(), modelPool, a.engine.target, p.s.now-a.sent)
+	h.view.FirstToken(p.s.time(), modelPool, a.engine.target, p.s.now-a.sent, a.job.estimate)
 	p.s.sawFirst(a.job)
 	for _, other := range a.job.attempts {
 		if other != a && other.phase != over {
--- a/internal/tasks/balancer/balancer.go
+++ b/internal/tasks/balancer/balancer.go
@@ -95,9 +95,8 @@
 	nextCheck  time.Time
 }
 
-// modelSet is an immutable set of served models with the usual time to their
-// first token, 0 if unknown.
-type modelSet map[core.ModelName]time.Duration
+// modelSet is an immutable set of served models with what is usual for them.
+type modelSet map[core.ModelName]upstreams.Usual
 
 var (
 	_ route.Balancer  = (*Task)(nil)
--- a/internal/tasks/balancer/list.go
+++ b/internal/tasks/balancer/list.go
@@ -57,7 +57,7 @@
 // publishModels replaces the snapshot read by Serves.
 func (t *Task) publishModels() {
 	set := make(modelSet)
-	t.view.Models(func(model core.ModelName, firstToken time.Duration) { set[model] = firstToken })
+	t.view.Models(func(model core.ModelName, usual upstreams.Usual) { set[model] = usual })
 	t.models.Store(&set)
 }
 
--- a/internal/tasks/balancer/pick.go
+++ b/internal/tasks/balancer/pick.go
@@ -160,7 +160,7 @@
 	o := &m.observation
 	pool := t.view.PoolOn(o.Target, o.Model)
 	if o.Kind == route.FirstToken {
-		t.view.FirstToken(now, pool, o.Target, o.Elapsed)
+		t.view.FirstToken(now, pool, o.Target, o.Elapsed, o.Estimate)
 		return
 	}
 	ending := upstreams.Cancelled
@@ -174,8 +174,9 @@
 	t.view.End(now, pool, o.Target, ending, o.Elapsed, o.Tokens, o.Estimate)
 }
 
-// HedgeAfter returns how long the first token of a model's idempotent request
-// may take before a second attempt is worth asking for; 0 if that is unknown.
-func (t *Task) HedgeAfter(model core.ModelName) time.Duration {
-	return retry.HedgeDelay((*t.models.Load())[model])
+// HedgeAfter returns how long the first token of idempotent work may take
+// before a second attempt is worth asking for; 0 if that is unknown.
+func (t *Task) HedgeAfter(work *core.Work) time.Duration {
+	usual := (*t.models.Load())[work.Model()]
+	return retry.HedgeDelay(usual.FirstToken, float64(work.Estimate)/max(1, float64(usual.Estimate)))
 }
