--- a/internal/measure/load/load_test.go
+++ b/internal/measure/load/load_test.go
@@ -25,3 +25,59 @@
 		So(compare(l), ShouldResemble, compare(l))
 	})
 }
+
+// The targets below are the stated ones; the seed is fixed.
+const targetSeed = 1
+
+// Guards against collapse in a swing of demand beyond what the engines can do:
+// engines that idle, queues that make all work late, accepted work lost.
+func TestCrestTargets(t *testing.T) {
+	Convey("A swing of 10 times against capacity for 4 times", t, func() {
+		product := run(crestLoad(targetSeed), "product", newProduct)
+		So(product.Goodput, ShouldBeGreaterThanOrEqualTo, 0.95)
+		So(product.FirstToken95, ShouldBeLessThanOrEqualTo, 360*time.Millisecond)
+		So(product.Lost, ShouldEqual, 0)
+	})
+}
+
+// Guards against long work that gets less done because short work goes first.
+func TestHeadOfLineThroughput(t *testing.T) {
+	Convey("Long work gets at least 90% of what a FIFO queue gives it", t, func() {
+		fifo := run(headOfLineLoad(targetSeed), "round-robin", newRoundRobin)
+		product := run(headOfLineLoad(targetSeed), "product", newProduct)
+		So(product.LongWork.Seconds(), ShouldBeGreaterThanOrEqualTo, 0.90*fifo.LongWork.Seconds())
+	})
+}
+
+// Guards against short work that waits behind long work. The wait includes the
+// prefill, since without long jobs the p99 in queues alone is 0.
+func TestHeadOfLineWait(t *testing.T) {
+	Convey("Long jobs add at most half to the p99 of short work", t, func() {
+		l := headOfLineLoad(targetSeed)
+		product := run(l, "product", newProduct)
+		l.dropLong = true
+		shortOnly := run(l, "short-only", newProduct)
+		So(product.FirstToken99.Seconds(), ShouldBeLessThanOrEqualTo, 1.5*shortOnly.FirstToken99.Seconds())
+	})
+}
+
+// Guards against hedges beyond their budget when upstreams are slow.
+func TestStragglerHedges(t *testing.T) {
+	Convey("Two of ten engines slow in spells", t, func() {
+		product := run(stragglersLoad(targetSeed), "product", newProduct)
+		So(product.Hedges, ShouldBeGreaterThan, 0)
+		So(float64(product.Hedges), ShouldBeLessThanOrEqualTo, 0.05*float64(product.Offered))
+		So(product.Lost, ShouldEqual, 0)
+	})
+}
+
+// Guards against work that is sent to upstreams while they are slow.
+func TestStragglerFirstToken(t *testing.T) {
+	Convey("Stragglers add at most half to the p99 of the first token", t, func() {
+		l := stragglersLoad(targetSeed)
+		product := run(l, "product", newProduct)
+		l.slow = nil
+		steady := run(l, "steady", newProduct)
+		So(product.FirstToken99.Seconds(), ShouldBeLessThanOrEqualTo, 1.5*steady.FirstToken99.Seconds())
+	})
+}
--- a/internal/measure/load/run.go
+++ b/internal/measure/load/run.go
@@ -116,7 +116,7 @@
 
 // String returns the result on one line.
 func (r Result) String() string {
-	return fmt.Sprintf("%-12s off=%d acc=%d ref=%d late=%d lost=%d fin=%d hedges=%d goodput=%.3f first p50=%s p95=%s p99=%s wait p99=%s long=%s",
+	return fmt.Sprintf("%-12s offered=%d accepted=%d refused=%d late=%d lost=%d finished=%d hedges=%d goodput=%.3f first p50=%s p95=%s p99=%s wait p99=%s long=%s",
 		r.Policy, r.Offered, r.Accepted, r.Refused, r.Late, r.Lost, r.Finished, r.Hedges, r.Goodput,
 		r.FirstToken50.Round(time.Millisecond), r.FirstToken95.Round(time.Millisecond), r.FirstToken99.Round(time.Millisecond),
 		r.Wait99.Round(time.Millisecond), r.LongWork.Round(time.Second))
--- a/internal/measure/load/scenarios.go
+++ b/internal/measure/load/scenarios.go
@@ -51,8 +51,14 @@
 	Mixed Comparison
 	// ShortOnly is the product with the same short jobs and no long ones.
 	ShortOnly Result
+	// SameLoad is the product with short jobs that are as much work together
+	// as the mixed load.
+	SameLoad Result
 }
 
+// headOfLineUsed is the load as a part of what the engines can do.
+const headOfLineUsed = 0.85
+
 // HeadOfLine is a steady load of 85% of what the engines can do, in which 5%
 // of the jobs are 50 times longer than the rest.
 func HeadOfLine(seed uint64) HeadOfLineResult {
@@ -60,12 +66,16 @@
 	result := HeadOfLineResult{Mixed: compare(l)}
 	l.dropLong = true
 	result.ShortOnly = run(l, "short-only", newProduct)
+	l = headOfLineLoad(seed)
+	l.longPart, l.peakRate = 0, headOfLineUsed*shortCapacity
+	l.rate = func(time.Duration) float64 { return l.peakRate }
+	result.SameLoad = run(l, "same-load", newProduct)
 	return result
 }
 
 func headOfLineLoad(seed uint64) load {
-	const longPart, used = 0.05, 0.85
-	rate := used * shortCapacity / (1 - longPart + longPart*longFactor)
+	const longPart = 0.05
+	rate := headOfLineUsed * shortCapacity / (1 - longPart + longPart*longFactor)
 	return load{
 		seed: seed, rate: func(time.Duration) float64 { return rate }, peakRate: rate, longPart: longPart,
 		shortDeadline: 5 * time.Second, longDeadline: 5 * time.Minute, reportLag: usualLag,
