--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -25,7 +25,7 @@
 	maxBackoff   = time.Second
 	// hedgeRatio times the usual first-token time is when a second attempt
 	// is made. Less would hedge attempts that are merely queued.
-	hedgeRatio    = 3
+	hedgeRatio    = 2
 	minHedgeDelay = 50 * time.Millisecond
 	// maxAttempts bounds the attempts of one request, whatever the budget.
 	maxAttempts = 5
@@ -117,10 +117,11 @@
 }
 
 // HedgeDelay returns how long to wait for the first token before hedging,
-// given its usual time; 0 if that is not known, which means not to hedge.
-func HedgeDelay(usual time.Duration) time.Duration {
+// given its usual time and the size of the work relative to the usual one; 0
+// if the time is not known, which means not to hedge.
+func HedgeDelay(usual time.Duration, size float64) time.Duration {
 	if usual <= 0 {
 		return 0
 	}
-	return max(minHedgeDelay, hedgeRatio*usual)
+	return max(minHedgeDelay, time.Duration(hedgeRatio*max(1, size)*float64(usual)))
 }
