--- a/internal/tasks/members/members_test.go
+++ b/internal/tasks/members/members_test.go
@@ -143,6 +143,55 @@
 	})
 }
 
+// Guards against hosts that are suspected because their open connections went
+// silent for good, while new ones work.
+func TestSilentConnections(t *testing.T) {
+	inBubble(t, "No host is declared dead when all open connections go silent, once and again", func() {
+		network := measure.NewNetwork()
+		hosts := startHosts(network, 9)
+		defer stopHosts(hosts)
+		time.Sleep(10 * time.Second)
+		for range 60 {
+			network.SilenceConnections()
+			time.Sleep(5 * time.Second)
+			for _, h := range hosts {
+				So(h.count(core.PeerDead), ShouldEqual, 0)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		for _, h := range hosts {
+			So(h.count(core.PeerAlive), ShouldEqual, 8)
+		}
+	})
+}
+
+// Guards against new forms that are written while a live host can't read them,
+// and against revisions that don't reach the operators' page.
+func TestWireAndRevision(t *testing.T) {
+	inBubble(t, "The lowest wire version holds until the last old host is replaced", func() {
+		network := measure.NewNetwork()
+		hosts := startHosts(network, 5)
+		defer func() { stopHosts(hosts) }()
+		for i := range hosts {
+			time.Sleep(10 * time.Second)
+			for _, h := range hosts {
+				So(h.MinWire(), ShouldEqual, 1)
+			}
+			hosts[i].group.Stop()
+			hosts[i] = startHost(network, i, 2, 2)
+		}
+		time.Sleep(10 * time.Second)
+		hosts[2].SetRevision(77)
+		time.Sleep(5 * time.Second)
+		for i, h := range hosts {
+			So(h.MinWire(), ShouldEqual, 2)
+			if i != 2 {
+				So(h.sees(2).Revision, ShouldEqual, int64(77))
+			}
+		}
+	})
+}
+
 // TestMain uses one processor. With more, the race detector of Go 1.26.8
 // crashes (SIGSEGV in 5 of 20 runs, none of 40 with one) when timers of a
 // synctest bubble run on two processors. It finds the same races with one.
