--- a/internal/demo/settle.go
+++ b/internal/demo/settle.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/peridotreel/peridotreel/internal/core"
-	"github.com/peridotreel/peridotreel/internal/operate"
+	"github.com/peridotreel/peridotreel/internal/journal"
 )
 
 // settle drains all hosts, so that all bills are in the table, and compares
@@ -18,14 +18,29 @@
 			}
 		}
 	}
-	bills, err := operate.Bills{Table: d.fleet.Store, Objects: d.fleet.Store.Objects()}.All(ctx)
+	bills, err := journal.Reader{Table: d.fleet.Store, Objects: d.fleet.Store.Objects()}.All(ctx)
 	if err != nil {
 		return err
 	}
 	d.checkBills(bills)
+	if err := d.releaseKilled(ctx); err != nil {
+		return err
+	}
 	return d.checkBudgets(ctx, bills)
 }
 
+// releaseKilled returns the shares of the killed host, as an operator does who
+// knows that its process is terminated.
+func (d *demo) releaseKilled(ctx context.Context) error {
+	killed := d.fleet.Hosts[0]
+	released, err := d.fleet.Budgets().Release(ctx, killed.Ref(), operatorName)
+	if err != nil {
+		return fmt.Errorf("releasing the shares of host %s: %w", killed.Name, err)
+	}
+	fmt.Fprintf(d.out, "released %d tokens that the killed host %s had not spent\n", released, killed.Name)
+	return nil
+}
+
 // checkBills checks that each answered request has one bill of its cost.
 func (d *demo) checkBills(bills []core.Bill) {
 	c := d.newCheck("P2 each request is billed exactly once")
@@ -79,10 +94,10 @@
 			c.breakf("budget %s: left %d, spent %d and held %d do not add up to %d",
 				status.Budget, status.Left, status.Spent, held, status.Prepaid)
 		}
-		if status.Spent > billed[status.Budget] {
+		if status.Spent != billed[status.Budget] {
 			c.breakf("budget %s: shares say %d spent, bills %d", status.Budget, status.Spent, billed[status.Budget])
 		}
 	}
-	c.detail = fmt.Sprintf("%d budgets: prepaid %d, spent %d, held by the killed host %d", len(statuses), prepaid, spent, unspent)
+	c.detail = fmt.Sprintf("%d budgets: prepaid %d, spent %d, still held %d", len(statuses), prepaid, spent, unspent)
 	return nil
 }
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -11,6 +11,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
 	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/journal"
 	"github.com/peridotreel/peridotreel/internal/platform"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/admitter"
@@ -51,6 +52,16 @@
 	return upstreams.Report(report), err
 }
 
+// refunder gives the cost of bills that are dropped back to the shares.
+type refunder struct {
+	shares *shares.Task
+}
+
+// Refund implements bills.Refunder.
+func (r refunder) Refund(share core.ShareID, cost core.Tokens) {
+	r.shares.Credit(share, cost)
+}
+
 // seedOf derives the seed of a host's random choices from its identity, so
 // that hosts started at the same instant differ.
 func seedOf(self core.HostRef) uint64 {
@@ -82,7 +93,12 @@
 	t.shares = shares.New(shares.Config{
 		Table: store, Peers: t.members, Caller: t.client, Self: self, Zone: chosen.Zone, Now: now, Log: log, Meter: meter,
 	})
+	journals := journal.Reader{Table: store, Objects: store.Objects()}
 	t.bills = bills.New(bills.Config{
+		Refunds: refunder{t.shares},
+		Adopt: func(ctx context.Context, owner core.HostRef) error {
+			return journals.SettleShares(ctx, t.shares.Adopt, owner)
+		},
 		Self: self, Zone: chosen.Zone, Table: store, Objects: store.Objects(), Peers: t.members, Caller: t.client,
 		Now: now, Log: log, Meter: meter,
 	})
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -280,7 +280,7 @@
 
 // Budgets returns the operators' actions on budgets.
 func (f *Fleet) Budgets() operate.Budgets {
-	return operate.NewTableBudgets(f.Store, time.Now)
+	return operate.NewTableBudgets(f.Store, f.Store.Objects(), time.Now)
 }
 
 // Stop ends everything at once.
--- a/internal/operate/budget.go
+++ b/internal/operate/budget.go
@@ -6,6 +6,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/budget"
+	"github.com/peridotreel/peridotreel/internal/journal"
 	"github.com/peridotreel/peridotreel/internal/platform"
 	"github.com/peridotreel/peridotreel/internal/rows"
 	"github.com/peridotreel/peridotreel/internal/tasks/shares"
@@ -13,14 +14,19 @@
 
 // TableBudgets implements Budgets on the platform's table.
 type TableBudgets struct {
-	table  platform.Table
-	ledger shares.Ledger
-	now    func() time.Time
+	table   platform.Table
+	journal journal.Reader
+	ledger  shares.Ledger
+	now     func() time.Time
 }
 
-// NewTableBudgets returns the budgets of a table.
-func NewTableBudgets(table platform.Table, now func() time.Time) *TableBudgets {
-	return &TableBudgets{table: table, ledger: shares.NewLedger(table, now), now: now}
+// NewTableBudgets returns the budgets of a table. The object store holds the
+// bills that a release needs.
+func NewTableBudgets(table platform.Table, objects platform.Objects, now func() time.Time) *TableBudgets {
+	return &TableBudgets{
+		table: table, journal: journal.Reader{Table: table, Objects: objects},
+		ledger: shares.NewLedger(table, now), now: now,
+	}
 }
 
 // TopUp implements Budgets. A budget is created by its first payment.
@@ -28,11 +34,20 @@
 	return b.ledger.TopUp(ctx, budget.TopUp{Budget: id, Token: token, Amount: amount})
 }
 
-// Release implements Budgets.
+// Release implements Budgets. The bills in the journal are settled first, as
+// the process may have ended before it wrote their sums to its shares.
 func (b *TableBudgets) Release(ctx context.Context, process core.HostRef, _ string) (core.Tokens, error) {
+	if err := b.journal.SettleShares(ctx, b.settle, process); err != nil {
+		return 0, err
+	}
 	return b.ledger.Release(ctx, process)
 }
 
+func (b *TableBudgets) settle(ctx context.Context, share core.ShareID, total core.Tokens) error {
+	_, err := b.ledger.Settle(ctx, share, total)
+	return err
+}
+
 // List implements Budgets.
 func (b *TableBudgets) List(ctx context.Context) ([]Budget, error) {
 	var found rows.BudgetRows
--- a/internal/tasks/bills/steps.go
+++ b/internal/tasks/bills/steps.go
@@ -59,6 +59,9 @@
 		return result{step: step, head: head, contained: contained}, err
 	}
 	conflict, err := writeSegment(ctx, t.config.Table, t.config.Objects, step)
+	if owner := step.Segment.Owner; err == nil && owner != t.config.Self && t.config.Adopt != nil {
+		err = t.config.Adopt(ctx, owner)
+	}
 	return result{step: step, conflict: conflict}, err
 }
 
--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -42,6 +42,9 @@
 	Peers core.PeerSource
 	// Caller reaches peers; nil if the host works alone.
 	Caller fleet.Caller
+	// Adopt is called by a worker after bills of a host that is gone were
+	// written in its place, until it returns no error; nil is not called.
+	Adopt func(ctx context.Context, owner core.HostRef) error
 	// Refunds is told about bills that are dropped; nil ignores them.
 	Refunds Refunder
 	Now     func() time.Time
