Test hedges through the balancer

Cause: only the pure rules on hedging were tested. Change: a test that the balancer hedges no work that must not run twice, stays within 5% and avoids the upstream of the first attempt.

--- a/internal/tasks/balancer/balancer_test.go
+++ b/internal/tasks/balancer/balancer_test.go
@@ -130,3 +130,29 @@
 		}
 	})
 }
+
+// Guards against hedges of work that must not run twice, hedges beyond 5%, and
+// one that goes to the upstream of the first attempt.
+func TestHedges(t *testing.T) {
+	fleet := &fakeFleet{members: []platform.Member{engine("e1", 1), engine("e2", 1)}}
+	started(t, fleet, func(balancer *Task) {
+		hedges := 0
+		for range 200 {
+			first, err := balancer.Pick(context.Background(), query(1))
+			So(err, ShouldBeNil)
+			beside := query(1)
+			beside.Excluded = []core.UpstreamID{first.Upstream}
+			beside.Work.Idempotent = false
+			_, err = balancer.Hedge(context.Background(), beside)
+			So(err, ShouldNotBeNil)
+			beside.Work.Idempotent = true
+			if second, err := balancer.Hedge(context.Background(), beside); err == nil {
+				So(second.Upstream, ShouldNotEqual, first.Upstream)
+				finish(balancer, second)
+				hedges++
+			}
+			finish(balancer, first)
+		}
+		So(hedges, ShouldBeBetweenOrEqual, 1, 10)
+	})
+}
