--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -106,7 +106,7 @@
 		Self: self, Table: store, Objects: store.Objects(), Peers: t.members, Now: now, Log: log, Meter: meter,
 	})
 	t.calls = calls.New(calls.Config{Self: self, Zone: chosen.Zone, Peers: t.members, Caller: t.client, Now: now, Meter: meter})
-	t.admitter = admitter.New(admitter.Config{Now: now, Log: log, Meter: meter})
+	t.admitter = admitter.New(admitter.Config{Peers: t.members, Caller: t.client, Now: now, Log: log, Meter: meter})
 	t.balancer = balancer.New(balancer.Config{
 		Directory: store, Reporter: reporter{t.upstream}, Capacities: t.admitter,
 		Self: chosen.Host, Zone: chosen.Zone, Now: now, Seed: seed, Log: log, Meter: meter,
@@ -119,6 +119,7 @@
 	return errors.Join(
 		t.members.Register(t.server), t.teams.Register(t.server),
 		t.server.RegisterName(shares.ReceiverName, t.shares.Receiver()),
+		t.server.RegisterName(admitter.Service, t.admitter.Receiver()),
 		t.bills.Register(t.server), t.calls.Register(t.server),
 	)
 }
