--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -89,6 +89,8 @@
 		reply, err := say(client, 2, "hello", time.Second)
 		So(err, ShouldBeNil)
 		So(reply, ShouldEqual, "hello")
+		// The server counts its reply after the client may have read it.
+		synctest.Wait()
 		in, out := traffic.Totals()
 		So(in, ShouldBeGreaterThan, int64(100))
 		So(in, ShouldEqual, out)
