Avoid an upstream for a second after it refused work

Change: a refusal that certainly did not run is observed as such, and the upstream counts as at its limit for 1 s while others can take the work.

--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -23,6 +23,8 @@
 	firstToken average // seconds
 	pace       average // tokens per second of one stream
 	failures   int
+	// refusedUntil is the time before which the member is expected to refuse.
+	refusedUntil time.Time
 	// slowInRow counts the latest first tokens that were all too slow; the
 	// last of them came at slowAt and took slowFor seconds.
 	slowInRow int
@@ -161,9 +163,10 @@
 }
 
 // AtLimit reports whether this host has as many requests there as it should:
-// one more would wait for a place in the batch or exceed the limit.
+// one more would wait for a place in the batch, exceed the limit or be refused
+// again.
 func (m *Member) AtLimit(now time.Time) bool {
-	return float64(m.ownPool) >= math.Ceil(m.room(now))
+	return now.Before(m.refusedUntil) || float64(m.ownPool) >= math.Ceil(m.room(now))
 }
 
 // Ejected reports whether the member is kept from new work for being slower
--- a/internal/decide/upstreams/upstreams_test.go
+++ b/internal/decide/upstreams/upstreams_test.go
@@ -335,3 +335,18 @@
 		view.ApplyList(epoch, entries)
 	}
 }
+
+// Guards against an upstream that refuses all work and looks idle, so that it
+// attracts what its peers could run.
+func TestRefusingUpstreamIsAvoidedForAWhile(t *testing.T) {
+	Convey("It is at its limit for a second after a refusal", t, func() {
+		view := NewView("h", "za")
+		view.ApplyList(epoch, []Entry{{Target: target(0, 1), Pools: []Pool{pool}}})
+		member := view.Find(pool, "e00")
+		view.Start(epoch, member, 10)
+		So(member.AtLimit(epoch), ShouldBeFalse)
+		view.End(epoch, pool, target(0, 1), Refused, time.Millisecond, 0, 10)
+		So(member.AtLimit(epoch.Add(refusalTime-1)), ShouldBeTrue)
+		So(member.AtLimit(epoch.Add(refusalTime)), ShouldBeFalse)
+	})
+}
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -31,6 +31,11 @@
 	member.group.meanEstimate += (float64(estimate) - member.group.meanEstimate) * estimateSmoothing
 }
 
+// refusalTime is how long an upstream that refused work gets none while others
+// can take it. It looks idle meanwhile, so the choice by load would send it
+// nearly everything; a leaving one shows in its load report by then.
+const refusalTime = time.Second
+
 // Ending is how an attempt ended.
 type Ending uint8
 
@@ -38,8 +43,10 @@
 const (
 	// Done means that the whole answer came.
 	Done Ending = iota + 1
-	// Broken means that the upstream failed, refused or fell silent.
+	// Broken means that the upstream failed or fell silent.
 	Broken
+	// Refused means that the upstream took no work.
+	Refused
 	// Cancelled means that this host ended the attempt.
 	Cancelled
 )
@@ -95,6 +102,8 @@
 		member.notePace(now, elapsed, tokens)
 	case Broken:
 		member.failures++
+	case Refused:
+		member.refusedUntil = now.Add(refusalTime)
 	case Cancelled:
 	}
 }
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -30,6 +30,8 @@
 	Finished
 	// Failed reports an attempt that the upstream ended or refused.
 	Failed
+	// Refused reports an attempt that certainly did not run.
+	Refused
 	// Silent reports an attempt whose connection gave no event in time.
 	Silent
 	// Abandoned reports an attempt that this host ended, as its caller went.
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -126,6 +126,7 @@
 		f := &fakes{serviceErrors: []error{notRun}}
 		_, err := serve(t, f, serviceCall("POST"))
 		So(err, ShouldBeNil)
+		So(f.observed, ShouldResemble, []route.ObservationKind{route.Refused, route.Finished})
 		So(f.requests, ShouldHaveLength, 2)
 		So(f.claims, ShouldResemble, []string{"claim", "complete"})
 		So(f.bills[0].Cost, ShouldEqual, core.Tokens(5))
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -150,12 +150,12 @@
 		observation.Kind, observation.Elapsed = route.FirstToken, outcome.FirstToken
 		e.line.Route.Observe(observation)
 	}
-	observation.Kind, observation.Elapsed = observationOf(outcome.Ending), elapsed
+	observation.Kind, observation.Elapsed = observationOf(outcome), elapsed
 	e.line.Route.Observe(observation)
 }
 
-func observationOf(ending relay.Ending) route.ObservationKind {
-	switch ending {
+func observationOf(outcome relay.Outcome) route.ObservationKind {
+	switch outcome.Ending {
 	case relay.Finished:
 		return route.Finished
 	case relay.Silent:
@@ -163,10 +163,18 @@
 	case relay.CallerGone:
 		return route.Abandoned
 	default:
-		return route.Failed
+		return failureOf(outcome.Err)
 	}
 }
 
+// failureOf tells an upstream that refused work from one that failed at it.
+func failureOf(err error) route.ObservationKind {
+	if fault.From(err).Run == fault.NotRun {
+		return route.Refused
+	}
+	return route.Failed
+}
+
 // planAfterSilence probes a silent upstream on a new connection. If it
 // answers, only the connection was at fault and the stream resumes there.
 func (e *exchange) planAfterSilence(ctx context.Context, plan *attemptPlan, target core.Target) {
@@ -237,7 +245,7 @@
 			e.line.Route.Observe(route.Observation{Kind: route.Finished, Target: target, Elapsed: elapsed, Estimate: e.work.Estimate})
 			return result{answer: &core.Answer{Service: answer}}, nil
 		}
-		e.line.Route.Observe(route.Observation{Kind: route.Failed, Target: target, Elapsed: elapsed, Estimate: e.work.Estimate})
+		e.line.Route.Observe(route.Observation{Kind: failureOf(err), Target: target, Elapsed: elapsed, Estimate: e.work.Estimate})
 		plan.last = err
 		plan.query.Excluded = append(plan.query.Excluded, target.Upstream)
 		if ctx.Err() != nil || !mayRepeat(e.work, err) {
--- a/internal/tasks/balancer/pick.go
+++ b/internal/tasks/balancer/pick.go
@@ -169,6 +169,8 @@
 		ending = upstreams.Done
 	case route.Failed, route.Silent:
 		ending = upstreams.Broken
+	case route.Refused:
+		ending = upstreams.Refused
 	case route.FirstToken, route.Abandoned:
 	}
 	t.view.End(now, pool, o.Target, ending, o.Elapsed, o.Tokens, o.Estimate)
