Write the copies of unsettled bills before a host leaves

Ruled out: lost segments (the shares had the sums) and answers released without a copy. At 50 ms a busy host also gave up waiting for a copy. Change: a drain takes no more copies, waits 2 s for owners to settle theirs and writes the rest in their place; the wait for a copy is at most 250 ms. The drain takes up to 2 s longer.

--- a/internal/filter/settle/settle.go
+++ b/internal/filter/settle/settle.go
@@ -10,9 +10,9 @@
 )
 
 // replicationTimeout bounds the wait for a copy of the bill at a peer before
-// the last event of the answer is released. A caller notices no more than
-// one missed token interval.
-const replicationTimeout = 50 * time.Millisecond
+// the last event of the answer is released. A copy takes a few milliseconds;
+// at 50 ms busy hosts gave up, and the death of one host could lose a bill.
+const replicationTimeout = 250 * time.Millisecond
 
 // Shares takes back reservations.
 type Shares interface {
--- a/internal/tasks/bills/peers.go
+++ b/internal/tasks/bills/peers.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// sendTimeout leaves time for a second peer within the 50 ms that a
-	// request waits for the copy of its bill.
+	// sendTimeout leaves time for several peers within the 250 ms that a
+	// request waits for the copy of its bill, and for a second one within the
+	// interval between two tokens.
 	sendTimeout = 22 * time.Millisecond
 	// acknowledgeTimeout bounds a message that nobody waits for.
 	acknowledgeTimeout = time.Second
--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,8 +16,10 @@
 	book *billing.Book
 	// waiting holds who waits for a copy of a bill, by sequence number.
 	waiting map[uint64]chan<- struct{}
-	// draining holds who waits for all bills to be in the table.
-	draining []chan<- struct{}
+	// draining holds who waits for all bills to be in the table, and since
+	// when.
+	draining      []chan<- struct{}
+	drainingSince time.Time
 	// telling holds the peers to which an acknowledgement is in flight.
 	telling map[core.HostRef]bool
 	view    fleetView
@@ -58,12 +61,12 @@
 	if step := s.book.NextOwn(now, len(s.draining) > 0); step != nil {
 		s.perform(ctx, step)
 	}
-	if step := s.book.NextTakeover(s.view.gone); step != nil {
+	if step := s.book.NextTakeover(s.takesOver); step != nil {
 		s.counters.takeovers.Add(ctx, 1)
 		s.perform(ctx, step)
 	}
 	s.replicate(ctx)
-	if s.book.Pending() == 0 {
+	if s.book.Pending() == 0 && s.book.Kept() == 0 {
 		for _, done := range s.draining {
 			done <- struct{}{}
 		}
@@ -71,6 +74,14 @@
 	}
 }
 
+// takesOver reports whether this host writes the bills of a peer that it keeps
+// copies of: those of a peer that is gone and, when this host leaves, also
+// those that a peer has not settled in time.
+func (s *state) takesOver(owner core.HostRef) bool {
+	late := len(s.draining) > 0 && s.view.now.Sub(s.drainingSince) >= settleGrace
+	return late || s.view.gone(owner)
+}
+
 // replicate sends copies to a peer. Bills that no peer can take are not
 // waited for.
 func (s *state) replicate(ctx context.Context) {
@@ -125,6 +136,9 @@
 type drainMessage struct{ done chan<- struct{} }
 
 func (m drainMessage) handle(_ context.Context, owned *state) {
+	if len(owned.draining) == 0 {
+		owned.drainingSince = owned.config.Now()
+	}
 	owned.draining = append(owned.draining, m.done)
 }
 
@@ -141,6 +155,10 @@
 }
 
 func (m keepMessage) handle(_ context.Context, owned *state) {
+	if len(owned.draining) > 0 {
+		m.reply <- false
+		return
+	}
 	m.reply <- owned.book.Keep(m.args.Owner, m.args.Settled, m.args.Copies, owned.config.Now())
 }
 
--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -21,6 +21,10 @@
 	// inboxCapacity holds about a second of bills at three times the planned
 	// peak of 142 requests a second and host.
 	inboxCapacity = 512
+	// settleGrace is how long a leaving host waits for peers to settle the
+	// bills it keeps copies of, several times the interval between segments.
+	// A peer that has not by then may be dead and not be known as such yet.
+	settleGrace = 2 * time.Second
 	// tickInterval bounds how late a segment is sealed.
 	tickInterval = 100 * time.Millisecond
 )
@@ -122,8 +126,9 @@
 	return t.backlogged.Load()
 }
 
-// Drain writes all pending bills. It returns once they are in the table, or an
-// error that says what is left when ctx ends. Peers that still hold copies
+// Drain writes all pending bills, and those of peers whose copies only this
+// host may hold. It returns once they are in the table, or an error that says
+// what is left when ctx ends. Peers that still hold copies
 // then find the bills in the table once this host is gone.
 func (t *Task) Drain(ctx context.Context) error {
 	done := make(chan struct{}, 1)
--- a/internal/tasks/bills/task_test.go
+++ b/internal/tasks/bills/task_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/billing"
 	"github.com/peridotreel/peridotreel/internal/filter/settle"
 	"github.com/peridotreel/peridotreel/internal/rows"
 	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
@@ -45,3 +46,40 @@
 		})
 	})
 }
+
+// Guards against bills of a dead host that are lost because the only peer with
+// their copies leaves before it knows of the death.
+func TestDrainWritesCopiesOfASilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var group task.Group
+		service := standin.NewService()
+		group.Start(service)
+		owner := core.HostRef{Host: "dead", Incarnation: 1}
+		var adopted []core.HostRef
+		keeper := New(Config{
+			Self: core.HostRef{Host: "keeper", Incarnation: 1}, Zone: "z1", Table: service, Objects: service.Objects(),
+			Adopt: func(_ context.Context, owner core.HostRef) error {
+				adopted = append(adopted, owner)
+				return nil
+			},
+		})
+		group.Start(keeper)
+		defer group.Stop()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		receiver := &Receiver{keeper}
+		copies := []billing.Copy{{Sequence: 1, Bill: core.Bill{Request: core.RequestID{1}, Cost: 3}}}
+		var reply ReplicateReply
+		replicated := receiver.Replicate(ReplicateArgs{Owner: owner, Copies: copies}, &reply)
+		drained := keeper.Drain(ctx)
+		found, err := service.Get(ctx, rows.SegmentKey(owner))
+		Convey("The copied bill is in the table and the owner's shares are settled", t, func() {
+			So(replicated, ShouldBeNil)
+			So(reply.Held, ShouldBeTrue)
+			So(drained, ShouldBeNil)
+			So(err, ShouldBeNil)
+			So(found, ShouldHaveLength, 1)
+			So(adopted, ShouldResemble, []core.HostRef{owner})
+		})
+	})
+}
