--- /dev/null
+++ b/internal/measure/fleet/slopes_test.go
@@ -0,0 +1,28 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkSlopes reports what membership and configuration cost a host for
+// several sizes of the fleet: go test -bench Slopes -benchtime 1x.
+func BenchmarkSlopes(b *testing.B) {
+	for _, hosts := range []int{3, 10, 30, 100, 300} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				slope, err := Measure(b.Context(), hosts, 60)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(slope.In, "in-B/s")
+				b.ReportMetric(slope.Out, "out-B/s")
+				b.ReportMetric(float64(slope.CPU.Microseconds()), "cpu-µs/s")
+				b.ReportMetric(slope.Memory/bytesPerMB, "MB")
+				b.ReportMetric(float64(slope.NotAlive), "not-alive")
+				b.ReportMetric(slope.InForce.Seconds(), "in-force-s")
+				b.ReportMetric(float64(slope.Late), "late")
+			}
+		})
+	}
+}
--- a/internal/tasks/teams/teams.go
+++ b/internal/tasks/teams/teams.go
@@ -49,6 +49,9 @@
 	OnRevision func(revision int64)
 	// Now is the clock; nil takes time.Now.
 	Now func() time.Time
+	// Interval is the mean time between reads of the change feed; 0 takes 1 s.
+	// A longer one breaks the 5 s in which a change must be in force.
+	Interval time.Duration
 	// Seed of the jitter.
 	Seed  uint64
 	Log   *zap.Logger
@@ -108,6 +111,9 @@
 	if config.Log == nil {
 		config.Log = zap.NewNop()
 	}
+	if config.Interval == 0 {
+		config.Interval = pollInterval
+	}
 	t := &Task{config: config, inbox: task.NewInbox[any](inboxCapacity)}
 	t.status.Store(&published{})
 	t.metrics = newMetrics(t)
@@ -204,7 +210,7 @@
 // delay returns 0.8 to 1.2 times the interval, so that hosts started together
 // don't read together.
 func (s *state) delay() time.Duration {
-	return time.Duration(float64(pollInterval) * (0.8 + 0.4*s.random.Float64()))
+	return time.Duration(float64(s.task.config.Interval) * (0.8 + 0.4*s.random.Float64()))
 }
 
 // fromPlatform takes a result and returns the delay to the next read.
@@ -224,8 +230,9 @@
 		s.task.config.Log.Warn("the platform's change feed can't be read; the last version stays in force", zap.Error(result.err))
 	}
 	s.publish()
-	bound := min(pollInterval<<min(s.failures, 8), maxBackoff)
-	return pollInterval/2 + time.Duration(s.random.Int64N(int64(bound-pollInterval/2)))
+	shortest := s.task.config.Interval / 2
+	bound := max(min(s.task.config.Interval<<min(s.failures, 8), maxBackoff), 2*shortest)
+	return shortest + time.Duration(s.random.Int64N(int64(bound-shortest)))
 }
 
 // askPeer starts a call of a peer that is ahead if the platform can't be
