--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -193,9 +193,9 @@
 		status, body := d.api(http.MethodPut, "teams/lima", put(0, 0))
 		So(status, ShouldEqual, http.StatusUnprocessableEntity)
 		So(body, ShouldContainSubstring, `"field":"weight"`)
-		status, body = d.api(http.MethodPut, "teams/lima", strings.Replace(put(0, 1), "queue_length", "queue_lenght", 1))
+		status, body = d.api(http.MethodPut, "teams/lima", strings.Replace(put(0, 1), "queue_length", "queue_size", 1))
 		So(status, ShouldEqual, http.StatusUnprocessableEntity)
-		So(body, ShouldContainSubstring, `"field":"queue_lenght"`)
+		So(body, ShouldContainSubstring, `"field":"queue_size"`)
 	})
 }
 
