--- a/cmd/peridotreel/demo.go
+++ b/cmd/peridotreel/demo.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,7 +18,15 @@
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run a small fleet in one process, send a mix of work and check every promise",
-		Action: func(ctx context.Context, _ *cli.Command) error {
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "serve", Usage: "keep the fleet up and print its addresses and keys"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if command.Bool("serve") {
+				ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+				defer stop()
+				return demo.Serve(ctx, os.Stdout)
+			}
 			kept, err := demo.Run(ctx, os.Stdout)
 			if err != nil {
 				return err
--- /dev/null
+++ b/internal/demo/serve.go
@@ -0,0 +1,43 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
+	"github.com/peridotreel/peridotreel/internal/settings"
+)
+
+// operatorKey opens the operators' page of the demo's hosts.
+const operatorKey = "demo-operator"
+
+// Serve starts the fleet and keeps it up until ctx ends. It prints where
+// callers and operators can reach it.
+func Serve(ctx context.Context, out io.Writer) error {
+	d, err := start(ctx, out)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.fleet.Stop() }()
+	for _, running := range d.fleet.Hosts {
+		fmt.Fprintf(out, "host %s in %s: callers http://%s/v1, operators http://%s/\n",
+			running.Name, running.Zone, running.CallerAddress(), running.AdminAddress())
+	}
+	fmt.Fprintf(out, "operators' key: %s\n", operatorKey)
+	for _, of := range d.teams {
+		fmt.Fprintf(out, "team %s: key %s\n", of.row.Team, of.key)
+	}
+	first, host := d.teams[0], d.fleet.Hosts[0]
+	fmt.Fprintf(out, "try:\ncurl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d "+
+		"'{\"model\": %q, \"stream\": true, \"messages\": [{\"role\": \"user\", \"content\": \"What do you pay for a dual land?\"}]}'\n",
+		host.CallerAddress(), first.key, modelQuick)
+	fmt.Fprintf(out, "or: peridotreel table --platform %s list\n", d.fleet.PlatformURL)
+	<-ctx.Done()
+	return nil
+}
+
+// operators are the operators of the demo's hosts.
+func operators() []settings.Operator {
+	return []settings.Operator{{Name: operatorName, KeyDigest: authenticate.Digest(operatorKey)}}
+}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -54,7 +54,9 @@
 	Services     []Service
 	// ListLag is the lag of the platform's list of machines.
 	ListLag time.Duration
-	Log     *zap.Logger
+	// Operators may use the hosts' admin interface.
+	Operators []settings.Operator
+	Log       *zap.Logger
 }
 
 // RunningEngine is a started engine.
@@ -199,7 +201,7 @@
 func (f *Fleet) StartHost(name core.HostID, zone core.ZoneName) (*RunningHost, error) {
 	started, err := host.New(host.Options{
 		Settings: &settings.Settings{
-			Host: name, Zone: zone, Platform: f.PlatformURL,
+			Host: name, Zone: zone, Platform: f.PlatformURL, Operators: f.config.Operators,
 			Listen: settings.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort},
 			Drain:  settings.Drain{BalancerWait: settings.Duration(balancerWait), Limit: settings.Duration(drainLimit)},
 		},
