Cut zones off and kill hosts faithfully in the local fleet

Tests of failures need faults between a zone and the platform, between zones, and on connections to upstreams. Each zone now reaches the platform through a TCP forwarder that can be stopped, silenced and resumed; hosts dial peers through a hook that cuts zones from each other; engines and services are served by the stand-in's server, which silences or cuts their connections.

Host.Kill cancelled the streams of its callers at the engines, which the death of a process doesn't do: it now abandons them first.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -31,6 +31,8 @@
 	Log         *zap.Logger
 	// Now is the clock; nil takes time.Now.
 	Now func() time.Time
+	// Dial opens connections to peers; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Host is one process of the fleet.
@@ -225,6 +227,7 @@
 // Kill ends the host at once, as the death of its process would.
 func (h *Host) Kill() {
 	h.draining.Store(true)
+	h.tasks.upstream.Abandon()
 	h.listeners.close()
 	_ = h.callers.Close()
 	_ = h.admin.Close()
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -78,7 +78,7 @@
 	traffic := &fleet.Traffic{}
 	t := &tasks{
 		store:    store,
-		client:   fleet.NewClient(fleet.ClientConfig{Traffic: traffic}),
+		client:   fleet.NewClient(fleet.ClientConfig{Traffic: traffic, Dial: options.Dial}),
 		server:   fleet.NewServer(fleet.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log}),
 		upstream: upstream.NewClient(),
 	}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -54,7 +54,9 @@
 	Services     []Service
 	// ListLag is the lag of the platform's list of machines.
 	ListLag time.Duration
-	Log     *zap.Logger
+	// Operators may use the admin interface of each host.
+	Operators []settings.Operator
+	Log       *zap.Logger
 }
 
 // RunningEngine is a started engine.
@@ -63,14 +65,16 @@
 	ID      core.UpstreamID
 	Zone    core.ZoneName
 	Address string
-	server  *http.Server
-	member  platform.Member
+	// Server silences or cuts the engine's connections.
+	Server *upstreamstandin.Server
+	member platform.Member
 }
 
 // RunningService is a started plain service.
 type RunningService struct {
 	*upstreamstandin.Service
-	server *http.Server
+	// Server silences or cuts the service's connections.
+	Server *upstreamstandin.Server
 	member platform.Member
 }
 
@@ -95,7 +99,10 @@
 	Services    []*RunningService
 	Hosts       []*RunningHost
 	group       task.Group
-	servers     []*http.Server
+	platform    *http.Server
+	// forwarders are the ways of the zones to the platform.
+	forwarders  map[core.ZoneName]*forwarder
+	network     *network
 	incarnation core.Incarnation
 }
 
@@ -107,14 +114,14 @@
 	}
 	limits := platformstandin.DefaultSettings()
 	limits.MembersLag = config.ListLag
-	f := &Fleet{config: config, Platform: platformstandin.NewServiceWith(limits), incarnation: core.Incarnation(time.Now().UnixMilli())}
+	f := &Fleet{
+		config: config, Platform: platformstandin.NewServiceWith(limits), network: newNetwork(config.Zones),
+		forwarders: make(map[core.ZoneName]*forwarder), incarnation: core.Incarnation(time.Now().UnixMilli()),
+	}
 	f.group.Start(f.Platform)
-	address, _, err := f.serve(f.Platform.Handler())
-	if err != nil {
-		return nil, err
+	if err := f.servePlatform(); err != nil {
+		return nil, errors.Join(err, f.Stop())
 	}
-	f.PlatformURL = "http://" + address
-	f.Store = platform.NewClient(f.PlatformURL)
 	for _, engine := range config.Engines {
 		if err := f.startEngine(engine); err != nil {
 			return nil, errors.Join(err, f.Stop())
@@ -129,31 +136,43 @@
 	return f, nil
 }
 
-// serve starts an HTTP server on a free loopback port.
-func (f *Fleet) serve(handler http.Handler) (string, *http.Server, error) {
+// servePlatform serves the platform on a free loopback port and starts the
+// zones' ways to it.
+func (f *Fleet) servePlatform() error {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", anyPort)
 	if err != nil {
-		return "", nil, err
+		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
-	go func() { _ = server.Serve(listener) }()
-	f.servers = append(f.servers, server)
-	return listener.Addr().String(), server, nil
+	f.platform = &http.Server{Handler: f.Platform.Handler(), ReadHeaderTimeout: readyTimeout}
+	go func() { _ = f.platform.Serve(listener) }()
+	address := listener.Addr().String()
+	f.PlatformURL = "http://" + address
+	f.Store = platform.NewClient(f.PlatformURL)
+	for _, zone := range f.config.Zones {
+		way, err := newForwarder(address)
+		if err != nil {
+			return err
+		}
+		f.forwarders[zone] = way
+		f.group.Start(way)
+	}
+	return nil
 }
 
 func (f *Fleet) startEngine(engine Engine) error {
 	engine.Settings.Incarnation = f.nextIncarnation()
 	started := upstreamstandin.NewEngine(engine.Settings)
 	f.group.Start(started)
-	address, server, err := f.serve(started.Handler())
+	server, err := upstreamstandin.Listen(anyPort, started.Handler())
 	if err != nil {
 		return err
 	}
+	f.group.Start(server)
 	f.Engines = append(f.Engines, &RunningEngine{
-		Engine: started, ID: engine.Settings.ID, Zone: engine.Zone, Address: address, server: server,
+		Engine: started, ID: engine.Settings.ID, Zone: engine.Zone, Address: server.Address(), Server: server,
 		member: platform.Member{
 			Role: platform.RoleEngine, ID: string(engine.Settings.ID), Incarnation: engine.Settings.Incarnation,
-			Zone: engine.Zone, Address: address, Models: engine.Models, ChecksFencing: engine.Settings.ChecksFencing,
+			Zone: engine.Zone, Address: server.Address(), Models: engine.Models, ChecksFencing: engine.Settings.ChecksFencing,
 		},
 	})
 	return nil
@@ -163,15 +182,16 @@
 	service.Settings.Incarnation = f.nextIncarnation()
 	started := upstreamstandin.NewService(service.Settings)
 	f.group.Start(started)
-	address, server, err := f.serve(started.Handler())
+	server, err := upstreamstandin.Listen(anyPort, started.Handler())
 	if err != nil {
 		return err
 	}
+	f.group.Start(server)
 	f.Services = append(f.Services, &RunningService{
-		Service: started, server: server,
+		Service: started, Server: server,
 		member: platform.Member{
 			Role: platform.RoleService, ID: string(service.Settings.ID), Incarnation: service.Settings.Incarnation,
-			Zone: service.Zone, Address: address, Service: service.Settings.Name,
+			Zone: service.Zone, Address: server.Address(), Service: service.Settings.Name,
 		},
 	})
 	return nil
@@ -195,14 +215,17 @@
 	return f.WaitReady(ctx)
 }
 
-// StartHost starts one host process and adds it to the platform's list.
+// StartHost starts one host process and adds it to the platform's list. A host
+// of a name that was used before starts under a higher incarnation.
 func (f *Fleet) StartHost(name core.HostID, zone core.ZoneName) (*RunningHost, error) {
 	started, err := host.New(host.Options{
 		Settings: &settings.Settings{
-			Host: name, Zone: zone, Platform: f.PlatformURL,
-			Listen: settings.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort},
-			Drain:  settings.Drain{BalancerWait: settings.Duration(balancerWait), Limit: settings.Duration(drainLimit)},
+			Host: name, Zone: zone, Platform: "http://" + f.forwarders[zone].Address(),
+			Listen:    settings.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort},
+			Drain:     settings.Drain{BalancerWait: settings.Duration(balancerWait), Limit: settings.Duration(drainLimit)},
+			Operators: f.config.Operators,
 		},
+		Dial:        f.network.dialer(zone),
 		Incarnation: f.nextIncarnation(),
 		Log:         f.config.Log.With(zap.String("host", string(name))),
 	})
@@ -210,6 +233,7 @@
 		return nil, err
 	}
 	running := &RunningHost{Host: started, Zone: zone, Name: name}
+	f.network.place(started.PeerAddress(), zone)
 	f.Hosts = append(f.Hosts, running)
 	f.PublishMembers()
 	started.Start()
@@ -291,10 +315,10 @@
 			running.Kill()
 		}
 	}
-	var errs []error
-	for _, server := range f.servers {
-		errs = append(errs, server.Close())
+	var err error
+	if f.platform != nil {
+		err = f.platform.Close()
 	}
 	f.group.Stop()
-	return errors.Join(errs...)
+	return err
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,6 +44,7 @@
 	// fresh uses each connection once, so net/http never repeats a request.
 	fresh          *http.Transport
 	controlTimeout time.Duration
+	abandoned      atomic.Bool
 }
 
 // Option changes a default of a client.
@@ -89,6 +90,12 @@
 	c.pooled.CloseIdleConnections()
 }
 
+// Abandon makes streams that end from now on stay uncancelled at their engines,
+// as when the process dies: callers may resume them through other hosts.
+func (c *Client) Abandon() {
+	c.abandoned.Store(true)
+}
+
 func (c *Client) transport(fresh bool) *http.Transport {
 	if fresh {
 		return c.fresh
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -194,7 +194,7 @@
 	default: // the caller has stopped to read
 	}
 	close(t.results)
-	if fault.From(err).Run != fault.NotRun && !replaced {
+	if fault.From(err).Run != fault.NotRun && !replaced && !t.client.abandoned.Load() {
 		t.cancelAtEngine(ctx)
 	}
 }
