Register keyed requests before their upstream is noted

Cause: the calls task ignores the location of a request that was not begun, and nothing called Begin outside of its own test, so no location was ever registered and every retry at another host ran anew. Kill's cancellation was ruled out as the only cause: with it gone the retries still ran again.

Change: the pipeline's registry has Begin, called after the lookup of an earlier run.

--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -71,6 +71,7 @@
 func (f *fakes) Record(_ context.Context, bill core.Bill) { f.bills = append(f.bills, bill) }
 func (f *fakes) Backlogged() bool                         { return false }
 func (f *fakes) Done(Summary)                             {}
+func (f *fakes) Begin(core.RequestID)                     {}
 func (f *fakes) Located(core.RequestID, core.Target)      {}
 func (f *fakes) Finished(core.RequestID)                  {}
 func (f *fakes) Observe(observation route.Observation) {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -40,6 +40,9 @@
 	// Find returns the upstream on which an earlier attempt ran. It waits a
 	// bounded time for the peers that know.
 	Find(ctx context.Context, id core.RequestID) (core.Target, bool)
+	// Begin records that this host starts the request; Located and Finished
+	// of a request that was not begun are ignored.
+	Begin(id core.RequestID)
 	// Located records where the request runs.
 	Located(id core.RequestID, target core.Target)
 	// Finished records that the answer was delivered.
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -68,6 +68,7 @@
 		if earlier, found := e.line.Registry.Find(ctx, e.work.ID); found {
 			plan.query.Resume = earlier.Upstream
 		}
+		e.line.Registry.Begin(e.work.ID)
 	}
 	return plan
 }
