Write the copies of peers' bills before a host drains

Cause: a drain waited for the host's own bills only. Copies that it kept for a host killed shortly before were dropped with the process, and no other host had them.

Change: a host that drains takes no further copies, leaves those it has to their owners for a second, and then writes what is left in the owners' journals. A live owner loses nothing by that, as segments are conditional.

--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,6 +18,9 @@
 	waiting map[uint64]chan<- struct{}
 	// draining holds who waits for all bills to be in the table.
 	draining []chan<- struct{}
+	// drainSince is when this host began to drain; it keeps no copies for
+	// peers from then on.
+	drainSince time.Time
 	// telling holds the peers to which an acknowledgement is in flight.
 	telling map[core.HostRef]bool
 	view    fleetView
@@ -58,12 +62,12 @@
 	if step := s.book.NextOwn(now, len(s.draining) > 0); step != nil {
 		s.perform(ctx, step)
 	}
-	if step := s.book.NextTakeover(s.view.gone); step != nil {
+	if step := s.book.NextTakeover(s.takesOver); step != nil {
 		s.counters.takeovers.Add(ctx, 1)
 		s.perform(ctx, step)
 	}
 	s.replicate(ctx)
-	if s.book.Pending() == 0 {
+	if s.book.Pending() == 0 && s.book.Kept() == 0 {
 		for _, done := range s.draining {
 			done <- struct{}{}
 		}
@@ -71,6 +75,19 @@
 	}
 }
 
+// keepGrace is how long a host that drains leaves the bills of which it keeps
+// copies to their owners: twice the time after which owners write them.
+const keepGrace = 2 * billing.SealAfter
+
+// takesOver reports whether this host writes the bills of another from their
+// copies. A host that drains does so for all owners, as no host may notice in
+// time that an owner is gone. That is safe for a live owner, as segments are
+// conditional.
+func (s *state) takesOver(owner core.HostRef) bool {
+	leaving := !s.drainSince.IsZero() && s.config.Now().Sub(s.drainSince) >= keepGrace
+	return leaving || s.view.gone(owner)
+}
+
 // replicate sends copies to a peer. Bills that no peer can take are not
 // waited for.
 func (s *state) replicate(ctx context.Context) {
@@ -125,6 +142,9 @@
 type drainMessage struct{ done chan<- struct{} }
 
 func (m drainMessage) handle(_ context.Context, owned *state) {
+	if owned.drainSince.IsZero() {
+		owned.drainSince = owned.config.Now()
+	}
 	owned.draining = append(owned.draining, m.done)
 }
 
@@ -132,7 +152,7 @@
 
 func (m leftMessage) handle(_ context.Context, owned *state) {
 	bills, copied, tokens := owned.book.Leftovers()
-	m.reply <- leftovers{bills: bills, copied: copied, tokens: tokens}
+	m.reply <- leftovers{bills: bills, copied: copied, tokens: tokens, kept: owned.book.Kept()}
 }
 
 type keepMessage struct {
@@ -141,6 +161,10 @@
 }
 
 func (m keepMessage) handle(_ context.Context, owned *state) {
+	if !owned.drainSince.IsZero() {
+		m.reply <- false
+		return
+	}
 	m.reply <- owned.book.Keep(m.args.Owner, m.args.Settled, m.args.Copies, owned.config.Now())
 }
 
--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -122,9 +122,10 @@
 	return t.backlogged.Load()
 }
 
-// Drain writes all pending bills. It returns once they are in the table, or an
-// error that says what is left when ctx ends. Peers that still hold copies
-// then find the bills in the table once this host is gone.
+// Drain writes all pending bills, and those of which this host keeps copies
+// unless their owners do. It returns once they are in the table, or an error
+// that says what is left when ctx ends. Peers that still hold copies then find
+// the bills in the table once this host is gone.
 func (t *Task) Drain(ctx context.Context) error {
 	done := make(chan struct{}, 1)
 	if err := t.inbox.Send(ctx, drainMessage{done}); err != nil {
@@ -139,12 +140,14 @@
 	if err != nil {
 		return fmt.Errorf("drain bills: %w", err)
 	}
-	return fmt.Errorf("drain bills: %d bills of %d tokens are not in the table, %d of them have a copy at a peer: %w",
-		left.bills, left.tokens, left.copied, ctx.Err())
+	return fmt.Errorf("drain bills: %d bills of %d tokens are not in the table, %d of them have a copy at a peer; %d copies for peers are lost: %w",
+		left.bills, left.tokens, left.copied, left.kept, ctx.Err())
 }
 
 // leftovers says what a drain has not written.
 type leftovers struct {
 	bills, copied int
 	tokens        core.Tokens
+	// kept counts the copies held for peers.
+	kept int
 }
