--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -16,10 +16,11 @@
 	book *billing.Book
 	// waiting holds who waits for a copy of a bill, by sequence number.
 	waiting map[uint64]chan<- struct{}
-	// draining holds who waits for all bills to be in the table, and since
-	// when.
-	draining      []chan<- struct{}
-	drainingSince time.Time
+	// draining holds who waits for all bills to be in the table.
+	draining []chan<- struct{}
+	// drainSince is when this host began to drain; it keeps no copies for
+	// peers from then on.
+	drainSince time.Time
 	// telling holds the peers to which an acknowledgement is in flight.
 	telling map[core.HostRef]bool
 	view    fleetView
@@ -74,12 +75,18 @@
 	}
 }
 
-// takesOver reports whether this host writes the bills of a peer that it keeps
-// copies of: those of a peer that is gone and, when this host leaves, also
-// those that a peer has not settled in time.
+// keepGrace is how long a host that drains leaves the bills of which it keeps
+// copies to their owners. Most owners have written them by then; writing them
+// twice is harmless, while a longer wait delays every restart.
+const keepGrace = 2 * time.Second
+
+// takesOver reports whether this host writes the bills of another from their
+// copies. A host that drains does so for all owners, as no host may notice in
+// time that an owner is gone. That is safe for a live owner, as segments are
+// conditional.
 func (s *state) takesOver(owner core.HostRef) bool {
-	late := len(s.draining) > 0 && s.view.now.Sub(s.drainingSince) >= settleGrace
-	return late || s.view.gone(owner)
+	leaving := !s.drainSince.IsZero() && s.config.Now().Sub(s.drainSince) >= keepGrace
+	return leaving || s.view.gone(owner)
 }
 
 // replicate sends copies to a peer. Bills that no peer can take are not
@@ -136,8 +143,8 @@
 type drainMessage struct{ done chan<- struct{} }
 
 func (m drainMessage) handle(_ context.Context, owned *state) {
-	if len(owned.draining) == 0 {
-		owned.drainingSince = owned.config.Now()
+	if owned.drainSince.IsZero() {
+		owned.drainSince = owned.config.Now()
 	}
 	owned.draining = append(owned.draining, m.done)
 }
@@ -146,7 +153,7 @@
 
 func (m leftMessage) handle(_ context.Context, owned *state) {
 	bills, copied, tokens := owned.book.Leftovers()
-	m.reply <- leftovers{bills: bills, copied: copied, tokens: tokens}
+	m.reply <- leftovers{bills: bills, copied: copied, tokens: tokens, kept: owned.book.Kept()}
 }
 
 type keepMessage struct {
@@ -155,7 +162,7 @@
 }
 
 func (m keepMessage) handle(_ context.Context, owned *state) {
-	if len(owned.draining) > 0 {
+	if !owned.drainSince.IsZero() {
 		m.reply <- false
 		return
 	}
--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -21,10 +21,6 @@
 	// inboxCapacity holds about a second of bills at three times the planned
 	// peak of 142 requests a second and host.
 	inboxCapacity = 512
-	// settleGrace is how long a leaving host waits for peers to settle the
-	// bills it keeps copies of, several times the interval between segments.
-	// A peer that has not by then may be dead and not be known as such yet.
-	settleGrace = 2 * time.Second
 	// tickInterval bounds how late a segment is sealed.
 	tickInterval = 100 * time.Millisecond
 )
@@ -126,10 +122,10 @@
 	return t.backlogged.Load()
 }
 
-// Drain writes all pending bills, and those of peers whose copies only this
-// host may hold. It returns once they are in the table, or an error that says
-// what is left when ctx ends. Peers that still hold copies
-// then find the bills in the table once this host is gone.
+// Drain writes all pending bills, and those of which this host keeps copies
+// unless their owners do. It returns once they are in the table, or an error
+// that says what is left when ctx ends. Peers that still hold copies then find
+// the bills in the table once this host is gone.
 func (t *Task) Drain(ctx context.Context) error {
 	done := make(chan struct{}, 1)
 	if err := t.inbox.Send(ctx, drainMessage{done}); err != nil {
@@ -144,12 +140,14 @@
 	if err != nil {
 		return fmt.Errorf("drain bills: %w", err)
 	}
-	return fmt.Errorf("drain bills: %d bills of %d tokens are not in the table, %d of them have a copy at a peer: %w",
-		left.bills, left.tokens, left.copied, ctx.Err())
+	return fmt.Errorf("drain bills: %d bills of %d tokens are not in the table, %d of them have a copy at a peer; %d copies for peers are lost: %w",
+		left.bills, left.tokens, left.copied, left.kept, ctx.Err())
 }
 
 // leftovers says what a drain has not written.
 type leftovers struct {
 	bills, copied int
 	tokens        core.Tokens
+	// kept counts the copies held for peers.
+	kept int
 }
