Measure relay, silent connections and crest over sockets

The command "measure" had no entries, so no figure of the product could be compared with a baseline. Rows, targets and printing stand in internal/measure; internal/measure/sockets runs hosts of the local fleet and baselines on the same seeded load. The local fleet serves upstreams with the stand-in's Server, which can silence connections, and the client tells the longest gap of a stream.

--- /dev/null
+++ b/cmd/peridotreel/measure.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/peridotreel/peridotreel/internal/measure"
+	"github.com/peridotreel/peridotreel/internal/measure/sockets"
+)
+
+// experiments is the table of measures. A new measure needs an entry only.
+var experiments = []measure.Experiment{
+	{Name: "relay", Usage: "CPU and latency of the relay beside a bare net/http relay", Sockets: sockets.Relay},
+	{Name: "silent-connections", Usage: "all established connections to one engine and one service fall silent", Sockets: sockets.SilentConnections},
+	{Name: "crest", Usage: "a swing of demand to ten times the usual, against engines for four times", Sockets: sockets.Crest},
+}
+
+var errNoSuchForm = errors.New("this measure has no such form; run it with --simulated if it only has a trial, and without if it only runs over sockets")
+
+func measureCommand() *cli.Command {
+	command := &cli.Command{Name: "measure", Usage: "measure the product beside baselines on the same seeded load, within 60 s each"}
+	for _, experiment := range experiments {
+		command.Commands = append(command.Commands, experimentCommand(experiment))
+	}
+	return command
+}
+
+func experimentCommand(experiment measure.Experiment) *cli.Command {
+	return &cli.Command{
+		Name:  experiment.Name,
+		Usage: experiment.Usage,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object a line"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+			&cli.BoolFlag{Name: "simulated", Usage: "try the decisions on a simulated clock instead of sockets"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			run := experiment.Sockets
+			if command.Bool("simulated") || run == nil && experiment.Simulated != nil {
+				run = experiment.Simulated
+			}
+			if run == nil {
+				return errNoSuchForm
+			}
+			rows, err := run(ctx, command.Uint64("seed"))
+			if err != nil {
+				return fmt.Errorf("measure %s: %w", experiment.Name, err)
+			}
+			if command.Bool("json") {
+				return measure.WriteJSON(os.Stdout, rows)
+			}
+			return measure.WriteTable(os.Stdout, rows)
+		},
+	}
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -46,6 +46,10 @@
 	Total      time.Duration
 	// Chunks counts the pieces of text received.
 	Chunks int
+	// LongestGap is the longest wait for a piece of a streamed answer, the
+	// first one included.
+	LongestGap time.Duration
+	last       time.Time
 }
 
 // Error is a typed refusal or failure.
@@ -224,6 +228,7 @@
 	scanner.Buffer(nil, maxLine)
 	var text strings.Builder
 	failed := false
+	a.last = started
 	defer func() { a.Text = text.String() }()
 	for scanner.Scan() {
 		line := scanner.Bytes()
@@ -261,9 +266,12 @@
 		if choice.Delta.Content == "" {
 			continue
 		}
+		now := time.Now()
 		if a.Chunks == 0 {
-			a.FirstToken = time.Since(started)
+			a.FirstToken = now.Sub(started)
 		}
+		a.LongestGap = max(a.LongestGap, now.Sub(a.last))
+		a.last = now
 		a.Chunks++
 		text.WriteString(choice.Delta.Content)
 	}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -63,14 +63,16 @@
 	ID      core.UpstreamID
 	Zone    core.ZoneName
 	Address string
-	server  *http.Server
-	member  platform.Member
+	// Server owns the engine's connections and can silence them.
+	Server *upstreamstandin.Server
+	member platform.Member
 }
 
 // RunningService is a started plain service.
 type RunningService struct {
 	*upstreamstandin.Service
-	server *http.Server
+	// Server owns the service's connections and can silence them.
+	Server *upstreamstandin.Server
 	member platform.Member
 }
 
@@ -109,7 +111,7 @@
 	limits.MembersLag = config.ListLag
 	f := &Fleet{config: config, Platform: platformstandin.NewServiceWith(limits), incarnation: core.Incarnation(time.Now().UnixMilli())}
 	f.group.Start(f.Platform)
-	address, _, err := f.serve(f.Platform.Handler())
+	address, err := f.serve(f.Platform.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -130,30 +132,40 @@
 }
 
 // serve starts an HTTP server on a free loopback port.
-func (f *Fleet) serve(handler http.Handler) (string, *http.Server, error) {
+func (f *Fleet) serve(handler http.Handler) (string, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", anyPort)
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
 	go func() { _ = server.Serve(listener) }()
 	f.servers = append(f.servers, server)
-	return listener.Addr().String(), server, nil
+	return listener.Addr().String(), nil
+}
+
+// serveUpstream starts the server of an upstream on a free loopback port.
+func (f *Fleet) serveUpstream(handler http.Handler) (*upstreamstandin.Server, error) {
+	server, err := upstreamstandin.Listen(anyPort, handler)
+	if err != nil {
+		return nil, err
+	}
+	f.group.Start(server)
+	return server, nil
 }
 
 func (f *Fleet) startEngine(engine Engine) error {
 	engine.Settings.Incarnation = f.nextIncarnation()
 	started := upstreamstandin.NewEngine(engine.Settings)
 	f.group.Start(started)
-	address, server, err := f.serve(started.Handler())
+	server, err := f.serveUpstream(started.Handler())
 	if err != nil {
 		return err
 	}
 	f.Engines = append(f.Engines, &RunningEngine{
-		Engine: started, ID: engine.Settings.ID, Zone: engine.Zone, Address: address, server: server,
+		Engine: started, ID: engine.Settings.ID, Zone: engine.Zone, Address: server.Address(), Server: server,
 		member: platform.Member{
 			Role: platform.RoleEngine, ID: string(engine.Settings.ID), Incarnation: engine.Settings.Incarnation,
-			Zone: engine.Zone, Address: address, Models: engine.Models, ChecksFencing: engine.Settings.ChecksFencing,
+			Zone: engine.Zone, Address: server.Address(), Models: engine.Models, ChecksFencing: engine.Settings.ChecksFencing,
 		},
 	})
 	return nil
@@ -163,15 +175,15 @@
 	service.Settings.Incarnation = f.nextIncarnation()
 	started := upstreamstandin.NewService(service.Settings)
 	f.group.Start(started)
-	address, server, err := f.serve(started.Handler())
+	server, err := f.serveUpstream(started.Handler())
 	if err != nil {
 		return err
 	}
 	f.Services = append(f.Services, &RunningService{
-		Service: started, server: server,
+		Service: started, Server: server,
 		member: platform.Member{
 			Role: platform.RoleService, ID: string(service.Settings.ID), Incarnation: service.Settings.Incarnation,
-			Zone: service.Zone, Address: address, Service: service.Settings.Name,
+			Zone: service.Zone, Address: server.Address(), Service: service.Settings.Name,
 		},
 	})
 	return nil
