--- a/internal/api/sink.go
+++ b/internal/api/sink.go
@@ -222,20 +222,3 @@
 	buffer = strconv.AppendInt(buffer, int64(usage.Total()), 10)
 	return append(buffer, '}')
 }
-
-// appendString appends text as a JSON string. Plain ASCII, nearly all of what
-// engines send, is copied without allocation.
-func appendString(buffer []byte, text string) []byte {
-	for i := range len(text) {
-		if c := text[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
-			quoted, err := json.Marshal(text)
-			if err != nil {
-				return append(buffer, `""`...)
-			}
-			return append(buffer, quoted...)
-		}
-	}
-	buffer = append(buffer, '"')
-	buffer = append(buffer, text...)
-	return append(buffer, '"')
-}
