--- /dev/null
+++ b/internal/measure/sockets/variants_test.go
@@ -0,0 +1,39 @@
+package sockets
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+)
+
+// Guards against figures of a variant that answers nothing, or less than the
+// whole answer.
+func TestVariantsGiveTheWholeAnswer(t *testing.T) {
+	l := &layout{
+		zones: 1, hostsPerZone: 1, engines: 2, deadline: time.Minute, longDeadline: time.Minute,
+		engine: upstreamstandin.EngineSettings{StepTime: time.Millisecond, MaxRunning: 4},
+	}
+	jobs := []job{{prompt: "first", maxTokens: 20}, {prompt: "second", maxTokens: 30, long: true, team: 3}}
+	for _, v := range []variant{directVariant, bareVariant, roundRobin, leastConnections, productVariant} {
+		Convey("Answers are whole with "+v.name, t, func() {
+			outcomes, err := runLoad(context.Background(), v, l, jobs, nil)
+			So(err, ShouldBeNil)
+			So(count(outcomes, answered), ShouldEqual, len(jobs))
+		})
+	}
+}
+
+// Guards against a baseline that favours an engine.
+func TestEnginesAreChosenInTurn(t *testing.T) {
+	Convey("Each engine is offered once in a turn", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		targets := make(chan string)
+		go inTurn(ctx, []string{"a", "b", "c"}, targets)
+		So([]string{<-targets, <-targets, <-targets, <-targets}, ShouldResemble, []string{"a", "b", "c", "a"})
+	})
+}
