Recover calls and streams from silent connections within 2 s

Cause: a call to a plain service on a pooled connection that had fallen silent waited until its deadline, as only streams had a limit of silence; a stream without a first token waited 2 s before it was suspected.

--- a/internal/decide/stream/pace.go
+++ b/internal/decide/stream/pace.go
@@ -7,8 +7,10 @@
 	// pause for some hundred milliseconds when a long prompt joins the batch.
 	silenceFloor = time.Second
 	// firstSilence is the limit before the first token, when no pace is
-	// known; it leaves room for queueing and prefill at the engine.
-	firstSilence = 2 * time.Second
+	// known. Queueing and prefill may take longer; a false suspicion costs a
+	// probe and a new connection, as the engine goes on. A stream on a silent
+	// connection must recover within 2 s.
+	firstSilence = 1500 * time.Millisecond
 	// silenceFactor relates the limit to the stream's own pace: slow streams
 	// are slow evenly, silent ones stop.
 	silenceFactor = 20
--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -15,6 +15,10 @@
 // connection. Any other cause cancels the request at the engine.
 var ErrKeepRunning = errors.New("the answer is resumed on another connection")
 
+// ErrReplaced is the cause with which the context of a call to a plain service
+// is cancelled when a new connection answered and the call's own did not.
+var ErrReplaced = errors.New("the call was answered on a new connection")
+
 // Request describes one attempt.
 type Request struct {
 	Work    *core.Work
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -28,7 +28,9 @@
 // A test runs one request at a time, so nothing needs to be guarded.
 type fakes struct {
 	// script gives the results of each attempt in turn.
-	script        []func(attempt.Request) []core.StreamResult
+	script []func(attempt.Request) []core.StreamResult
+	// silentCalls is the number of calls that get no answer.
+	silentCalls   int
 	serviceErrors []error
 	requests      []attempt.Request
 	probeErr      error
@@ -119,8 +121,13 @@
 	return channel
 }
 
-func (f *fakes) Call(_ context.Context, request attempt.Request) (*core.ServiceAnswer, error) {
+func (f *fakes) Call(ctx context.Context, request attempt.Request) (*core.ServiceAnswer, error) {
 	f.requests = append(f.requests, request)
+	if f.silentCalls > 0 {
+		f.silentCalls--
+		<-ctx.Done()
+		return nil, fault.New(fault.UpstreamFailed, fault.Unknown, "no answer")
+	}
 	if len(f.serviceErrors) > 0 {
 		err := f.serviceErrors[0]
 		f.serviceErrors = f.serviceErrors[1:]
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -152,6 +152,23 @@
 		_, err := serve(t, &fakes{}, call)
 		So(fault.From(err).Code, ShouldEqual, fault.KeyRequired)
 	})
+	Convey("A lookup on a silent connection is sent again on a new one", t, func() {
+		f := &fakes{silentCalls: 1}
+		received, err := serve(t, f, serviceCall("GET"))
+		So(err, ShouldBeNil)
+		So(received.final.Service.Status, ShouldEqual, 200)
+		So(f.requests, ShouldHaveLength, 2)
+		So(f.requests[0].Fresh, ShouldBeFalse)
+		So(f.requests[1].Fresh, ShouldBeTrue)
+		So(f.bills, ShouldHaveLength, 1)
+	})
+	Convey("A payout on a silent connection is not", t, func() {
+		f := &fakes{silentCalls: 1}
+		_, err := serve(t, f, serviceCall("POST"))
+		So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+		So(f.requests, ShouldHaveLength, 1)
+		So(f.claims, ShouldResemble, []string{"claim", "abandon"})
+	})
 	Convey("A lookup is sent again after a failure and needs no claim", t, func() {
 		f := &fakes{serviceErrors: []error{unknown}}
 		_, err := serve(t, f, serviceCall("GET"))
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -225,36 +225,6 @@
 		"the caller took no more of the answer; retry with the same Idempotency-Key").Because(cause)
 }
 
-func (e *exchange) callService(ctx context.Context) (result, error) {
-	if !e.work.Idempotent {
-		// The caller's departure must not leave the outcome of the call unknown.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), e.work.Deadline)
-		defer cancel()
-	}
-	plan := e.newPlan(ctx)
-	for {
-		target, err := e.nextTarget(ctx, plan)
-		if err != nil {
-			return result{}, err
-		}
-		started := e.line.Now()
-		answer, err := e.line.Attempt.Call(ctx, attempt.Request{Work: e.work, Target: target, Attempt: e.attempts})
-		elapsed := e.line.Now().Sub(started)
-		if err == nil {
-			e.firstToken = elapsed
-			e.line.Route.Observe(route.Observation{Kind: route.Finished, Target: target, Elapsed: elapsed, Estimate: e.work.Estimate})
-			return result{answer: &core.Answer{Service: answer}}, nil
-		}
-		e.line.Route.Observe(route.Observation{Kind: failureOf(err), Target: target, Elapsed: elapsed, Estimate: e.work.Estimate})
-		plan.last = err
-		plan.query.Excluded = append(plan.query.Excluded, target.Upstream)
-		if ctx.Err() != nil || !mayRepeat(e.work, err) {
-			return result{}, err
-		}
-	}
-}
-
 // mayRepeat reports whether work may be sent again after an attempt that
 // ended with err.
 func mayRepeat(work *core.Work, err error) bool {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,6 +28,9 @@
 	}
 	setCallHeaders(outgoing, request)
 	response, err := c.send(outgoing, request.Fresh)
+	if errors.Is(context.Cause(ctx), attempt.ErrReplaced) {
+		c.distrustPooled()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// distrustPooled drops the idle connections after one has fallen silent. What
+// silenced it silenced the others to its upstream as well; dropping those to
+// other upstreams costs only new connections.
+func (c *Client) distrustPooled() {
+	c.pooled.CloseIdleConnections()
+}
+
 // Close drops idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -178,9 +178,7 @@
 func (t *streamTask) end(ctx context.Context, err error) {
 	replaced := errors.Is(context.Cause(ctx), attempt.ErrKeepRunning)
 	if replaced {
-		// What silenced this connection silenced idle ones to the upstream as
-		// well. Dropping the others too costs only new connections.
-		t.client.pooled.CloseIdleConnections()
+		t.client.distrustPooled()
 	}
 	if ctx.Err() == nil {
 		select {
