--- a/cmd/peridotreel/measure.go
+++ b/cmd/peridotreel/measure.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/peridotreel/peridotreel/internal/measure"
+	"github.com/peridotreel/peridotreel/internal/measure/load"
 	"github.com/peridotreel/peridotreel/internal/measure/sockets"
 )
 
@@ -16,9 +17,9 @@
 var experiments = []measure.Experiment{
 	{Name: "relay", Usage: "CPU and latency of the relay beside a bare net/http relay", Sockets: sockets.Relay},
 	{Name: "silent-connections", Usage: "all established connections to one engine and one service fall silent", Sockets: sockets.SilentConnections},
-	{Name: "crest", Usage: "a swing of demand to ten times the usual, against engines for four times", Sockets: sockets.Crest},
-	{Name: "head-of-line", Usage: "short work beside jobs that are 50 times longer", Sockets: sockets.HeadOfLine},
-	{Name: "stragglers", Usage: "first tokens while two of ten engines are ten times slower in spells", Sockets: sockets.Stragglers},
+	{Name: "crest", Usage: "a swing of demand to ten times the usual, against engines for four times", Sockets: sockets.Crest, Simulated: load.CrestRows},
+	{Name: "head-of-line", Usage: "short work beside jobs that are 50 times longer", Sockets: sockets.HeadOfLine, Simulated: load.HeadOfLineRows},
+	{Name: "stragglers", Usage: "first tokens while two of ten engines are ten times slower in spells", Sockets: sockets.Stragglers, Simulated: load.StragglersRows},
 	{Name: "drain", Usage: "requests cut while all hosts of a dozen are replaced", Sockets: sockets.Drain},
 }
 
