Measure what one unit of load costs each part of a host

Cause: docs/CAPACITY.md has to be computed from slopes, and nothing measured them. Change: internal/measure/slopes runs the product's tasks against stand-ins in memory and counts commits, rows, reads, bytes as gob and JSON make them, processor time and memory at several sizes; Fits gives the line of each. The shares task takes its ticks from a channel if one is set, so that minutes of budgets are measured on a fake clock.

--- /dev/null
+++ b/internal/measure/slopes/admission.go
@@ -0,0 +1,107 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/admission"
+	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
+	"github.com/peridotreel/peridotreel/internal/telemetry"
+)
+
+// admissions measures the queues against the teams that a host has seen.
+func admissions(ctx context.Context, options Options) ([]Point, error) {
+	const requests = 50_000
+	now := time.Unix(1_800_000_000, 0)
+	var points []Point
+	for _, count := range []int{10, 100, 1000, designTeams} {
+		teams := make([]*core.TeamRow, count)
+		for i := range teams {
+			teams[i] = &core.TeamRow{
+				Team: core.TeamName(fmt.Sprintf("team-%05d", i)), Version: 1, Weight: 1 + i%5, MaxInFlight: 1000,
+				TokensPerSecond: 1_000_000_000, QueueLength: 1000, Deadline: time.Minute,
+			}
+		}
+		machine, kept := heapOf(func() *admission.Machine {
+			machine := admission.NewMachine()
+			now = enterAndLeave(machine, teams, len(teams), now)
+			return machine
+		})
+		spent := perOperation(options.Repeats, requests, func() { now = enterAndLeave(machine, teams, requests, now) })
+		demands := perOperation(options.Repeats, 1, func() { runtime.KeepAlive(machine.Demands(now)) })
+		points = append(points,
+			Point{"admission", "teams", float64(count), "processor time per request", spent, "µs"},
+			Point{"admission", "teams", float64(count), "processor time per list of demands", demands, "µs"},
+			Point{"admission", "teams", float64(count), "heap of the queues", kept, "B"})
+	}
+	return points, ctx.Err()
+}
+
+// enterAndLeave takes requests of all teams in turn through the queues, of
+// which some always run, and returns the time at which the last one ended.
+func enterAndLeave(machine *admission.Machine, teams []*core.TeamRow, requests int, now time.Time) time.Time {
+	const inFlight = 20
+	var running []admission.Ticket
+	for i := range requests {
+		now = now.Add(time.Millisecond)
+		ticket, refusal := machine.Enter(now, admission.Request{
+			Team: teams[i%len(teams)], Pool: upstreams.Pool{Model: modelName(i)},
+			Estimate: requestCost, Deadline: now.Add(time.Minute),
+		})
+		machine.Granted()
+		if refusal != nil {
+			continue
+		}
+		running = append(running, ticket)
+		if len(running) > inFlight {
+			machine.Leave(now, running[0], requestCost)
+			running = running[1:]
+		}
+	}
+	for _, ticket := range running {
+		machine.Leave(now, ticket, requestCost)
+	}
+	machine.Granted()
+	return now
+}
+
+// metrics measures the histograms against pairs of team and class.
+func metrics(ctx context.Context, options Options) ([]Point, error) {
+	const classes = 4
+	var points []Point
+	for _, pairs := range []int{100, 1000, 4000, designTeams, designTeams * classes} {
+		var failure error
+		record := func(requests *telemetry.Requests) {
+			for i := range pairs {
+				requests.Record(core.TeamName(fmt.Sprintf("team-%05d", i/classes)), core.ClassName(fmt.Sprintf("class-%d", i%classes)),
+					"answered", time.Second, time.Second)
+			}
+		}
+		var requests *telemetry.Requests
+		kept, bytes := heapOf(func() *telemetry.Telemetry {
+			meters, err := telemetry.New()
+			if err != nil {
+				failure = err
+				return nil
+			}
+			if requests, failure = telemetry.NewRequests(meters.Meter()); failure == nil {
+				record(requests)
+			}
+			return meters
+		})
+		if failure != nil {
+			return points, failure
+		}
+		spent := perOperation(options.Repeats, pairs, func() { record(requests) })
+		if err := kept.Shutdown(ctx); err != nil {
+			return points, err
+		}
+		points = append(points,
+			Point{"metrics", "pairs of team and class", float64(pairs), "heap of the histograms", bytes, "B"},
+			Point{"metrics", "pairs of team and class", float64(pairs), "processor time per request", spent, "µs"})
+	}
+	return points, ctx.Err()
+}
--- /dev/null
+++ b/internal/measure/slopes/billing.go
@@ -0,0 +1,184 @@
+package slopes
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	decide "github.com/peridotreel/peridotreel/internal/decide/billing"
+	network "github.com/peridotreel/peridotreel/internal/measure/fleet"
+	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
+	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/internal/tasks/bills"
+)
+
+const (
+	// linkDelay is that between availability zones of one region.
+	linkDelay = time.Millisecond
+	// The rates of requests per second and host: a tenth and a third of the
+	// average at peak, the average, and three times it.
+	tenthRate, thirdRate, averageRate, plannedRate = 14, 47, 142, 426
+)
+
+var requestRates = []int{tenthRate, thirdRate, averageRate, plannedRate}
+
+// bill returns the bill of the request with a number.
+func bill(owner core.HostRef, number uint64, keyed bool) core.Bill {
+	random := rand.New(rand.NewPCG(number, uint64(len(owner.Host))))
+	var id core.RequestID
+	binary.BigEndian.PutUint64(id[:8], random.Uint64())
+	binary.BigEndian.PutUint64(id[8:], number)
+	budget := random.IntN(designBudgets)
+	return core.Bill{
+		Request: id, Keyed: keyed,
+		Team: core.TeamName(fmt.Sprintf("team-%05d", budget%designTeams)), Class: "chat",
+		Share: core.ShareID{Budget: budgetName(budget), Holder: owner},
+		Usage: core.Usage{Prompt: core.Tokens(random.IntN(2000)), Generated: core.Tokens(random.IntN(500))},
+		Cost:  core.Tokens(random.IntN(2500)), Finished: time.Unix(1_800_000_000, random.Int64N(1e9)),
+	}
+}
+
+// The size to design for.
+const (
+	designBudgets = 90_000
+	designTeams   = 12_000
+	designModels  = 31
+	designServers = 12_000
+)
+
+// billing measures pairs of hosts that bill at different rates, all at once
+// and in real time, because the grouping of copies depends on real delays.
+func billing(ctx context.Context, options Options) ([]Point, error) {
+	var measured [][]Point
+	var runs sync.WaitGroup
+	for _, rate := range requestRates {
+		for _, keyed := range []float64{0, 0.1, 0.5, 1} {
+			i := len(measured)
+			measured = append(measured, nil)
+			runs.Go(func() { measured[i] = billPair(ctx, options, rate, keyed) })
+		}
+	}
+	runs.Wait()
+	var points []Point
+	for _, pair := range measured {
+		points = append(points, pair...)
+	}
+	return append(points, billCosts(options)...), ctx.Err()
+}
+
+// billPair lets one host bill at a rate, with copies to a peer in another zone.
+func billPair(ctx context.Context, options Options, rate int, keyed float64) []Point {
+	var group task.Group
+	defer group.Stop()
+	service := standin.NewService()
+	group.Start(service)
+	net := network.NewNetwork()
+	net.SetDelay(linkDelay)
+	owner, keeper := newNode(net, "host-001", "zone-01"), newNode(net, "host-002", "zone-02")
+	var sums totals
+	var host *bills.Task
+	for _, end := range []*node{keeper, owner} {
+		host = bills.New(bills.Config{
+			Self: end.peer.Ref, Zone: end.peer.Zone, Table: counted{service, &sums},
+			Objects: countedObjects{service.Objects(), &sums},
+			Peers:   viewOf(end, []*node{owner, keeper}), Caller: end.client,
+		})
+		// The name is valid, so registering can't fail.
+		_ = host.Register(end.server)
+		end.start(&group)
+		group.Start(host)
+	}
+	random := rand.New(rand.NewPCG(options.Seed, uint64(rate)))
+	started := time.Now()
+	count := arrivals(ctx, options, rate, func(number uint64) {
+		host.Record(ctx, bill(owner.peer.Ref, number, random.Float64() < keyed))
+	})
+	elapsed := time.Since(started).Seconds()
+	parameter := fmt.Sprintf("bills/s, %.0f%% keyed", 100*keyed)
+	point := func(metric string, value float64, unit string) Point {
+		return Point{"billing", parameter, float64(rate), metric, value, unit}
+	}
+	return []Point{
+		point("commits per host", float64(sums.commits.Load())/elapsed, "1/s"),
+		point("objects per host", float64(sums.objects.Load())/elapsed, "1/s"),
+		point("conditions per commit", float64(sums.conditions.Load())/max(1, float64(sums.commits.Load())), "rows"),
+		point("table traffic per host", float64(sums.tableBytes.Load())/elapsed, "B/s"),
+		point("object traffic per host", float64(sums.objectBytes.Load())/elapsed, "B/s"),
+		point("peer traffic per host", float64(owner.bytes())/elapsed, "B/s"),
+		point("peer traffic per bill", float64(owner.bytes())/max(1, float64(count)), "B"),
+	}
+}
+
+// arrivals calls handle at random intervals with a mean rate, each time in a
+// goroutine of its own, and returns the number of calls once all have ended.
+func arrivals(ctx context.Context, options Options, rate int, handle func(number uint64)) int {
+	random := rand.New(rand.NewPCG(options.Seed, uint64(rate)))
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	started := time.Now()
+	var at time.Duration
+	for number := 0; ; number++ {
+		at += time.Duration(random.ExpFloat64() * float64(time.Second) / float64(rate))
+		if at >= options.Length || ctx.Err() != nil {
+			return number
+		}
+		time.Sleep(time.Until(started.Add(at)))
+		calls.Go(func() { handle(uint64(number)) })
+	}
+}
+
+// billCosts measures processor time and memory of the decisions on bills.
+func billCosts(options Options) []Point {
+	owner := core.HostRef{Host: "host-001", Incarnation: 1}
+	now := time.Unix(1_800_000_000, 0)
+	const count = 20_000
+	list := make([]core.Bill, count)
+	for i := range list {
+		list[i] = bill(owner, uint64(i), false)
+	}
+	spent := perOperation(options.Repeats, count, func() {
+		book := decide.NewBook(owner)
+		for _, entry := range list {
+			book.Record(entry, now)
+			if step := book.NextOwn(now, false); step != nil {
+				book.Written(step)
+			}
+		}
+	})
+	points := []Point{{"billing", "bills", count, "processor time per bill, decisions only", spent, "µs"}}
+	for _, size := range []int{1000, 10_000, 100_000} {
+		at := float64(size)
+		_, pending := heapOf(func() *decide.Book { return bookOf(owner, size, now) })
+		points = append(points, Point{"billing", "pending bills", at, "heap of pending bills", pending, "B"})
+		_, kept := heapOf(func() *decide.Book { return keptOf(owner, size, now) })
+		points = append(points, Point{"billing", "kept copies", at, "heap of kept copies", kept, "B"})
+	}
+	return points
+}
+
+func bookOf(owner core.HostRef, size int, now time.Time) *decide.Book {
+	book := decide.NewBook(owner)
+	for i := range size {
+		book.Record(bill(owner, uint64(i), false), now)
+	}
+	return book
+}
+
+// keptOf returns the book of a peer that keeps copies, which it got in
+// messages of copiesPerMessage.
+func keptOf(owner core.HostRef, size int, now time.Time) *decide.Book {
+	const copiesPerMessage = 500
+	book := decide.NewBook(core.HostRef{Host: "host-002", Incarnation: 1})
+	for first := 0; first < size; first += copiesPerMessage {
+		var copies []decide.Copy
+		for i := first; i < first+copiesPerMessage; i++ {
+			copies = append(copies, decide.Copy{Sequence: uint64(i + 1), Bill: bill(owner, uint64(i), false)})
+		}
+		book.Keep(owner, 0, copies, now)
+	}
+	return book
+}
--- /dev/null
+++ b/internal/measure/slopes/meter.go
@@ -0,0 +1,178 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	network "github.com/peridotreel/peridotreel/internal/measure/fleet"
+	"github.com/peridotreel/peridotreel/internal/platform"
+	"github.com/peridotreel/peridotreel/internal/platform/wire"
+	standin "github.com/peridotreel/peridotreel/internal/standin/platform"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+// totals counts what a part sends to the platform. Bytes are those of the
+// bodies of requests and answers, without HTTP headers.
+type totals struct {
+	commits, conditions, writes, reads, objects atomic.Int64
+	tableBytes, objectBytes                     atomic.Int64
+}
+
+// counted is a table and object store that counts.
+type counted struct {
+	*standin.Service
+	*totals
+}
+
+func encodedSize(form any) int64 {
+	content, err := json.Marshal(form)
+	if err != nil {
+		return 0
+	}
+	return int64(len(content))
+}
+
+// Commit implements platform.Table.
+func (c counted) Commit(ctx context.Context, commit platform.Commit) (platform.Revision, error) {
+	c.commits.Add(1)
+	c.conditions.Add(int64(len(commit.Conditions)))
+	c.writes.Add(int64(len(commit.Writes)))
+	revision, err := c.Service.Commit(ctx, commit)
+	answer := encodedSize(wire.Committed{Revision: int64(revision)})
+	c.tableBytes.Add(encodedSize(platform.EncodeCommit(commit)) + answer)
+	return revision, err
+}
+
+// Get implements platform.Table.
+func (c counted) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	c.reads.Add(1)
+	found, err := c.Service.Get(ctx, keys...)
+	c.tableBytes.Add(encodedSize(wire.Keys{Keys: keys}) + encodedSize(wire.Rows{Rows: platform.EncodeRows(found)}))
+	return found, err
+}
+
+// List implements platform.Table.
+func (c counted) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	c.reads.Add(1)
+	found, err := c.Service.List(ctx, prefix)
+	c.tableBytes.Add(encodedSize(wire.Rows{Rows: platform.EncodeRows(found)}))
+	return found, err
+}
+
+// countedObjects counts the objects that are stored.
+type countedObjects struct {
+	platform.Objects
+	*totals
+}
+
+// Put implements platform.Objects.
+func (c countedObjects) Put(ctx context.Context, name string, content []byte) error {
+	c.objects.Add(1)
+	c.objectBytes.Add(int64(len(content)))
+	return c.Objects.Put(ctx, name, content)
+}
+
+// node is a host's connections to its peers over net/rpc in memory.
+type node struct {
+	peer    core.Peer
+	client  *fleet.Client
+	server  *fleet.Server
+	traffic *fleet.Traffic
+}
+
+func newNode(net *network.Network, name core.HostID, zone core.ZoneName) *node {
+	address, traffic := string(name), &fleet.Traffic{}
+	return &node{
+		peer: core.Peer{
+			Ref: core.HostRef{Host: name, Incarnation: 1}, Zone: zone, Address: address,
+			State: core.PeerAlive, Wire: fleet.WireVersion,
+		},
+		client:  fleet.NewClient(fleet.ClientConfig{Traffic: traffic, Dial: net.Dialer(address)}),
+		server:  fleet.NewServer(fleet.ServerConfig{Listener: net.Listen(address), Traffic: traffic}),
+		traffic: traffic,
+	}
+}
+
+func (n *node) start(group *task.Group) {
+	group.Start(n.server)
+	group.Start(n.client)
+}
+
+// bytes returns what a host has read and written so far.
+func (n *node) bytes() int64 {
+	in, out := n.traffic.Totals()
+	return in + out
+}
+
+// view is a fixed view of the fleet.
+type view struct{ core.PeerView }
+
+// Peers implements core.PeerSource.
+func (v *view) Peers() *core.PeerView { return &v.PeerView }
+
+// viewOf returns the fleet as one of its hosts sees it.
+func viewOf(self *node, nodes []*node) *view {
+	seen := &view{core.PeerView{Self: self.peer}}
+	for _, other := range nodes {
+		if other != self {
+			seen.PeerView.Peers = append(seen.PeerView.Peers, other.peer)
+		}
+	}
+	return seen
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// perOperation returns the least processor time per operation, in
+// microseconds, over several runs of count operations.
+func perOperation(repeats, count int, run func()) float64 {
+	least := math.Inf(1)
+	for range repeats {
+		runtime.GC()
+		before := processorTime()
+		run()
+		least = min(least, float64(processorTime()-before)/float64(time.Microsecond)/float64(count))
+	}
+	return least
+}
+
+// heapOf returns the bytes of heap that the result of build keeps alive.
+func heapOf[T any](build func() T) (T, float64) {
+	before := heap()
+	built := build()
+	after := heap()
+	runtime.KeepAlive(built)
+	return built, after - before
+}
+
+func heap() float64 {
+	var stats runtime.MemStats
+	// The second collection frees what finalizers and pools kept.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// heapAndStacks returns the heap and the stacks of goroutines in use.
+func heapAndStacks() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/internal/tasks/shares/task.go
+++ b/internal/tasks/shares/task.go
@@ -50,6 +50,8 @@
 	Zone   core.ZoneName
 	// Now defaults to time.Now.
 	Now func() time.Time
+	// Ticks, if set, replaces the ticker, for measurements on a fake clock.
+	Ticks <-chan time.Time
 	// Log defaults to no log.
 	Log *zap.Logger
 	// Meter defaults to one that records nothing.
@@ -111,13 +113,17 @@
 	defer t.workers.Wait()
 	defer t.inbox.Close()
 	defer cancel()
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	ticks := t.config.Ticks
+	if ticks == nil {
+		ticker := time.NewTicker(tickEvery)
+		defer ticker.Stop()
+		ticks = ticker.C
+	}
 	for {
 		select {
 		case received := <-t.inbox.Messages():
 			received.apply(t)
-		case <-ticker.C:
+		case <-ticks:
 			t.flush()
 		case <-ctx.Done():
 			return
