--- a/internal/measure/slopes/meter.go
+++ b/internal/measure/slopes/meter.go
@@ -23,6 +23,14 @@
 type totals struct {
 	commits, conditions, writes, reads, objects atomic.Int64
 	tableBytes, objectBytes                     atomic.Int64
+	// lastCommit is in nanoseconds since 1970.
+	lastCommit atomic.Int64
+}
+
+// untilLastCommit returns the seconds between a start and the last commit. A
+// rate over that time has whole intervals between commits only.
+func (t *totals) untilLastCommit(started time.Time) float64 {
+	return max(time.Unix(0, t.lastCommit.Load()).Sub(started).Seconds(), time.Millisecond.Seconds())
 }
 
 // counted is a table and object store that counts.
@@ -42,6 +50,7 @@
 // Commit implements platform.Table.
 func (c counted) Commit(ctx context.Context, commit platform.Commit) (platform.Revision, error) {
 	c.commits.Add(1)
+	c.lastCommit.Store(time.Now().UnixNano())
 	c.conditions.Add(int64(len(commit.Conditions)))
 	c.writes.Add(int64(len(commit.Writes)))
 	revision, err := c.Service.Commit(ctx, commit)
