Measure the size of an exchange of demands and count refusals

Cause: requests cost less time with 12,000 teams than with 10, which could have come from refusals; and the bytes of the division of limits were not measured. Change: refused requests are counted, the clock runs on between runs, and an exchange is encoded with 1, 10 and 64 demands.

--- a/internal/measure/slopes/admission.go
+++ b/internal/measure/slopes/admission.go
@@ -1,7 +1,9 @@
 package slopes
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"runtime"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/admission"
 	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
+	"github.com/peridotreel/peridotreel/internal/tasks/admitter"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
 )
 
@@ -27,22 +30,45 @@
 		}
 		machine, kept := heapOf(func() *admission.Machine {
 			machine := admission.NewMachine()
-			now = enterAndLeave(machine, teams, len(teams), now)
+			now, _ = enterAndLeave(machine, teams, len(teams), now)
 			return machine
 		})
-		spent := perOperation(options.Repeats, requests, func() { now = enterAndLeave(machine, teams, requests, now) })
+		var refused int
+		spent := perOperation(options.Repeats, requests, func() { now, refused = enterAndLeave(machine, teams, requests, now) })
 		demands := perOperation(options.Repeats, 1, func() { runtime.KeepAlive(machine.Demands(now)) })
 		points = append(points,
 			Point{"admission", "teams", float64(count), "processor time per request", spent, "µs"},
+			Point{"admission", "teams", float64(count), "refused requests", float64(refused), "requests"},
 			Point{"admission", "teams", float64(count), "processor time per list of demands", demands, "µs"},
 			Point{"admission", "teams", float64(count), "heap of the queues", kept, "B"})
 	}
+	for _, count := range []int{1, 10, 64} {
+		points = append(points, Point{"admission", "teams in an exchange", float64(count), "size of an exchange of demands", exchangeSize(count), "B"})
+	}
 	return points, ctx.Err()
 }
 
+// exchangeSize returns the bytes of demands and of the leases that answer
+// them as gob makes them, without the frames of net/rpc.
+func exchangeSize(count int) float64 {
+	demands := make([]admission.Demand, count)
+	for i := range demands {
+		demands[i] = admission.Demand{Team: core.TeamName(fmt.Sprintf("team-%05d", i)), Part: 1 / float64(i+3)}
+	}
+	var encoded bytes.Buffer
+	encoder := gob.NewEncoder(&encoded)
+	for _, message := range []any{admitter.Exchange{From: "host-001", Demands: demands}, admitter.Grants{Parts: demands}} {
+		if err := encoder.Encode(message); err != nil {
+			return 0
+		}
+	}
+	return float64(encoded.Len())
+}
+
 // enterAndLeave takes requests of all teams in turn through the queues, of
-// which some always run, and returns the time at which the last one ended.
-func enterAndLeave(machine *admission.Machine, teams []*core.TeamRow, requests int, now time.Time) time.Time {
+// which some always run, and returns the time at which the last one
+// ended and how many were refused.
+func enterAndLeave(machine *admission.Machine, teams []*core.TeamRow, requests int, now time.Time) (end time.Time, refused int) {
 	const inFlight = 20
 	var running []admission.Ticket
 	for i := range requests {
@@ -53,6 +79,7 @@
 		})
 		machine.Granted()
 		if refusal != nil {
+			refused++
 			continue
 		}
 		running = append(running, ticket)
@@ -65,7 +92,7 @@
 		machine.Leave(now, ticket, requestCost)
 	}
 	machine.Granted()
-	return now
+	return now, refused
 }
 
 // metrics measures the histograms against pairs of team and class.
