Add overspend, false-refusals and slopes to the measures

Cause: the experiments on budgets and the slopes had no command line. Change: both give rows in the common form and have entries in measure.

--- a/cmd/peridotreel/measure.go
+++ b/cmd/peridotreel/measure.go
@@ -9,7 +9,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/peridotreel/peridotreel/internal/measure"
+	"github.com/peridotreel/peridotreel/internal/measure/budget"
 	"github.com/peridotreel/peridotreel/internal/measure/load"
+	"github.com/peridotreel/peridotreel/internal/measure/slopes"
 	"github.com/peridotreel/peridotreel/internal/measure/sockets"
 )
 
@@ -20,6 +22,9 @@
 	{Name: "crest", Usage: "a swing of demand to ten times the usual, against engines for four times", Sockets: sockets.Crest, Simulated: load.CrestRows},
 	{Name: "head-of-line", Usage: "short work beside jobs that are 50 times longer", Sockets: sockets.HeadOfLine, Simulated: load.HeadOfLineRows},
 	{Name: "stragglers", Usage: "first tokens while two of ten engines are ten times slower in spells", Sockets: sockets.Stragglers, Simulated: load.StragglersRows},
+	{Name: "overspend", Usage: "tokens spent beyond the prepaid budget", Simulated: budget.OverspendRows},
+	{Name: "false-refusals", Usage: "requests refused although budget is left", Simulated: budget.FalseRefusalRows},
+	{Name: "slopes", Usage: "what one unit of load costs each part of a host", Simulated: slopes.Rows},
 	{Name: "drain", Usage: "requests cut while all hosts of a dozen are replaced", Sockets: sockets.Drain},
 }
 
--- a/internal/measure/slopes/entry.go
+++ b/internal/measure/slopes/entry.go
@@ -58,6 +58,8 @@
 func (f *fakeUpstream) Record(context.Context, core.Bill)                       {}
 func (f *fakeUpstream) Backlogged() bool                                        { return false }
 func (f *fakeUpstream) Done(pipeline.Summary)                                   {}
+func (f *fakeUpstream) Begin(core.RequestID) {}
+
 func (f *fakeUpstream) Located(core.RequestID, core.Target)                     {}
 func (f *fakeUpstream) Finished(core.RequestID)                                 {}
 func (f *fakeUpstream) Observe(route.Observation)                               {}
