Carry engines' counts of requests on their answers

Cause: a trace of the head-of-line load showed that most short work that waits does so at engines whose batch is full while others have places: polled reports are 0.5 to 2 s late and come every 1.5 s. Change: an engine's stream has a comment with its running and waiting counts when it starts and before the first token. The upstream client passes them to the balancer as they arrive; they replace older reports.

--- a/internal/decide/upstreams/upstreams_test.go
+++ b/internal/decide/upstreams/upstreams_test.go
@@ -291,6 +291,24 @@
 	})
 }
 
+// Guards against a late report that replaces the fresher load of an answer,
+// and a load that is taken for that of another process.
+func TestAnswerOutweighsReport(t *testing.T) {
+	Convey("An answer tells of 7 requests, an earlier report of none", t, func() {
+		view := listed(1, oneZone)
+		member := view.Subset(pool)[0]
+		now := epoch.Add(time.Second)
+		view.ApplyAnswer(now, member.Target(), 5, 2, 8)
+		So(member.Requests(now), ShouldAlmostEqual, 7)
+		view.ApplyReport(now, Report{Upstream: member.Target().Upstream, Incarnation: member.Target().Incarnation, MaxRunning: 8, MeasuredAt: epoch})
+		So(member.Requests(now), ShouldAlmostEqual, 7)
+		other := member.Target()
+		other.Incarnation++
+		view.ApplyAnswer(now, other, 0, 0, 8)
+		So(member.Requests(now), ShouldAlmostEqual, 7)
+	})
+}
+
 // Guards against a subset that breaks the bound or has no other zone.
 func TestSubset(t *testing.T) {
 	Convey("Forty upstreams in two zones", t, func() {
--- a/internal/decide/upstreams/view.go
+++ b/internal/decide/upstreams/view.go
@@ -222,6 +222,21 @@
 	upstream.applyReport(now, report)
 }
 
+// ApplyAnswer takes over the counts that an answer of the target carried. They
+// are as fresh as the answer, while a report lags. What only reports tell is
+// kept from the last one.
+func (v *View) ApplyAnswer(now time.Time, target core.Target, running, waiting, maxRunning int) {
+	upstream, found := v.upstreams[target.Upstream]
+	if !found || upstream.target.Incarnation != target.Incarnation {
+		return
+	}
+	report := upstream.report
+	report.Upstream, report.Incarnation = target.Upstream, target.Incarnation
+	report.Running, report.Waiting, report.MaxRunning = running, waiting, maxRunning
+	report.MeasuredAt = now
+	upstream.applyReport(now, report)
+}
+
 // chooseSubset keeps the members that this host uses: its own zone first, by
 // rendezvous hashing on the host, so that hosts spread over the upstreams.
 func (v *View) chooseSubset(group *Group) {
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -23,6 +23,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/shares"
 	"github.com/peridotreel/peridotreel/internal/tasks/teams"
 	"github.com/peridotreel/peridotreel/internal/upstream"
+	"github.com/peridotreel/peridotreel/internal/upstream/wire"
 )
 
 // tasks are the tasks of a host.
@@ -77,11 +78,11 @@
 	store := platform.NewClient(chosen.Platform)
 	traffic := &fleet.Traffic{}
 	t := &tasks{
-		store:    store,
-		client:   fleet.NewClient(fleet.ClientConfig{Traffic: traffic}),
-		server:   fleet.NewServer(fleet.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log}),
-		upstream: upstream.NewClient(),
+		store:  store,
+		client: fleet.NewClient(fleet.ClientConfig{Traffic: traffic}),
+		server: fleet.NewServer(fleet.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log}),
 	}
+	t.upstream = upstream.NewClient(upstream.WithLoads(t.answered))
 	t.members = members.New(members.Config{
 		Self: self, Zone: chosen.Zone, Address: opened.peers.Addr().String(), Directory: store,
 		Seeds: chosen.Peers, Caller: t.client, Now: now, Seed: seed, Log: log, Meter: meter,
@@ -114,6 +115,11 @@
 	return t, errors.Join(traffic.Observe(meter), t.register())
 }
 
+// answered hands the load that an engine's answer carries to the balancer.
+func (t *tasks) answered(target core.Target, load wire.AnswerLoad) {
+	t.balancer.Answered(target, load.Running, load.Waiting, load.MaxRunning)
+}
+
 // register makes the tasks reachable by peers.
 func (t *tasks) register() error {
 	return errors.Join(
--- a/internal/measure/load/product.go
+++ b/internal/measure/load/product.go
@@ -118,6 +118,7 @@
 	for _, e := range h.s.engines {
 		if e.target == target {
 			e.submit(j)
+			h.hear(e)
 		}
 	}
 	if excluded == "" {
@@ -126,6 +127,12 @@
 	return true
 }
 
+// hear takes over the load that an answer carries at its start and with its
+// first token.
+func (h *productHost) hear(e *engine) {
+	h.view.ApplyAnswer(h.s.time(), e.target, len(e.running), len(e.waiting), e.slots)
+}
+
 // planHedge sends a second attempt if the first token takes too long.
 func (h *productHost) planHedge(j *job, first core.UpstreamID) {
 	delay := time.Duration(0)
@@ -150,6 +157,7 @@
 func (p *product) first(a *attempt) {
 	h := p.hosts[a.job.host]
 	h.view.FirstToken(p.s.time(), modelPool, a.engine.target, p.s.now-a.sent, a.job.estimate)
+	h.hear(a.engine)
 	p.s.sawFirst(a.job)
 	for _, other := range a.job.attempts {
 		if other != a && other.phase != over {
--- a/internal/standin/upstream/engine.go
+++ b/internal/standin/upstream/engine.go
@@ -172,8 +172,11 @@
 
 // step gives each running stream a token or a part of its prefill.
 func (o *engineState) step(now time.Time) {
-	still := o.running[:0]
+	still, load := o.running[:0], o.answerLoad()
 	for _, s := range o.running {
+		if s.progress.generated == 0 {
+			s.progress.load = load
+		}
 		if s.step(o.settings.PrefillPerStep) {
 			o.counters.GeneratedTokens++
 		}
--- a/internal/standin/upstream/events.go
+++ b/internal/standin/upstream/events.go
@@ -60,7 +60,9 @@
 func newEventWriter(w http.ResponseWriter, request submission, answer acceptance) *eventWriter {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	return &eventWriter{w: w, request: request, answer: answer, next: request.after + 1}
+	writer := &eventWriter{w: w, request: request, answer: answer, next: request.after + 1}
+	writer.load(answer.load)
+	return writer
 }
 
 // relay writes events as the stream progresses, until its end or until the
@@ -85,6 +87,9 @@
 }
 
 func (w *eventWriter) encode(latest progress) {
+	if w.next == 1 && latest.generated > 0 {
+		w.load(latest.load)
+	}
 	for ; w.next <= latest.generated; w.next++ {
 		w.event(w.next, wire.Choice{Delta: wire.Delta{Content: w.request.prompt.token(w.next)}}, nil)
 	}
@@ -99,6 +104,11 @@
 	}
 }
 
+// load writes the engine's load as a comment.
+func (w *eventWriter) load(load wire.AnswerLoad) {
+	fmt.Fprintf(&w.buffer, "%s\n\n", load)
+}
+
 func (w *eventWriter) event(position int64, choice wire.Choice, usage *wire.Usage) {
 	id := w.request.id
 	if from := w.answer.misdeliverFrom; from > 0 && position >= from {
--- a/internal/standin/upstream/stream.go
+++ b/internal/standin/upstream/stream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/upstream/wire"
 )
 
 // progress is how far a stream has come. It only grows, so a subscriber needs
@@ -13,6 +14,8 @@
 	generated int64
 	finished  bool
 	cancelled bool
+	// load is the engine's when the first token came.
+	load wire.AnswerLoad
 }
 
 // stream is an answer that is waiting, running or held after its end. It
--- a/internal/standin/upstream/submit.go
+++ b/internal/standin/upstream/submit.go
@@ -41,6 +41,8 @@
 	misdeliverFrom int64
 	// serial names the stream if it ends with its connection, else it is 0.
 	serial uint64
+	// load counts the request itself.
+	load wire.AnswerLoad
 }
 
 // submit continues a held stream or starts a new one.
@@ -51,14 +53,14 @@
 	if s, found := o.held[request.id]; found && !o.settings.ForgetsStreams {
 		o.counters.Resumed++
 		s.attempt = max(s.attempt, request.attempt)
-		answer.updates = s.subscribe()
+		answer.updates, answer.load = s.subscribe(), o.answerLoad()
 		return answer
 	}
 	if answer.refused = o.refuse(request, length); answer.refused != accepted {
 		return answer
 	}
 	s := o.start(request, length)
-	answer.updates = s.subscribe()
+	answer.updates, answer.load = s.subscribe(), o.answerLoad()
 	if o.settings.ForgetsStreams {
 		answer.serial = s.serial
 	}
@@ -92,6 +94,11 @@
 	return s
 }
 
+// answerLoad is the load that an answer carries, which is not late.
+func (o *engineState) answerLoad() wire.AnswerLoad {
+	return wire.AnswerLoad{Running: len(o.running), Waiting: len(o.waiting), MaxRunning: o.settings.MaxRunning}
+}
+
 // report publishes a load report.
 func (o *engineState) report(now time.Time) {
 	rate := 0.0
--- a/internal/tasks/balancer/balancer.go
+++ b/internal/tasks/balancer/balancer.go
@@ -23,7 +23,7 @@
 
 const (
 	// inboxCapacity holds about a second of messages at three times the
-	// planned peak (426 requests/s with three messages each).
+	// planned peak (426 requests/s with five messages each).
 	inboxCapacity = 2048
 	// listInterval is the mean time between readings of the platform's list;
 	// P6 allows 2 s until a leaving upstream gets no more work.
--- a/internal/tasks/balancer/poll.go
+++ b/internal/tasks/balancer/poll.go
@@ -96,6 +96,22 @@
 	return due, found
 }
 
+type answerMessage struct {
+	target                       core.Target
+	running, waiting, maxRunning int
+}
+
+func (m answerMessage) handle(t *Task, now time.Time) {
+	t.view.ApplyAnswer(now, m.target, m.running, m.waiting, m.maxRunning)
+}
+
+// Answered tells the load that an answer of the target carried. It never
+// blocks: a load that finds no place in the inbox is dropped, as newer ones
+// follow.
+func (t *Task) Answered(target core.Target, running, waiting, maxRunning int) {
+	t.inbox.TrySend(answerMessage{target: target, running: running, waiting: waiting, maxRunning: maxRunning})
+}
+
 type reportMessage struct {
 	target core.Target
 	report upstreams.Report
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,14 +44,25 @@
 	// fresh uses each connection once, so net/http never repeats a request.
 	fresh          *http.Transport
 	controlTimeout time.Duration
+	onLoad         LoadFunc
 }
 
+// LoadFunc is told the load that an engine's answer carries, as it arrives. It
+// must not block, as the answer waits for it.
+type LoadFunc func(target core.Target, load wire.AnswerLoad)
+
 // Option changes a default of a client.
 type Option func(*options)
 
 type options struct {
 	dialTimeout    time.Duration
 	controlTimeout time.Duration
+	onLoad         LoadFunc
+}
+
+// WithLoads passes on the load that engines' answers carry.
+func WithLoads(onLoad LoadFunc) Option {
+	return func(o *options) { o.onLoad = onLoad }
 }
 
 // WithDialTimeout bounds the set-up of a connection; the default is 1.5 s.
@@ -80,7 +91,7 @@
 		fresh: &http.Transport{
 			DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
 		},
-		controlTimeout: chosen.controlTimeout,
+		controlTimeout: chosen.controlTimeout, onLoad: chosen.onLoad,
 	}
 }
 
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -18,6 +18,7 @@
 	standin "github.com/peridotreel/peridotreel/internal/standin/upstream"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/upstream"
+	"github.com/peridotreel/peridotreel/internal/upstream/wire"
 )
 
 const testStep = time.Millisecond
@@ -331,3 +332,21 @@
 		})
 	})
 }
+
+// Guards against answers whose load is lost, or comes too late to be of use.
+func TestAnswersCarryLoad(t *testing.T) {
+	Convey("The load comes when the answer starts and with the first token", t, func() {
+		engine := standin.NewEngine(standin.EngineSettings{StepTime: testStep, MaxRunning: 4})
+		target, _ := start(t, engine)
+		loads := make(chan wire.AnswerLoad, 4)
+		client := upstream.NewClient(upstream.WithLoads(func(_ core.Target, load wire.AnswerLoad) { loads <- load }))
+		results := client.Stream(t.Context(), completion(target, 5))
+		So(<-loads, ShouldResemble, wire.AnswerLoad{Waiting: 1, MaxRunning: 4})
+		So((<-results).Err, ShouldBeNil)
+		So(<-loads, ShouldResemble, wire.AnswerLoad{Running: 1, MaxRunning: 4})
+		for result := range results {
+			So(result.Err, ShouldBeNil)
+		}
+		So(loads, ShouldBeEmpty)
+	})
+}
--- a/internal/upstream/sse.go
+++ b/internal/upstream/sse.go
@@ -38,6 +38,9 @@
 	lines   *bufio.Scanner
 	event   sseEvent
 	hasData bool
+	// onComment, if not nil, gets the text of each comment as it arrives. The
+	// text is valid during the call.
+	onComment func(text []byte)
 }
 
 func newSSEDecoder(source io.Reader) *sseDecoder {
@@ -81,6 +84,10 @@
 	name, value, _ := bytes.Cut(line, []byte{':'})
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch string(name) {
+	case "":
+		if d.onComment != nil {
+			d.onComment(value)
+		}
 	case "data":
 		return d.appendData(value)
 	case "id":
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -128,6 +128,7 @@
 // relay passes events on until the finish event, and returns nil after it.
 func (t *streamTask) relay(ctx context.Context, body io.Reader) error {
 	decoder := newSSEDecoder(body)
+	decoder.onComment = t.comment
 	for {
 		received, err := decoder.next()
 		if err != nil {
@@ -148,6 +149,16 @@
 	}
 }
 
+// comment passes on the load that an engine's answer carries.
+func (t *streamTask) comment(text []byte) {
+	if t.client.onLoad == nil {
+		return
+	}
+	if load, ok := wire.ParseAnswerLoad(text); ok {
+		t.client.onLoad(t.request.Target, load)
+	}
+}
+
 func decodeEvent(received *sseEvent) (core.Event, error) {
 	if string(received.Type) == wire.ErrorEvent {
 		return core.Event{}, fmt.Errorf("the engine reported an error: %.500s", received.Data)
