Compare upstreams by requests instead of tokens

Cause: work waits for a place in a batch, and a long request takes one place; counted in tokens, one long request of this host hid fifty free places' worth of load, so short work went to batches that were full. Change: the load of an upstream is its requests relative to its batch.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -114,7 +114,7 @@
 	var bestWeight uint64
 	total, bestLoad := 0.0, 0.0
 	for _, member := range near {
-		weight, load := mix(request.PrefixHash^member.Hash()), member.Load(now, request.Estimate)
+		weight, load := mix(request.PrefixHash^member.Hash()), member.Load(now)
 		total += load
 		if best == nil || weight > bestWeight {
 			best, bestWeight, bestLoad = member, weight, load
@@ -135,14 +135,14 @@
 func (c *candidates) bestOfTwo(now time.Time, request *Request) *upstreams.Member {
 	near, far := c.list[:c.own], c.list[c.own:c.count]
 	if len(near) == 0 {
-		member, _ := better(far, now, request.Estimate, request.Random)
+		member, _ := better(far, now, request.Random)
 		return member
 	}
-	best, load := better(near, now, request.Estimate, request.Random)
+	best, load := better(near, now, request.Random)
 	if len(far) == 0 {
 		return best
 	}
-	other, otherLoad := better(far, now, request.Estimate, mix(request.Random))
+	other, otherLoad := better(far, now, mix(request.Random))
 	if otherLoad*spillRatio < load {
 		return other
 	}
@@ -150,16 +150,16 @@
 }
 
 // better returns the less loaded of two different random members.
-func better(list []*upstreams.Member, now time.Time, estimate core.Tokens, random uint64) (*upstreams.Member, float64) {
+func better(list []*upstreams.Member, now time.Time, random uint64) (*upstreams.Member, float64) {
 	size := uint64(len(list))
 	first := (random >> 32) % size
 	member := list[first]
-	load := member.Load(now, estimate)
+	load := member.Load(now)
 	if size == 1 {
 		return member, load
 	}
 	second := list[(first+1+(random&0xffffffff)%(size-1))%size]
-	if other := second.Load(now, estimate); other < load {
+	if other := second.Load(now); other < load {
 		return second, other
 	}
 	return member, load
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -141,15 +141,16 @@
 	return (weight*usual/pace + priorSamples) / (weight + priorSamples)
 }
 
-// Load estimates the tokens of work at the upstream, relative to the size of
-// its batch and multiplied by its slowness, with estimate tokens added.
-func (m *Member) Load(now time.Time, estimate core.Tokens) float64 {
-	tokens := m.others(now)*m.group.meanEstimate + float64(m.ownTokens+estimate)
+// Load estimates the requests at the upstream with one more, relative to the
+// size of its batch and multiplied by its slowness. Requests are counted and
+// not their tokens: new work waits for a place in the batch, and a long
+// request takes one place as a short one does.
+func (m *Member) Load(now time.Time) float64 {
 	batch := m.group.usualBatch
 	if m.reported && m.report.MaxRunning > 0 {
 		batch = float64(m.report.MaxRunning)
 	}
-	return tokens / batch * m.Slowness(now)
+	return (m.Requests(now) + 1) / batch * m.Slowness(now)
 }
 
 // Occupancy estimates the part of the batch that is in use; 0 if unknown.
