Send to the least loaded of all upstreams in use

Cause: two random members of ten were both full, or one of them slow, while others had free places. Change: all members of the subset (at most 16) are compared. The search starts at a random member, so hosts don't move in step.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -31,7 +31,7 @@
 	Excluded   []core.UpstreamID
 	// Resume is the upstream that holds the answer's state, if any.
 	Resume core.UpstreamID
-	// Random decides which upstreams are compared.
+	// Random decides between upstreams of equal load.
 	Random uint64
 }
 
@@ -61,7 +61,7 @@
 	if member := set.byPrefix(now, request); member != nil {
 		return member
 	}
-	return set.bestOfTwo(now, request)
+	return set.leastLoaded(now, request)
 }
 
 // collect gathers the members that may be picked. Those at their limit and
@@ -130,39 +130,38 @@
 	return best
 }
 
-// bestOfTwo compares two random members of the own zone and goes to another
-// zone only if one there is clearly less loaded.
-func (c *candidates) bestOfTwo(now time.Time, request *Request) *upstreams.Member {
+// leastLoaded compares the members of the own zone and goes to another zone
+// only if one there is clearly less loaded. All are compared, as the loads on
+// answers are fresh; a subset has at most 16.
+func (c *candidates) leastLoaded(now time.Time, request *Request) *upstreams.Member {
 	near, far := c.list[:c.own], c.list[c.own:c.count]
 	if len(near) == 0 {
-		member, _ := better(far, now, request.Random)
+		member, _ := least(far, now, request.Random)
 		return member
 	}
-	best, load := better(near, now, request.Random)
+	best, load := least(near, now, request.Random)
 	if len(far) == 0 {
 		return best
 	}
-	other, otherLoad := better(far, now, mix(request.Random))
+	other, otherLoad := least(far, now, mix(request.Random))
 	if otherLoad*spillRatio < load {
 		return other
 	}
 	return best
 }
 
-// better returns the less loaded of two different random members.
-func better(list []*upstreams.Member, now time.Time, random uint64) (*upstreams.Member, float64) {
-	size := uint64(len(list))
-	first := (random >> 32) % size
-	member := list[first]
-	load := member.Load(now)
-	if size == 1 {
-		return member, load
-	}
-	second := list[(first+1+(random&0xffffffff)%(size-1))%size]
-	if other := second.Load(now); other < load {
-		return second, other
-	}
-	return member, load
+// least returns the least loaded member. The search starts at a random one,
+// which goes first among equals.
+func least(list []*upstreams.Member, now time.Time, random uint64) (*upstreams.Member, float64) {
+	var best *upstreams.Member
+	lowest := 0.0
+	for i := range list {
+		member := list[(uint64(i)+random)%uint64(len(list))]
+		if load := member.Load(now); best == nil || load < lowest {
+			best, lowest = member, load
+		}
+	}
+	return best, lowest
 }
 
 // leastInFlight returns the member with the fewest requests; the own zone and
