Send no work to a nearly full upstream for a cached prefix alone

Cause: of the short work that still waited at engines, most was sent by its prefix to an upstream whose batch had filled up since it was last heard. Change: above 75% of its batch an upstream gets no work by affinity.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -17,6 +17,11 @@
 	// have no more than the mean load: its batch will be full at times, and
 	// waiting for a place costs more than a cached prefix saves.
 	affinityOccupancy = 0.6
+	// affinityEnd is the part of its batch above which an upstream gets no
+	// work for a cached prefix alone. A load on an answer is as old as the
+	// host's last request there, and the last quarter of a batch may be taken
+	// in that time.
+	affinityEnd = 0.75
 	// spillRatio is how much less loaded an upstream of another zone must
 	// be. It covers the longer way and the traffic between zones.
 	spillRatio = 1.25
@@ -120,11 +125,11 @@
 			best, bestWeight, bestLoad = member, weight, load
 		}
 	}
-	allowed := total / float64(len(near))
-	if best.Occupancy(now) < affinityOccupancy {
+	allowed, occupancy := total/float64(len(near)), best.Occupancy(now)
+	if occupancy < affinityOccupancy {
 		allowed *= affinityYield
 	}
-	if bestLoad > allowed {
+	if bestLoad > allowed || occupancy >= affinityEnd {
 		return nil
 	}
 	return best
