Leave short work of all hosts its places beside long work

Slots of a host are also more than its part of the places, as each upstream counts with at least an even part. Change: long work takes at most what short work leaves, averaged over 2 s, less four standard deviations of the short work in flight at all hosts that share the upstreams (square-root staffing). A fifth of the slots stays open to long work, and 80% is the most as before.

--- a/internal/decide/admission/pool.go
+++ b/internal/decide/admission/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -15,6 +16,7 @@
 	capacity int
 	known    bool
 	running  [kinds]int
+	reserve  reserve
 	ready    [kinds]flowHeap
 	// virtual is the counter of the flow that was granted last.
 	virtual float64
@@ -40,13 +42,19 @@
 	return p.running[short] + p.running[long]
 }
 
-// longSlots returns how many slots long work may take. A pool of one slot
-// must serve long work too.
+// longSlots returns how many slots long work may take: what short work leaves,
+// up to longPart. The rest of longPart is always open to long work, so that
+// lasting short work does not starve it; a pool of one slot must serve it too.
 func (p *pool) longSlots() int {
 	if p.capacity == 1 {
 		return 1
 	}
-	return int(longPart * float64(p.capacity))
+	most := int(longPart * float64(p.capacity))
+	if !p.reserve.known {
+		return most
+	}
+	least := max(1, int((1-longPart)*float64(p.capacity)))
+	return min(most, max(least, int(math.Ceil(p.reserve.limit()))))
 }
 
 // left frees the slot of an entry and learns the service rate from it.
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -124,23 +124,33 @@
 type Capacity struct {
 	Pool  Pool
 	Slots int
+	// Free is this host's even part of the places that batches have left by
+	// the latest loads; it is negative if requests wait at the upstreams.
+	Free float64
+	// Sharers estimates how many hosts use the same upstreams. It is 0 if no
+	// upstream has told its load, and Free is unknown then.
+	Sharers int
 }
 
 // Capacities appends the capacity of each pool to list and returns it. A pool
 // whose upstreams have all gone has no slots.
 func (v *View) Capacities(now time.Time, list []Capacity) []Capacity {
 	for pool, group := range v.groups {
-		room := 0.0
+		room, free, sharers := 0.0, 0.0, 0
 		for _, member := range group.subset {
 			if member.Usable() && !member.Ejected(now) {
 				room += member.room(now)
+				if member.fresh(now) && member.report.MaxRunning > 0 {
+					sharers = group.sharers
+					free += (member.batch() - member.Requests(now)) / float64(sharers)
+				}
 			}
 		}
 		slots := int(room)
 		if room > 0 {
 			slots = max(1, slots)
 		}
-		list = append(list, Capacity{Pool: pool, Slots: slots})
+		list = append(list, Capacity{Pool: pool, Slots: slots, Free: free, Sharers: sharers})
 	}
 	return list
 }
--- a/internal/tasks/admitter/admitter.go
+++ b/internal/tasks/admitter/admitter.go
@@ -240,6 +240,9 @@
 	}
 	t.machine.SetHosts(now, m.hosts)
 	for _, c := range m.capacities {
+		if c.Sharers > 0 {
+			t.machine.SetFree(now, c.Pool, c.Free, c.Sharers)
+		}
 		t.machine.SetCapacity(now, c.Pool, c.Slots)
 	}
 }
