Take over loads in full until the time in flight is known

Cause: two loads at one moment, before any request had ended, divided zero by zero, and the estimate of that upstream stayed not a number. Loads on answers make this possible; found by a test of the free places. Before the first request ended, later loads were ignored as well. Change: the smoothing starts once the time in flight is known.

--- a/internal/decide/upstreams/foreign.go
+++ b/internal/decide/upstreams/foreign.go
@@ -37,7 +37,7 @@
 	group := u.members[0].group
 	group.setLevel(now)
 	part := 1.0
-	if wasFresh {
+	if wasFresh && group.hold > 0 {
 		// The part of the requests seen in one report that are still there
 		// when the next one is used.
 		part = group.hold / (group.hold + now.Sub(previous).Seconds())
--- a/internal/decide/upstreams/upstreams_test.go
+++ b/internal/decide/upstreams/upstreams_test.go
@@ -309,6 +309,29 @@
 	})
 }
 
+// Guards against free places that are told where none is known, or that every
+// host takes for its own.
+func TestFreePlaces(t *testing.T) {
+	Convey("Two upstreams that four hosts share", t, func() {
+		view := NewView("h", "a")
+		view.SetHosts(4)
+		var entries []Entry
+		for i := range 2 {
+			entries = append(entries, Entry{Target: target(i, 1), Pools: []Pool{pool}})
+		}
+		view.ApplyList(epoch, entries)
+		So(view.Capacities(epoch, nil)[0].Sharers, ShouldEqual, 0)
+		view.ApplyAnswer(epoch, target(0, 1), 6, 0, 16)
+		view.ApplyAnswer(epoch, target(1, 1), 16, 4, 16)
+		// Again, as the first was compared with itself alone. Both come at one
+		// moment and before any request has ended.
+		view.ApplyAnswer(epoch, target(0, 1), 6, 0, 16)
+		told := view.Capacities(epoch, nil)[0]
+		So(told.Sharers, ShouldEqual, 4)
+		So(told.Free, ShouldAlmostEqual, (10.0-4)/4)
+	})
+}
+
 // Guards against a subset that breaks the bound or has no other zone.
 func TestSubset(t *testing.T) {
 	Convey("Forty upstreams in two zones", t, func() {
