--- a/internal/measure/load/product.go
+++ b/internal/measure/load/product.go
@@ -62,6 +62,9 @@
 func (h *productHost) evaluate() {
 	h.view.Evaluate(h.s.time())
 	for _, c := range h.view.Capacities(h.s.time(), nil) {
+		if c.Sharers > 0 {
+			h.machine.SetFree(h.s.time(), c.Pool, c.Free, c.Sharers)
+		}
 		h.machine.SetCapacity(h.s.time(), c.Pool, c.Slots)
 	}
 	h.deliver()
@@ -118,6 +121,7 @@
 	for _, e := range h.s.engines {
 		if e.target == target {
 			e.submit(j)
+			h.hear(e)
 		}
 	}
 	if excluded == "" {
@@ -126,6 +130,12 @@
 	return true
 }
 
+// hear takes over the load that an answer carries at its start and with its
+// first token.
+func (h *productHost) hear(e *engine) {
+	h.view.ApplyAnswer(h.s.time(), e.target, len(e.running), len(e.waiting), e.slots)
+}
+
 // planHedge sends a second attempt if the first token takes too long.
 func (h *productHost) planHedge(j *job, first core.UpstreamID) {
 	delay := time.Duration(0)
@@ -150,6 +160,7 @@
 func (p *product) first(a *attempt) {
 	h := p.hosts[a.job.host]
 	h.view.FirstToken(p.s.time(), modelPool, a.engine.target, p.s.now-a.sent, a.job.estimate)
+	h.hear(a.engine)
 	p.s.sawFirst(a.job)
 	for _, other := range a.job.attempts {
 		if other != a && other.phase != over {
