Add membership and configuration to the measures

Cause: their slopes had a benchmark only, without targets. Change: measure membership runs fleets of 3, 10, 30 and 100 hosts in memory.

--- a/cmd/peridotreel/measure.go
+++ b/cmd/peridotreel/measure.go
@@ -11,6 +11,7 @@
 	"github.com/peridotreel/peridotreel/internal/measure"
 	"github.com/peridotreel/peridotreel/internal/measure/budget"
 	"github.com/peridotreel/peridotreel/internal/measure/load"
+	"github.com/peridotreel/peridotreel/internal/measure/fleet"
 	"github.com/peridotreel/peridotreel/internal/measure/slopes"
 	"github.com/peridotreel/peridotreel/internal/measure/sockets"
 )
@@ -25,6 +26,7 @@
 	{Name: "overspend", Usage: "tokens spent beyond the prepaid budget", Simulated: budget.OverspendRows},
 	{Name: "false-refusals", Usage: "requests refused although budget is left", Simulated: budget.FalseRefusalRows},
 	{Name: "slopes", Usage: "what one unit of load costs each part of a host", Simulated: slopes.Rows},
+	{Name: "membership", Usage: "what membership and configuration cost a host in fleets of 3 to 100", Simulated: fleet.Rows},
 	{Name: "drain", Usage: "requests cut while all hosts of a dozen are replaced", Sockets: sockets.Drain},
 }
 
