Keep new work from upstreams whose latest attempts failed

Cause: an engine that refuses all work, such as one that is leaving, has few requests and draws the most work. Change: after a failed attempt an upstream gets work for 2 s, doubled with each further failure up to 16 s, only if no other is left. TestRefusingUpstreamDrawsNoWork: 200 of 200 picks without the change, 1 or 2 with it.

--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -69,11 +69,16 @@
 	return set.leastLoaded(now, request)
 }
 
-// collect gathers the members that may be picked. Those at their limit and
-// the ejected ones are used only when there are no others.
+// collect gathers the members that may be picked. The failing ones, those at
+// their limit and the ejected ones are used only when there are no others.
 func (c *candidates) collect(view *upstreams.View, now time.Time, request *Request) {
 	subset := view.Subset(request.Pool)
-	c.add(subset, view.Zone(), request, func(m *upstreams.Member) bool { return !m.Ejected(now) && !m.AtLimit(now) })
+	c.add(subset, view.Zone(), request, func(m *upstreams.Member) bool {
+		return !m.Ejected(now) && !m.AtLimit(now) && !m.Failing(now)
+	})
+	if c.count == 0 {
+		c.add(subset, view.Zone(), request, func(m *upstreams.Member) bool { return !m.Ejected(now) && !m.AtLimit(now) })
+	}
 	if c.count == 0 {
 		c.add(subset, view.Zone(), request, func(m *upstreams.Member) bool { return !m.Ejected(now) })
 	}
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -149,6 +149,36 @@
 	})
 }
 
+// Guards against an upstream that refuses all work, and so has no requests,
+// drawing the work of all others.
+func TestRefusingUpstreamDrawsNoWork(t *testing.T) {
+	Convey("One idle upstream of four refuses, the others are half full", t, func() {
+		view := fleet(4)
+		now := epoch
+		refuser := view.Find(pool, "e0")
+		for _, member := range view.Subset(pool) {
+			if member == refuser {
+				view.ApplyAnswer(now, member.Target(), 0, 0, 16)
+			} else {
+				view.ApplyAnswer(now, member.Target(), 8, 0, 16)
+			}
+		}
+		refused := 0
+		for i := range 200 {
+			now = now.Add(10 * time.Millisecond)
+			member := Pick(view, now, &Request{Pool: pool, Estimate: 10, Random: mix(uint64(i))})
+			view.Start(now, member, 10)
+			ending := upstreams.Done
+			if member == refuser {
+				refused++
+				ending = upstreams.Broken
+			}
+			view.End(now, pool, member.Target(), ending, time.Millisecond, 0, 10)
+		}
+		So(refused, ShouldBeBetween, 0, 3)
+	})
+}
+
 func BenchmarkPickAmong500(b *testing.B) {
 	view := fleet(500)
 	request := Request{Pool: pool, Estimate: 100}
--- a/internal/decide/upstreams/member.go
+++ b/internal/decide/upstreams/member.go
@@ -23,6 +23,7 @@
 	firstToken average // seconds
 	pace       average // tokens per second of one stream
 	failures   int
+	failedAt   time.Time
 	// slowInRow counts the latest first tokens that were all too slow; the
 	// last of them came at slowAt and took slowFor seconds.
 	slowInRow int
@@ -173,6 +174,13 @@
 	return now.Before(m.ejection.until)
 }
 
+// Failing reports whether the latest attempts there failed, for as long as a
+// slow first token would make it suspect. An upstream that refuses all work
+// has few requests and would otherwise draw the most.
+func (m *Member) Failing(now time.Time) bool {
+	return m.failures > 0 && now.Sub(m.failedAt) < suspectTime<<min(m.failures-1, 3)
+}
+
 // room returns how many requests of this host the member should hold: up to
 // its concurrency limit, and no more than its batch leaves beside the other
 // hosts, but at least an even part of the batch.
--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -95,6 +95,7 @@
 		member.notePace(now, elapsed, tokens)
 	case Broken:
 		member.failures++
+		member.failedAt = now
 	case Cancelled:
 	}
 }
