--- a/internal/decide/upstreams/use.go
+++ b/internal/decide/upstreams/use.go
@@ -102,6 +102,7 @@
 		member.notePace(now, elapsed, tokens)
 	case Broken:
 		member.failures++
+		member.failedAt = now
 	case Refused:
 		member.refusedUntil = now.Add(refusalTime)
 	case Cancelled:
