Test the promises under failures over loopback sockets

The stand-in engine counts what it refuses, as a leaving engine that refuses all work would otherwise hide that it is asked.

--- /dev/null
+++ b/internal/localfleet/harness_test.go
@@ -0,0 +1,317 @@
+package localfleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/client"
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
+	"github.com/peridotreel/peridotreel/internal/journal"
+	"github.com/peridotreel/peridotreel/internal/localfleet"
+	"github.com/peridotreel/peridotreel/internal/settings"
+	standin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+)
+
+const (
+	model     = "quick-8b"
+	callerKey = "key-team"
+	teamName  = "team"
+	prepaid   = 1_000_000
+	callCost  = 3
+	// hung stops a test that waits for something that never comes.
+	hung = 40 * time.Second
+	poll = 10 * time.Millisecond
+	// retryPause is how long callers wait before they repeat a request.
+	retryPause = 20 * time.Millisecond
+	// operatorKey opens the admin interface of all hosts.
+	operatorKey = "operator-key"
+)
+
+var zones = []core.ZoneName{"zone-a", "zone-b", "zone-c"}
+
+// world is a fleet under test with one team.
+type world struct {
+	*localfleet.Fleet
+	ctx    context.Context
+	caller *client.Client
+	row    core.TeamRow
+	// answered holds the cost of each answered request.
+	answered map[string]core.Tokens
+}
+
+// start runs a fleet in the given number of zones, with an engine in each zone
+// and one ledger, and ends it with the Convey block.
+func start(zoneCount, hostsPerZone int, change ...func(*localfleet.Config)) *world {
+	config := localfleet.Config{
+		Zones: zones[:zoneCount], HostsPerZone: hostsPerZone,
+		Operators: []settings.Operator{{Name: "operator", KeyDigest: authenticate.Digest(operatorKey)}},
+		Services:  []localfleet.Service{{Zone: zones[0], Settings: standin.ServiceSettings{ID: "ledger-1", Name: "ledger"}}},
+	}
+	for i, zone := range config.Zones {
+		config.Engines = append(config.Engines, localfleet.Engine{Zone: zone, Models: []core.ModelName{model},
+			Settings: standin.EngineSettings{ID: core.UpstreamID(fmt.Sprintf("engine-%d", i+1)), StepTime: 5 * time.Millisecond}})
+	}
+	for _, apply := range change {
+		apply(&config)
+	}
+	fleet, err := localfleet.Start(config)
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*hung)
+	w := &world{Fleet: fleet, ctx: ctx, caller: client.New(callerKey), answered: make(map[string]core.Tokens)}
+	Reset(func() {
+		w.caller.Close()
+		_ = fleet.Stop()
+		cancel()
+	})
+	w.row = core.TeamRow{
+		Team: teamName, Budget: teamName, Weight: 1, MaxInFlight: 200, TokensPerSecond: 1_000_000, QueueLength: 200,
+		Deadline: 10 * time.Second, KeyDigests: []string{authenticate.Digest(callerKey)},
+		Classes: []core.ClassRow{{Name: "chat", MaxTokens: 64}},
+	}
+	So(fleet.Budgets().TopUp(ctx, teamName, prepaid, "first-payment", "test"), ShouldBeNil)
+	So(fleet.Fill(ctx, []core.TeamRow{w.row}, []core.ServiceRow{{Service: "ledger", Cost: callCost}}), ShouldBeNil)
+	So(fleet.StartHosts(ctx), ShouldBeNil)
+	w.until("every host sees all hosts of the fleet", func() bool {
+		for _, running := range w.running() {
+			if w.alive(running) < len(w.running()) {
+				return false
+			}
+		}
+		return true
+	})
+	return w
+}
+
+// operator sends a request of the operator to a host's admin address and
+// decodes the answer. It returns status 0 if there is none.
+func (w *world) operator(address, method, path, body string, into any) (status int) {
+	request, err := http.NewRequestWithContext(w.ctx, method, "http://"+address+"/api/v1"+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if json.NewDecoder(response.Body).Decode(into) != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// alive counts the hosts that a host sees alive, itself included.
+func (w *world) alive(running *localfleet.RunningHost) int {
+	var view struct {
+		Hosts []struct {
+			State string `json:"state"`
+		} `json:"hosts"`
+	}
+	So(w.operator(running.AdminAddress(), http.MethodGet, "/hosts", "", &view), ShouldEqual, http.StatusOK)
+	count := 0
+	for _, host := range view.Hosts {
+		if host.State == "alive" {
+			count++
+		}
+	}
+	return count
+}
+
+// running returns the hosts that were neither killed nor drained.
+func (w *world) running() []*localfleet.RunningHost {
+	var found []*localfleet.RunningHost
+	for _, running := range w.Hosts {
+		if !running.Stopped() {
+			found = append(found, running)
+		}
+	}
+	return found
+}
+
+// until waits for a condition and fails the test if it never holds.
+func (w *world) until(what string, holds func() bool) {
+	limit := time.Now().Add(hung)
+	for !holds() {
+		if time.Now().After(limit) {
+			So("within the limit of a hung test: "+what, ShouldEqual, "it came true")
+		}
+		time.Sleep(poll)
+	}
+}
+
+func newKey() string { return ulid.Make().String() }
+
+// result is what a caller got in the end.
+type result struct {
+	key    string
+	cost   core.Tokens
+	errors []string
+	// wrong describes an answer that is not the true one.
+	wrong    string
+	answered bool
+}
+
+// ask sends a completion under a key to the addresses in turn until one
+// answers in full.
+func (w *world) ask(number, tokens int, addresses ...string) result {
+	return w.askUnder(newKey(), number, tokens, addresses...)
+}
+
+func (w *world) askUnder(key string, number, tokens int, addresses ...string) result {
+	request := client.Request{Model: model, Prompt: fmt.Sprintf("What is card %d worth?", number),
+		MaxTokens: int64(tokens), Stream: true, IdempotencyKey: key}
+	r := result{key: key}
+	for _, address := range addresses {
+		answer, err := w.caller.Complete(w.ctx, address, request)
+		if err == nil {
+			expected := standin.Expected(model, []core.Message{{Role: "user", Content: request.Prompt}}, core.Tokens(tokens))
+			if answer.Text != expected.Text {
+				r.wrong = fmt.Sprintf("request %s: answer %q, expected %q", r.key, answer.Text, expected.Text)
+			}
+			r.answered, r.cost = true, core.Tokens(answer.Prompt+answer.Generated)
+			return r
+		}
+		r.errors = append(r.errors, err.Error())
+		time.Sleep(retryPause)
+	}
+	return r
+}
+
+// take notes the results of answered requests and returns what was wrong with
+// them, unanswered requests included.
+func (w *world) take(results ...result) []string {
+	violations := []string{}
+	for _, r := range results {
+		switch {
+		case !r.answered:
+			violations = append(violations, fmt.Sprintf("request %s was not answered: %s", r.key, strings.Join(r.errors, "; ")))
+		case r.wrong != "":
+			violations = append(violations, r.wrong)
+		}
+		if r.answered {
+			w.answered[core.KeyedRequestID(teamName, r.key).String()] = r.cost
+		}
+	}
+	return violations
+}
+
+// together runs a function for each number at the same time.
+func together(count int, send func(number int) result) <-chan result {
+	results := make(chan result, count)
+	var sending sync.WaitGroup
+	for number := range count {
+		sending.Go(func() { results <- send(number) })
+	}
+	go func() {
+		sending.Wait()
+		close(results)
+	}()
+	return results
+}
+
+func all(results <-chan result) []result {
+	var found []result
+	for r := range results {
+		found = append(found, r)
+	}
+	return found
+}
+
+// pay sends one payout and returns the error's code and run state, both empty
+// for an answer.
+func (w *world) pay(address, key string) (code, run string) {
+	status, _, err := w.caller.Call(w.ctx, address, http.MethodPost, "/ledger/payouts", key, []byte(`{"amount":5}`))
+	var typed *client.Error
+	switch {
+	case err == nil && status == http.StatusOK:
+		return "", ""
+	case errors.As(err, &typed):
+		return typed.Code, typed.Run
+	}
+	return fmt.Sprintf("status %d, %v", status, err), "unknown"
+}
+
+// ledgerRuns returns how often calls ran by key.
+func (w *world) ledgerRuns() map[string]int { return w.Services[0].Runs() }
+
+// ran reports whether a request has run on any engine.
+func (w *world) ran(key string) bool {
+	for _, engine := range w.Engines {
+		if engine.Counters().Runs[core.KeyedRequestID(teamName, key)] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// drainAll drains all running hosts.
+func (w *world) drainAll() {
+	for _, running := range w.running() {
+		So(w.DrainHost(w.ctx, running), ShouldBeNil)
+	}
+}
+
+// bills returns all bills of the journals by request.
+func (w *world) bills() map[string][]core.Bill {
+	found, err := journal.Reader{Table: w.Store, Objects: w.Store.Objects()}.All(w.ctx)
+	So(err, ShouldBeNil)
+	byRequest := make(map[string][]core.Bill)
+	for _, bill := range found {
+		byRequest[bill.Request.String()] = append(byRequest[bill.Request.String()], bill)
+	}
+	return byRequest
+}
+
+// checkBills returns how bills and budget break P1 and P2: each answered
+// request has one bill of its cost, no request has two, and the sums of the
+// table agree.
+func (w *world) checkBills() []string {
+	violations := []string{}
+	var billed core.Tokens
+	bills := w.bills()
+	for request, of := range bills {
+		if len(of) > 1 {
+			violations = append(violations, fmt.Sprintf("request %s has %d bills", request, len(of)))
+		}
+		for _, bill := range of {
+			billed += bill.Cost
+		}
+	}
+	for request, cost := range w.answered {
+		if of := bills[request]; len(of) == 0 {
+			violations = append(violations, fmt.Sprintf("answered request %s has no bill", request))
+		} else if of[0].Cost != cost {
+			violations = append(violations, fmt.Sprintf("request %s cost %d and was billed %d", request, cost, of[0].Cost))
+		}
+	}
+	budgets, err := w.Budgets().List(w.ctx)
+	So(err, ShouldBeNil)
+	for _, budget := range budgets {
+		if held := budget.Held + budget.Stranded; budget.Spent > budget.Prepaid || budget.Left < 0 ||
+			budget.Left+budget.Spent+held != budget.Prepaid {
+			violations = append(violations, fmt.Sprintf("budget: left %d, spent %d, held %d of %d", budget.Left, budget.Spent, held, budget.Prepaid))
+		}
+		if budget.Spent != billed {
+			violations = append(violations, fmt.Sprintf("budget: shares say %d spent, bills %d", budget.Spent, billed))
+		}
+	}
+	return violations
+}
+
+// release returns the shares of a killed host, as an operator does who knows
+// that the process has ended.
+func (w *world) release(killed *localfleet.RunningHost) {
+	_, err := w.Budgets().Release(w.ctx, killed.Ref(), "test")
+	So(err, ShouldBeNil)
+}
--- /dev/null
+++ b/internal/localfleet/kill_test.go
@@ -0,0 +1,156 @@
+package localfleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// runAgain returns the requests that one engine ran more than once although it
+// held their streams, and counts those that ran on more than one engine.
+func (w *world) runAgain(results []result) (repeated []string, elsewhere int) {
+	repeated = []string{}
+	for _, r := range results {
+		engines := 0
+		for _, engine := range w.Engines {
+			runs := engine.Counters().Runs[core.KeyedRequestID(teamName, r.key)]
+			engines += min(runs, 1)
+			if runs > 1 {
+				repeated = append(repeated, fmt.Sprintf("request %s ran %d times on %s", r.key, runs, engine.ID))
+			}
+		}
+		elsewhere += max(engines-1, 0)
+	}
+	return repeated, elsewhere
+}
+
+// generated returns how many tokens the engines have generated.
+func (w *world) generated() (tokens int64) {
+	for _, engine := range w.Engines {
+		tokens += engine.Counters().GeneratedTokens
+	}
+	return tokens
+}
+
+// Guards P1, P2 and P3 against answers that are cut, mixed, billed twice or run
+// twice when the host dies that relays them.
+func TestHostKilledWithStreams(t *testing.T) {
+	Convey("A host is killed in the middle of streamed answers and callers retry", t, func() {
+		w := start(3, 1)
+		victim, other, third := w.Hosts[0], w.Hosts[1], w.Hosts[2]
+		const requests, tokens = 20, 200
+		results := together(requests, func(number int) result {
+			return w.ask(number, tokens, victim.CallerAddress(), other.CallerAddress(), third.CallerAddress(), other.CallerAddress())
+		})
+		// Streams run longer than 100 ms before the kill, so they are registered.
+		w.until("every stream has many tokens", func() bool { return w.generated() > requests*40 })
+		w.KillHost(victim)
+		answers := all(results)
+		So(w.take(answers...), ShouldBeEmpty)
+		repeated, elsewhere := w.runAgain(answers)
+		So(repeated, ShouldBeEmpty)
+		// A host asks 20 ms for the engine of a retry, which a busy machine may
+		// exceed, but not for most requests.
+		So(elsewhere, ShouldBeLessThan, requests/2)
+		retried := 0
+		for _, answer := range answers {
+			retried += len(answer.errors)
+		}
+		So(retried, ShouldBeGreaterThanOrEqualTo, requests)
+		w.drainAll()
+		So(w.checkBills(), ShouldBeEmpty)
+		w.release(victim)
+		So(w.checkBills(), ShouldBeEmpty)
+	})
+}
+
+// payout is one call with what its callers were told.
+type payout struct {
+	key   string
+	codes []string
+	runs  []string
+}
+
+func (p *payout) tell(code, run string) {
+	p.codes, p.runs = append(p.codes, code), append(p.runs, run)
+}
+
+// checkPayouts returns how the payouts break P4 and P5.
+func (w *world) checkPayouts(payouts []*payout) []string {
+	violations := []string{}
+	ran := w.ledgerRuns()
+	for _, p := range payouts {
+		if ran[p.key] > 1 {
+			violations = append(violations, fmt.Sprintf("payout %s ran %d times", p.key, ran[p.key]))
+		}
+		for i, code := range p.codes {
+			if p.runs[i] == "not_run" && ran[p.key] > 0 && i == len(p.codes)-1 {
+				violations = append(violations, fmt.Sprintf("payout %s ran and its caller was told not_run (%s)", p.key, code))
+			}
+			if code == "" && ran[p.key] == 0 {
+				violations = append(violations, fmt.Sprintf("payout %s got an answer and did not run", p.key))
+			}
+		}
+	}
+	return violations
+}
+
+// Guards P4 and P5 against a payout that runs twice, or is called not run,
+// when the host dies that has sent it.
+func TestHostKilledWithPayouts(t *testing.T) {
+	Convey("A host is killed with payouts in flight and callers repeat them elsewhere", t, func() {
+		w := start(3, 1)
+		w.shortenDeadline()
+		victim, others := w.Hosts[0], w.Hosts[1:]
+		const calls = 12
+		done := make([]*payout, calls)
+		for i := range done {
+			done[i] = &payout{key: newKey()}
+			done[i].tell(w.pay(victim.CallerAddress(), done[i].key))
+			So(done[i].codes, ShouldResemble, []string{""})
+			w.answered[core.KeyedRequestID(teamName, done[i].key).String()] = callCost
+		}
+		// The answers of the calls in flight come after the host's death.
+		w.Services[0].SetDelay(500 * time.Millisecond)
+		flying := make([]*payout, calls)
+		sent := together(calls, func(number int) result {
+			p := &payout{key: newKey()}
+			flying[number] = p
+			p.tell(w.pay(victim.CallerAddress(), p.key))
+			return result{}
+		})
+		w.until("every payout runs", func() bool { return len(w.ledgerRuns()) == 2*calls })
+		w.KillHost(victim)
+		all(sent)
+		w.Services[0].SetDelay(0)
+		// A later process of the host shows the others that the earlier is gone.
+		_, err := w.StartHost(victim.Name, victim.Zone)
+		So(err, ShouldBeNil)
+		So(w.WaitReady(w.ctx), ShouldBeNil)
+		payouts := slices.Concat(done, flying)
+		for range 2 {
+			all(together(len(payouts), func(i int) result {
+				payouts[i].tell(w.pay(others[i%len(others)].CallerAddress(), payouts[i].key))
+				return result{}
+			}))
+		}
+		w.repeatUntilKnown(payouts)
+		So(w.checkPayouts(payouts), ShouldBeEmpty)
+		for _, p := range done {
+			So(p.codes, ShouldResemble, []string{"", "", "", ""})
+		}
+		for _, p := range flying {
+			for _, code := range p.codes[1:] {
+				So(code, ShouldBeIn, "outcome_unknown", "request_in_progress")
+			}
+			So(p.codes[len(p.codes)-1], ShouldEqual, "outcome_unknown")
+		}
+		w.drainAll()
+		So(w.checkBills(), ShouldBeEmpty)
+	})
+}
--- a/internal/standin/upstream/engine.go
+++ b/internal/standin/upstream/engine.go
@@ -31,6 +31,8 @@
 	Runs map[core.RequestID]int
 	// Resumed counts requests that were answered from a held stream.
 	Resumed int
+	// Refused counts requests that were refused before they ran.
+	Refused int
 	// Cancelled counts streams that were cancelled before their end.
 	Cancelled int
 	// GeneratedTokens counts tokens over all streams.
--- a/internal/standin/upstream/submit.go
+++ b/internal/standin/upstream/submit.go
@@ -55,6 +55,7 @@
 		return answer
 	}
 	if answer.refused = o.refuse(request, length); answer.refused != accepted {
+		o.counters.Refused++
 		return answer
 	}
 	s := o.start(request, length)
