--- a/internal/localfleet/silence_test.go
+++ b/internal/localfleet/silence_test.go
@@ -13,7 +13,7 @@
 	Convey("The connections to all upstreams go silent during streams and calls", t, func() {
 		w := start(3, 1)
 		const requests, calls = 12, 6
-		results := together(requests, func(number int) result { return w.ask(number, 300, w.addresses(number)...) })
+		results := together(requests, func(number int) result { return w.ask(number, 300, w.addresses(number)[0]) })
 		w.Services[0].SetDelay(time.Second)
 		payouts := make([]*payout, calls)
 		paid := together(calls, func(number int) result {
