--- a/internal/filter/relay/relay.go
+++ b/internal/filter/relay/relay.go
@@ -52,6 +52,9 @@
 type Answer struct {
 	Cursor *stream.Cursor
 	Pace   stream.Pace
+	// OnFirstToken, if set, is called with the time from the start of an
+	// attempt to its first token.
+	OnFirstToken func(elapsed time.Duration)
 }
 
 // Filter relays answers.
@@ -152,6 +155,9 @@
 	now := r.now()
 	if r.outcome.Tokens == 0 {
 		r.outcome.FirstToken = now.Sub(r.started)
+		if r.answer.OnFirstToken != nil {
+			r.answer.OnFirstToken(r.outcome.FirstToken)
+		}
 	} else {
 		r.answer.Pace.Observe(now.Sub(r.last))
 	}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -132,27 +132,31 @@
 		Work: e.work, Target: target, Attempt: answer.Cursor.StartAttempt(),
 		After: answer.Cursor.Delivered(), Partial: answer.Cursor.Text(), Fresh: plan.fresh,
 	})
+	answer.OnFirstToken = func(elapsed time.Duration) { e.observeFirstToken(target, started, elapsed) }
 	outcome := e.line.Relay.Apply(attemptCtx, answer, results, e.sink)
 	if outcome.Ending == relay.Silent {
 		cancel(attempt.ErrKeepRunning)
 	}
-	if e.firstToken == 0 && outcome.FirstToken > 0 {
-		e.firstToken = started.Add(outcome.FirstToken).Sub(e.started)
-	}
 	e.observe(target, outcome, e.line.Now().Sub(started))
 	return outcome
 }
 
-func (e *exchange) observe(target core.Target, outcome relay.Outcome, elapsed time.Duration) {
-	observation := route.Observation{
-		Target: target, Model: e.work.Model(), Tokens: outcome.Tokens, Estimate: e.work.Estimate,
+// observeFirstToken reports a first token as it comes, since an answer may take
+// long after it and a slow upstream must show early.
+func (e *exchange) observeFirstToken(target core.Target, started time.Time, elapsed time.Duration) {
+	if e.firstToken == 0 {
+		e.firstToken = started.Add(elapsed).Sub(e.started)
 	}
-	if outcome.FirstToken > 0 {
-		observation.Kind, observation.Elapsed = route.FirstToken, outcome.FirstToken
-		e.line.Route.Observe(observation)
-	}
-	observation.Kind, observation.Elapsed = observationOf(outcome), elapsed
-	e.line.Route.Observe(observation)
+	e.line.Route.Observe(route.Observation{
+		Kind: route.FirstToken, Target: target, Model: e.work.Model(), Elapsed: elapsed, Estimate: e.work.Estimate,
+	})
+}
+
+func (e *exchange) observe(target core.Target, outcome relay.Outcome, elapsed time.Duration) {
+	e.line.Route.Observe(route.Observation{
+		Kind: observationOf(outcome), Target: target, Model: e.work.Model(),
+		Elapsed: elapsed, Tokens: outcome.Tokens, Estimate: e.work.Estimate,
+	})
 }
 
 func observationOf(outcome relay.Outcome) route.ObservationKind {
