--- a/cmd/peridotreel/measure.go
+++ b/cmd/peridotreel/measure.go
@@ -10,8 +10,8 @@
 
 	"github.com/peridotreel/peridotreel/internal/measure"
 	"github.com/peridotreel/peridotreel/internal/measure/budget"
-	"github.com/peridotreel/peridotreel/internal/measure/load"
 	"github.com/peridotreel/peridotreel/internal/measure/fleet"
+	"github.com/peridotreel/peridotreel/internal/measure/load"
 	"github.com/peridotreel/peridotreel/internal/measure/slopes"
 	"github.com/peridotreel/peridotreel/internal/measure/sockets"
 )
