Clear the write deadline of an earlier stream, abort unfinished answers

Cause: the deadline set for a stream's writes stays on the connection; a whole answer on the same connection more than 10 s later was cut off. An answer whose writes failed ended cleanly for a caller that was still there. Change: each request clears the deadline; an unfinished answer aborts the connection. Result: TestDeadlineOfAnEarlierStreamIsCleared fails without the change and passes with it.

--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -103,12 +103,20 @@
 	if typed.Code == fault.Internal {
 		h.log.Error("request failed for a reason that has no error kind", zap.Error(err))
 	}
-	if typed.Code != fault.CallerGone {
-		sink.fail(typed)
+	if typed.Code == fault.CallerGone {
+		// A clean end could pass for a whole answer if the caller is still
+		// there, for example after a write that was too slow.
+		panic(http.ErrAbortHandler)
 	}
+	sink.fail(typed)
 }
 
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (decode.Raw, error) {
+	// The deadline of an earlier stream on this connection stays set
+	// otherwise and would cut off this request's answer.
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
+		return decode.Raw{}, fault.Refuse(fault.Internal, "the connection can't be used; retry on a new one").Because(err)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, decode.MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/api/sink_test.go
+++ b/internal/api/sink_test.go
@@ -46,6 +46,18 @@
 func (d *discard) Flush()                              {}
 func (d *discard) SetWriteDeadline(at time.Time) error { d.deadline = at; return nil }
 
+// Guards against an answer that is cut off by the deadline of an earlier stream
+// on the same connection.
+func TestDeadlineOfAnEarlierStreamIsCleared(t *testing.T) {
+	Convey("Reading a request clears the deadline of the connection's writes", t, func() {
+		response := &discard{header: http.Header{}, deadline: time.Unix(1, 0)}
+		handler := &Handler{now: time.Now}
+		_, err := handler.read(response, httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader("{}")))
+		So(err, ShouldBeNil)
+		So(response.deadline.IsZero(), ShouldBeTrue)
+	})
+}
+
 // Guards against a long stream that is cut off by the deadline of an earlier
 // write.
 func TestDeadlineOfWritesMovesOnWithTheStream(t *testing.T) {
