--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,13 +14,13 @@
 
 // The times of the faults within the mix.
 const (
-	mixTime       = 7 * time.Second
+	mixTime       = 6 * time.Second
 	loseRepliesAt = time.Second
 	repliesBackAt = 1800 * time.Millisecond
-	editAt        = 2500 * time.Millisecond
-	killAt        = 3500 * time.Millisecond
-	leaveAt       = 4200 * time.Millisecond
-	drainAt       = 5 * time.Second
+	editAt        = 2 * time.Second
+	killAt        = 2700 * time.Millisecond
+	leaveAt       = 3 * time.Second
+	drainAt       = 4 * time.Second
 )
 
 // check is one promise as the demo saw it.
--- a/internal/demo/mix.go
+++ b/internal/demo/mix.go
@@ -17,6 +17,8 @@
 	propagationPoll  = 20 * time.Millisecond
 	// leavingBound is the time after which a leaving upstream gets no new work.
 	leavingBound = 2 * time.Second
+	// leavingWatch is how long the engine is watched after that.
+	leavingWatch = 1500 * time.Millisecond
 )
 
 // mix sends the mix of work while replies of the platform are lost, a row is
@@ -108,7 +110,7 @@
 	engine.SetLeaving(true)
 	pause(ctx, leavingBound)
 	before := len(engine.Counters().Runs)
-	pause(ctx, leavingBound)
+	pause(ctx, leavingWatch)
 	after := len(engine.Counters().Runs)
 	if after > before {
 		c.breakf("engine %s started %d requests later than %s after it began to leave", engine.ID, after-before, leavingBound)
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -20,8 +20,8 @@
 	// payouts is the number of calls sent twice for each site.
 	payouts = 10
 	// tightBudget runs out within some dozen requests of the demo.
-	tightBudget core.Tokens = 6_000
-	topUp       core.Tokens = 3_000
+	tightBudget core.Tokens = 1_200
+	topUp       core.Tokens = 400
 	// maxSpending bounds the requests sent until the budget has run out.
 	maxSpending = 500
 )
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -281,6 +281,28 @@
 	return err
 }
 
+// DrainAll stops all running hosts gracefully at the same time.
+func (f *Fleet) DrainAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	results := make(chan error, len(f.Hosts))
+	started := 0
+	for _, running := range f.Hosts {
+		if running.stopped {
+			continue
+		}
+		running.stopped = true
+		started++
+		go func() { results <- running.Drain(ctx) }()
+	}
+	var errs []error
+	for range started {
+		errs = append(errs, <-results)
+	}
+	f.PublishMembers()
+	return errors.Join(errs...)
+}
+
 // PublishMembers gives the platform's list its present content, which becomes
 // visible after the list's lag.
 func (f *Fleet) PublishMembers() {
