--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -215,24 +215,11 @@
 	}
 	entries := []entry{}
 	for _, peer := range h.config.Operator.Hosts() {
-		entries = append(entries, entry{peer.Ref.Host, peer.Ref.Incarnation, peer.Zone, stateName(peer.State), peer.Wire, peer.Revision})
+		entries = append(entries, entry{peer.Ref.Host, peer.Ref.Incarnation, peer.Zone, peer.State.String(), peer.Wire, peer.Revision})
 	}
 	return map[string][]entry{"hosts": entries}, nil
 }
 
-func stateName(state core.PeerState) string {
-	switch state {
-	case core.PeerAlive:
-		return "alive"
-	case core.PeerSuspect:
-		return "suspect"
-	case core.PeerLeaving:
-		return "leaving"
-	default:
-		return "dead"
-	}
-}
-
 func (h *handler) listBudgets(r *http.Request, _ string) (any, error) {
 	budgets, err := h.config.Operator.Budgets(r.Context())
 	if err != nil {
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -149,7 +149,7 @@
 		writeError(w, fault.From(err))
 		return
 	}
-	call, err := decode.Service(raw, "models", "")
+	call, err := decode.Listing(raw)
 	if err != nil {
 		writeError(w, fault.From(err))
 		return
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -11,6 +11,20 @@
 	PeerDead
 )
 
+// String returns the state as logs, metrics and the admin interface show it.
+func (s PeerState) String() string {
+	switch s {
+	case PeerAlive:
+		return "alive"
+	case PeerSuspect:
+		return "suspect"
+	case PeerLeaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
 // Peer is another host of the fleet as this host sees it.
 type Peer struct {
 	Ref     HostRef
--- a/internal/filter/decode/decode.go
+++ b/internal/filter/decode/decode.go
@@ -70,6 +70,11 @@
 	return call, nil
 }
 
+// Listing decodes a request that asks what a caller may use.
+func Listing(raw Raw) (*core.Call, error) {
+	return common(raw, 0)
+}
+
 func common(raw Raw, kind core.Kind) (*core.Call, error) {
 	key := raw.Header.Get("Idempotency-Key")
 	if len(key) > maxIdempotencyKey || !printable(key) {
--- a/internal/tasks/members/metrics.go
+++ b/internal/tasks/members/metrics.go
@@ -34,7 +34,7 @@
 				counts[peer.State]++
 			}
 			for _, state := range []core.PeerState{core.PeerAlive, core.PeerSuspect, core.PeerLeaving, core.PeerDead} {
-				observer.Observe(counts[state], metric.WithAttributes(attribute.String("state", stateName(state))))
+				observer.Observe(counts[state], metric.WithAttributes(attribute.String("state", state.String())))
 			}
 			return nil
 		}))
@@ -47,5 +47,5 @@
 }
 
 func (m *metrics) changed(state core.PeerState) {
-	m.changes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", stateName(state))))
+	m.changes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", state.String())))
 }
--- a/internal/tasks/members/workers.go
+++ b/internal/tasks/members/workers.go
@@ -79,23 +79,10 @@
 		}
 		t.metrics.changed(peer.State)
 		t.config.Log.Info("the state of a host changed", zap.String("host", peer.Ref.String()),
-			zap.String("zone", string(peer.Zone)), zap.String("state", stateName(peer.State)))
+			zap.String("zone", string(peer.Zone)), zap.String("state", peer.State.String()))
 	}
 	if after.Self.State == core.PeerDead && before.Self.State != core.PeerDead {
 		t.config.Log.Error("a later process of this host is in the fleet; stop this one",
 			zap.String("host", after.Self.Ref.String()))
 	}
 }
-
-func stateName(state core.PeerState) string {
-	switch state {
-	case core.PeerAlive:
-		return "alive"
-	case core.PeerSuspect:
-		return "suspect"
-	case core.PeerLeaving:
-		return "leaving"
-	default:
-		return "dead"
-	}
-}
