--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -20,8 +20,10 @@
 const (
 	// callers is the number of concurrent callers of the mix.
 	callers = 60
-	// maxTries bounds how often a caller repeats a request under its key.
-	maxTries = 5
+	// maxTries bounds how often a caller repeats a request under its key; with
+	// pauses that grow by retryPause it gives up after some two seconds. Five
+	// tries in 150 ms could all meet refusals and the host that is killed.
+	maxTries = 12
 	// lookupEvery and actionEvery say how often a caller uses a plain service.
 	lookupEvery = 9
 	actionEvery = 14
@@ -116,7 +118,7 @@
 		if !result.shouldRetry(address, err) {
 			return result
 		}
-		time.Sleep(retryPause)
+		time.Sleep(time.Duration(try+1) * retryPause)
 	}
 	return result
 }
@@ -168,7 +170,7 @@
 		if !result.shouldRetry(address, err) {
 			return result
 		}
-		time.Sleep(retryPause)
+		time.Sleep(time.Duration(try+1) * retryPause)
 	}
 	return result
 }
