Use the backoff of decide/retry in the pipeline

Cause: the pipeline computed its own exponential delay with full jitter beside retry.Backoff, which no code called. Change: the pipeline calls retry.Backoff; its first delay is now the 20 ms that the pipeline used, so the delays stay as they were.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -21,7 +21,7 @@
 	hedgeBurst = 5
 	// firstBackoff is the mean delay before the second attempt. It is short,
 	// since the next attempt goes to another upstream.
-	firstBackoff = 25 * time.Millisecond
+	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = time.Second
 	// hedgeRatio times the usual first-token time is when a second attempt
 	// is made. Less would hedge attempts that are merely queued.
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/retry"
 	"github.com/peridotreel/peridotreel/internal/decide/stream"
 	"github.com/peridotreel/peridotreel/internal/fault"
 	"github.com/peridotreel/peridotreel/internal/filter/attempt"
@@ -17,9 +18,6 @@
 const (
 	// maxAttempts bounds the upstreams tried for one request.
 	maxAttempts = 4
-	// firstRetryDelay is the mean delay before the second attempt; later
-	// ones double it, with full jitter.
-	firstRetryDelay = 20 * time.Millisecond
 	// probeTimeout bounds the check whether an upstream answers on a new
 	// connection. Zones are a few milliseconds apart.
 	probeTimeout = 500 * time.Millisecond
@@ -81,7 +79,7 @@
 		return core.Target{}, plan.last
 	}
 	if e.attempts > 1 {
-		if err := sleep(ctx, rand.N(firstRetryDelay<<(e.attempts-1))); err != nil {
+		if err := sleep(ctx, retry.Backoff(e.attempts, rand.Float64())); err != nil {
 			return core.Target{}, plan.last
 		}
 	}
