Add the gateway: opaque requests forwarded on the users' platform

Sets down the shape: platform/ translates, the line match-fund-attempt-relay is composed in internal/opaque, and tasks own the callers' connections, the connections to upstreams, the beliefs about upstreams and the balances.

--- /dev/null
+++ b/cmd/peridotreel/gateway.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/peridotreel/peridotreel/internal/edge"
+	"github.com/peridotreel/peridotreel/internal/eventlog"
+	"github.com/peridotreel/peridotreel/internal/settings"
+	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/platform"
+)
+
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "PERIDOTREEL_SETTINGS"
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run a host that forwards requests on the users' platform",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "config", Usage: "path of the host's YAML settings", Required: true, Sources: cli.EnvVars(settingsVariable),
+		}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			path := command.String("config")
+			loaded, err := settings.LoadGateway(path)
+			if err != nil {
+				return err
+			}
+			return runGateway(ctx, path, loaded)
+		},
+	}
+}
+
+// runGateway runs a host until SIGTERM or SIGINT; SIGHUP reads the settings
+// again.
+func runGateway(ctx context.Context, path string, loaded *settings.Gateway) error {
+	level, err := zapcore.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		return &settings.Error{Field: "log.level", Remedy: err.Error()}
+	}
+	atomicLevel := zap.NewAtomicLevelAt(level)
+	lines := eventlog.New(os.Stdout, atomicLevel)
+	var logs task.Group
+	logs.Start(lines)
+	defer logs.Stop()
+	log := lines.Logger()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	log.Info("start", zap.String("event", "start"), zap.String("host", string(loaded.Host)), zap.String("zone", string(loaded.Zone)),
+		zap.String("store", loaded.Store))
+	running, err := edge.New(edge.Options{Settings: loaded, Platform: platform.Connect(loaded.Store), Log: log, Now: time.Now})
+	if err != nil {
+		return err
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			log.Info("stop", zap.String("event", "stop"), zap.String("signal", received.String()))
+			break
+		}
+		reload(path, atomicLevel, log)
+	}
+	running.Drain(ctx)
+	log.Info("stopped", zap.String("event", "stopped"))
+	return nil
+}
+
+// reload applies what can change while the host runs: the level of the log.
+func reload(path string, level zap.AtomicLevel, log *zap.Logger) {
+	loaded, err := settings.LoadGateway(path)
+	if err != nil {
+		log.Error("settings not reloaded; those in force stay", zap.String("event", "reload"), zap.Error(err))
+		return
+	}
+	if parsed, err := zapcore.ParseLevel(loaded.Log.Level); err == nil {
+		level.SetLevel(parsed)
+	}
+	log.Info("settings reloaded", zap.String("event", "reload"), zap.String("level", level.String()))
+}
--- /dev/null
+++ b/internal/decide/allowance/holder.go
@@ -0,0 +1,251 @@
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+const (
+	// horizon is the time for which a host keeps tokens ahead of its demand.
+	// Outages of the store last up to some 9 s.
+	horizon = 9 * time.Second
+	// fleetShare is the part of the unallocated balance that all hosts together
+	// keep ahead. What a host keeps is lost to the team if the host dies.
+	fleetShare = 0.25
+	// demandMemory is the time after which past demand counts half.
+	demandMemory = 5 * time.Second
+	// refillBelow is the part of the target below which tokens are fetched.
+	refillBelow = 0.6
+	// returnAbove is the multiple of the target above which they are returned.
+	returnAbove = 1.6
+	// commitPause is the least time between commits that no request waits for.
+	commitPause = 300 * time.Millisecond
+	// returnLeast is the least amount that is returned by itself.
+	returnLeast = core.Tokens(2000)
+)
+
+// Holder is one process's part of one team's balance. Its methods take the
+// time and are called by one task.
+type Holder struct {
+	process Process
+	prepaid core.Tokens
+	hosts   int
+
+	ledger  Ledger
+	version int64
+	known   bool
+
+	spent    core.Tokens
+	reserved core.Tokens
+	waiting  core.Tokens
+
+	// demand is the sum of amounts asked for, which loses weight with time.
+	demand   float64
+	demandAt time.Time
+
+	committing bool
+	lastCommit time.Time
+	// returning is the part of reserved that a commit returns. It stays
+	// reserved until the commit's fate is certain, because a commit without an
+	// answer may still be applied as long as the row has its version.
+	returning core.Tokens
+	uncertain bool
+}
+
+// NewHolder returns a holder that has been granted nothing.
+func NewHolder(process Process) *Holder { return &Holder{process: process, hosts: 1} }
+
+// SetBalance sets the team's prepaid total and the number of hosts.
+func (h *Holder) SetBalance(prepaid core.Tokens, hosts int) {
+	h.prepaid, h.hosts = prepaid, max(hosts, 1)
+}
+
+// Learn takes the ledger as it is in the store at a version.
+func (h *Holder) Learn(ledger Ledger, version int64) {
+	if h.known && version < h.version {
+		return
+	}
+	if h.uncertain && version > h.version {
+		h.endReturn()
+	}
+	h.ledger, h.version, h.known = ledger, version, true
+}
+
+// endReturn frees what a commit returned or failed to return; what was returned
+// is no longer part of the grant.
+func (h *Holder) endReturn() {
+	h.reserved -= h.returning
+	h.returning, h.uncertain = 0, false
+}
+
+func (h *Holder) granted() core.Tokens { return h.ledger.Holdings[h.process.String()].Granted }
+
+// Available returns the tokens that can be reserved without the store.
+func (h *Holder) Available() core.Tokens {
+	available := h.granted() - h.spent - h.reserved
+	if h.ledger.Taken() > h.prepaid {
+		// The balance was lowered below what is granted: nothing more is spent
+		// until hosts have returned what they hold.
+		return 0
+	}
+	return max(available, 0)
+}
+
+// Reserve takes an amount for a request if it is available.
+func (h *Holder) Reserve(amount core.Tokens, now time.Time) bool {
+	if amount > h.Available() {
+		return false
+	}
+	h.note(amount, now)
+	h.reserved += amount
+	return true
+}
+
+// Await and Release count the requests that wait for tokens.
+func (h *Holder) Await(amount core.Tokens) { h.waiting += amount }
+
+// Release ends the wait of a request.
+func (h *Holder) Release(amount core.Tokens) { h.waiting -= amount }
+
+// Settle ends a reservation with what was spent of it.
+func (h *Holder) Settle(reserved, spent core.Tokens) {
+	h.reserved -= reserved
+	h.spent += min(max(spent, 0), reserved)
+}
+
+// Covers reports whether the balance may cover an amount: nobody can grant it
+// if not, even if all hosts returned what they hold.
+func (h *Holder) Covers(amount core.Tokens) bool {
+	if !h.known {
+		return true
+	}
+	used := h.ledger.Used() - h.ledger.Holdings[h.process.String()].Spent + h.spent + h.reserved
+	return used+amount <= h.prepaid
+}
+
+// Unallocated returns the part of the balance that nobody was granted.
+func (h *Holder) Unallocated() core.Tokens { return max(h.prepaid-h.ledger.Taken(), 0) }
+
+// Version returns the version of the ledger that is known, for logs.
+func (h *Holder) Version() int64 { return h.version }
+
+func (h *Holder) note(amount core.Tokens, now time.Time) {
+	h.decay(now)
+	h.demand += float64(amount)
+}
+
+func (h *Holder) decay(now time.Time) {
+	if !h.demandAt.IsZero() && now.After(h.demandAt) {
+		h.demand *= math.Exp2(-float64(now.Sub(h.demandAt)) / float64(demandMemory))
+	}
+	h.demandAt = now
+}
+
+// target returns the tokens to keep ahead of demand.
+func (h *Holder) target(now time.Time) core.Tokens {
+	h.decay(now)
+	// The decaying sum holds demandMemory/ln 2 seconds of demand.
+	perSecond := h.demand * math.Ln2 / demandMemory.Seconds()
+	ahead := perSecond * horizon.Seconds()
+	free := float64(h.Unallocated() + max(h.granted()-h.spent-h.reserved, 0))
+	share := fleetShare / float64(h.hosts)
+	// Some tokens are kept before any demand was seen, so that a first request
+	// during an outage is served.
+	least := free * share / firstShare
+	return core.Tokens(min(max(ahead, least), free*share))
+}
+
+// firstShare is the divisor of the share that is kept without demand.
+const firstShare = 4
+
+// Proposal is a change of the ledger to commit.
+type Proposal struct {
+	Ledger Ledger
+	// Version is that which the row must have.
+	Version int64
+	// Delta is what the holder is granted more, or returns if negative.
+	Delta core.Tokens
+}
+
+// Propose returns the commit that the holder wants, if any.
+func (h *Holder) Propose(now time.Time) (Proposal, bool) {
+	if h.committing || !h.known {
+		return Proposal{}, false
+	}
+	if h.uncertain {
+		// The same commit again settles the fate of the one without an answer:
+		// at most one of them finds the row at its version.
+		return h.proposal(-h.returning), true
+	}
+	held := h.granted() - h.spent - h.reserved
+	target := h.target(now)
+	rest := h.lastCommit.IsZero() || now.Sub(h.lastCommit) >= commitPause
+	delta := core.Tokens(0)
+	switch {
+	case h.ledger.Taken() > h.prepaid:
+		if held > 0 && rest {
+			delta = -held
+		}
+	case h.waiting > held:
+		delta = min(h.waiting+target-held, h.Unallocated())
+	case float64(held) < refillBelow*float64(target) && rest:
+		delta = min(target-held, h.Unallocated())
+	case float64(held) > returnAbove*float64(max(target, h.waiting))+float64(returnLeast) && rest:
+		delta = max(target, h.waiting) - held
+	}
+	if delta == 0 {
+		return Proposal{}, false
+	}
+	return h.proposal(delta), true
+}
+
+// proposal returns the ledger with a change of the grant. Holdings of earlier
+// processes of this host are closed: they have ended, and what they may have
+// spent of their grant is not known.
+func (h *Holder) proposal(delta core.Tokens) Proposal {
+	ledger := h.ledger.clone()
+	for key, holding := range ledger.Holdings {
+		if holding.Host == h.process.Host && key != h.process.String() {
+			ledger.Settled += holding.Granted
+			delete(ledger.Holdings, key)
+		}
+	}
+	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent}
+	return Proposal{Ledger: ledger, Version: h.version, Delta: delta}
+}
+
+// Close returns the commit that ends the holding, with all unspent tokens
+// returned. Reservations must have been settled.
+func (h *Holder) Close() (Proposal, bool) {
+	holding, found := h.ledger.Holdings[h.process.String()]
+	if !found || !h.known {
+		return Proposal{}, false
+	}
+	ledger := h.ledger.clone()
+	delete(ledger.Holdings, h.process.String())
+	ledger.Settled += h.spent + h.reserved
+	return Proposal{Ledger: ledger, Version: h.version, Delta: h.spent + h.reserved - holding.Granted}, true
+}
+
+// Begin marks a commit as under way. Tokens that it returns are not spent any
+// more.
+func (h *Holder) Begin(proposal Proposal, now time.Time) {
+	h.committing, h.lastCommit = true, now
+	if proposal.Delta < 0 && !h.uncertain {
+		h.returning = -proposal.Delta
+		h.reserved += h.returning
+	}
+}
+
+// Done ends the commit. If its fate is certain, the caller passes the ledger
+// that resulted to Learn before.
+func (h *Holder) Done(certain bool) {
+	h.committing = false
+	if certain {
+		h.endReturn()
+	} else if h.returning > 0 {
+		h.uncertain = true
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,229 @@
+// Package edge composes a gateway host: its listeners, its tasks, the line of
+// opaque requests, and the order in which they start and stop.
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/front"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/link"
+	"github.com/peridotreel/peridotreel/internal/opaque"
+	"github.com/peridotreel/peridotreel/internal/opaque/attempt"
+	"github.com/peridotreel/peridotreel/internal/opaque/fund"
+	"github.com/peridotreel/peridotreel/internal/opaque/match"
+	"github.com/peridotreel/peridotreel/internal/rowstore"
+	"github.com/peridotreel/peridotreel/internal/settings"
+	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/internal/tasks/balances"
+	"github.com/peridotreel/peridotreel/internal/tasks/director"
+	"github.com/peridotreel/peridotreel/internal/tasks/follower"
+	"github.com/peridotreel/peridotreel/internal/tasks/peers"
+	"github.com/peridotreel/peridotreel/internal/telemetry"
+)
+
+const (
+	// assumedHosts share the retry budget and the connections until the table
+	// of hosts was read.
+	assumedHosts = 12
+	// memoryShare is the part of the process's memory that the collector keeps
+	// to; the rest is for stacks of the kernel's buffers.
+	memoryShare = 0.6
+	// reservedDescriptors are kept for upstreams, the store and peers.
+	reservedDescriptors = 1200
+	// balancePace bounds how often the table of balances is followed.
+	balancePace = 500 * time.Millisecond
+	// hostsPace bounds how often the table of hosts is followed.
+	hostsPace = time.Second
+)
+
+// Platform translates between the platform's names and formats and the
+// product's types.
+type Platform struct {
+	Store          rowstore.Store
+	Codec          front.Codec
+	Encode         attempt.Encode
+	DecodeHead     link.DecodeHead
+	DecodeConfig   func(raw []byte) (*gateway.Config, error)
+	DecodeUpstream func(id string, raw []byte) (gateway.Upstream, error)
+	ConfigTable    string
+	ConfigKey      string
+	ServersTable   string
+	// ReadyPath is asked by the balancer.
+	ReadyPath string
+}
+
+// Options describe a host.
+type Options struct {
+	Settings *settings.Gateway
+	Platform Platform
+	Log      *zap.Logger
+	Now      func() time.Time
+}
+
+// Edge is one process of a gateway host.
+type Edge struct {
+	options   Options
+	group     task.Group
+	front     *front.Server
+	director  *director.Director
+	balances  *balances.Balances
+	peers     *peers.Peers
+	readiness *readiness
+	ready     *http.Server
+	metrics   *http.Server
+	telemetry *telemetry.Telemetry
+}
+
+// New opens the listeners and builds the tasks.
+func New(options Options) (*Edge, error) {
+	e := &Edge{options: options}
+	s := options.Settings
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare * (1 << 20)))
+	var err error
+	if e.telemetry, err = telemetry.New(); err != nil {
+		return nil, err
+	}
+	requests, err := telemetry.NewRequests(e.telemetry.Meter())
+	if err != nil {
+		return nil, err
+	}
+	callers, err := listen("listen.callers", s.Listen.Callers)
+	if err != nil {
+		return nil, err
+	}
+	peerListener, err := listen("listen.peers", s.Listen.Peers)
+	if err != nil {
+		return nil, err
+	}
+	pool := link.NewPool(options.Platform.DecodeHead, options.Now)
+	e.balances = balances.New(balances.Config{
+		Store: options.Platform.Store, Hosts: assumedHosts, Log: options.Log, Now: options.Now,
+		Process: allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)},
+	})
+	e.readiness = newReadiness(options.Log)
+	e.director = director.New(director.Config{
+		Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
+		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, ServersTable: options.Platform.ServersTable,
+		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
+		Hosts:      assumedHosts, Log: options.Log, Now: options.Now,
+		Changed: func(config *gateway.Config) {
+			e.balances.Configure(config)
+			e.readiness.configured()
+		},
+		Forget: pool.Forget,
+	})
+	client := fleet.NewClient(fleet.ClientConfig{})
+	server := fleet.NewServer(fleet.ServerConfig{Listener: peerListener, Log: options.Log})
+	e.peers = peers.New(peers.Config{
+		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
+		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
+		Counted: func(count int) {
+			e.director.SetHosts(count)
+			e.balances.SetHosts(count)
+		},
+	})
+	if err := e.peers.Register(server); err != nil {
+		return nil, fmt.Errorf("register the peers' calls: %w", err)
+	}
+	line := &opaque.Line{
+		Match:   &match.Filter{Beliefs: e.director},
+		Fund:    &fund.Filter{Balances: e.balances, Now: options.Now},
+		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, Now: options.Now},
+		Log:     options.Log, Now: options.Now, Recorder: recorder{requests},
+	}
+	e.front = front.NewServer(front.Config{
+		Listener: callers, Codec: options.Platform.Codec, Handler: line, Limits: e.director, Log: options.Log, Now: options.Now,
+		MaxConnections: max(s.Descriptors-reservedDescriptors, 100),
+	})
+	e.start(pool, client, server)
+	return e, e.serveHTTP()
+}
+
+// start starts the tasks; each may rely on those before it.
+func (e *Edge) start(tasks ...task.Task) {
+	for _, t := range tasks {
+		e.group.Start(t)
+	}
+	e.group.Start(e.balances)
+	e.group.Start(e.director)
+	e.group.Start(e.peers)
+	e.follow(e.options.Platform.ConfigTable, 0, e.director.Update, e.director.Health)
+	e.follow(e.options.Platform.ServersTable, 0, e.director.Update, e.director.Health)
+	e.follow(peers.Table, hostsPace, e.peers.Update, ignoreHealth)
+	e.follow(balances.Table, balancePace, e.balances.Update, ignoreHealth)
+	e.group.Start(e.front)
+}
+
+// ignoreHealth is for tables whose outages change no belief: the followers of
+// the other tables report the store's health.
+func ignoreHealth(follower.Health) {}
+
+func (e *Edge) follow(table string, pace time.Duration, update func(follower.Update), health func(follower.Health)) {
+	e.group.Start(&follower.Follower{
+		Store: e.options.Platform.Store, Table: table, Pace: pace, Now: e.options.Now, Log: e.options.Log,
+		Update: update, Health: health,
+	})
+}
+
+func (e *Edge) serveHTTP() error {
+	router := mux.NewRouter()
+	router.HandleFunc(e.options.Platform.ReadyPath, e.readiness.serve)
+	listener, err := listen("listen.ready", e.options.Settings.Listen.Ready)
+	if err != nil {
+		return err
+	}
+	e.ready = serve(listener, router, e.options.Log)
+	if e.options.Settings.Listen.Metrics == "" {
+		return nil
+	}
+	if listener, err = listen("listen.metrics", e.options.Settings.Listen.Metrics); err != nil {
+		return err
+	}
+	router = mux.NewRouter()
+	router.Handle("/metrics", e.telemetry.Handler())
+	e.metrics = serve(listener, router, e.options.Log)
+	return nil
+}
+
+// headTimeout bounds the head of calls on the ready and metrics addresses.
+const headTimeout = 3 * time.Second
+
+func serve(listener net.Listener, handler http.Handler, log *zap.Logger) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout}
+	go func() {
+		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+			log.Error("listener ended", zap.String("event", "listener_ended"), zap.String("address", listener.Addr().String()), zap.Error(err))
+		}
+	}()
+	return server
+}
+
+func listen(field, address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, &settings.Error{Field: field, Remedy: fmt.Sprintf("can't listen on %s (%v); free the address or choose another", address, err)}
+	}
+	return listener, nil
+}
+
+// recorder records the summaries of requests, the route as class.
+type recorder struct{ requests *telemetry.Requests }
+
+// Done implements opaque.Recorder.
+func (r recorder) Done(_ context.Context, summary opaque.Summary) {
+	r.requests.Record(summary.Team, core.ClassName(summary.Route), summary.Outcome, summary.FirstEvent, summary.Total)
+}
--- /dev/null
+++ b/internal/opaque/fund/fund.go
@@ -0,0 +1,84 @@
+// Package fund is the filter that reserves the most that a request can consume
+// of its team's balance and settles what it consumed.
+package fund
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/opaque/match"
+	"github.com/peridotreel/peridotreel/internal/tasks/balances"
+)
+
+const (
+	// waitShare is the part of a request's time for which it waits for tokens
+	// of the store.
+	waitShare = 0.25
+	// awayRetry is given when tokens could not be fetched.
+	awayRetry = 300 * time.Millisecond
+)
+
+// Balances reserves and settles.
+type Balances interface {
+	Reserve(ctx context.Context, team core.TeamName, amount core.Tokens, until time.Time) (balances.Grant, error)
+	Settle(team core.TeamName, reserved, spent core.Tokens)
+}
+
+// Reservation is an amount held for one request.
+type Reservation struct {
+	Team   core.TeamName
+	Amount core.Tokens
+	Grant  balances.Grant
+}
+
+// Filter reserves and settles.
+type Filter struct {
+	Balances Balances
+	Now      func() time.Time
+}
+
+// Apply reserves the request's maximum, or returns a *gateway.Refusal.
+func (f *Filter) Apply(ctx context.Context, matched *match.Matched) (Reservation, error) {
+	amount := matched.Request.MaxCost()
+	if matched.Team == nil || !matched.Team.Limited || amount == 0 {
+		return Reservation{}, nil
+	}
+	now := f.Now()
+	until := now.Add(time.Duration(float64(matched.Deadline.Sub(now)) * waitShare))
+	grant, err := f.Balances.Reserve(ctx, matched.Team.Name, amount, until)
+	reservation := Reservation{Team: matched.Team.Name, Amount: amount, Grant: grant}
+	switch {
+	case err != nil:
+		return Reservation{}, gateway.Refuse(gateway.BalanceAway, awayRetry, "the team's balance could not be read in time; retry later")
+	case grant.Outcome == balances.Spent:
+		return reservation, gateway.Refuse(gateway.BalanceSpent, 0,
+			"the balance of team %s does not cover %d tokens; top it up or ask for fewer", matched.Team.Name, amount)
+	case grant.Outcome == balances.Away:
+		return reservation, gateway.Refuse(gateway.BalanceAway, awayRetry,
+			"no tokens of team %s could be fetched in time; retry later", matched.Team.Name)
+	}
+	return reservation, nil
+}
+
+// Settle ends a reservation.
+func (f *Filter) Settle(reservation Reservation, spent core.Tokens) {
+	if reservation.Amount > 0 {
+		f.Balances.Settle(reservation.Team, reservation.Amount, spent)
+	}
+}
+
+// Cost returns what a request consumed: its input once, and the output that was
+// delivered.
+func Cost(matched *match.Matched, ran bool, events int) core.Tokens {
+	prompt := matched.Request.Prompt
+	if prompt == nil || !ran {
+		return 0
+	}
+	perEvent := core.Tokens(1)
+	if matched.Service.Engine != nil {
+		perEvent = matched.Service.Engine.TokensPerEvent
+	}
+	return prompt.Input + min(core.Tokens(events)*perEvent, prompt.MaxOutput)
+}
