--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -10,16 +10,23 @@
 const (
 	// horizon is the time for which a host keeps tokens ahead of its demand.
 	// Outages of the store last up to some 9 s.
-	horizon = 9 * time.Second
-	// fleetShare is the part of the unallocated balance that all hosts together
-	// keep ahead. What a host keeps is lost to the team if the host dies.
-	fleetShare = 0.25
+	horizon = 10 * time.Second
+	// burst is the multiple of the expected demand that is kept, as demand
+	// comes in few large requests.
+	burst = 1.6
+	// largestAhead is the number of the largest recent requests kept besides.
+	largestAhead = 2
+	// mostShare is the most of what is not spent that one host keeps ahead.
+	mostShare = 0.5
+	// idleShare is what a host keeps without any demand, so that a first
+	// request during an outage is served.
+	idleShare = 0.012
 	// demandMemory is the time after which past demand counts half.
-	demandMemory = 5 * time.Second
+	demandMemory = 8 * time.Second
 	// refillBelow is the part of the target below which tokens are fetched.
-	refillBelow = 0.6
+	refillBelow = 0.75
 	// returnAbove is the multiple of the target above which they are returned.
-	returnAbove = 1.6
+	returnAbove = 1.5
 	// commitPause is the least time between commits that no request waits for.
 	commitPause = 300 * time.Millisecond
 	// returnLeast is the least amount that is returned by itself.
@@ -42,7 +49,9 @@
 	waiting  core.Tokens
 
 	// demand is the sum of amounts asked for, which loses weight with time.
-	demand   float64
+	demand float64
+	// largest is the largest recent amount, decaying likewise.
+	largest  float64
 	demandAt time.Time
 
 	committing bool
@@ -104,7 +113,10 @@
 }
 
 // Await and Release count the requests that wait for tokens.
-func (h *Holder) Await(amount core.Tokens) { h.waiting += amount }
+func (h *Holder) Await(amount core.Tokens, now time.Time) {
+	h.note(amount, now)
+	h.waiting += amount
+}
 
 // Release ends the wait of a request.
 func (h *Holder) Release(amount core.Tokens) { h.waiting -= amount }
@@ -134,11 +146,14 @@
 func (h *Holder) note(amount core.Tokens, now time.Time) {
 	h.decay(now)
 	h.demand += float64(amount)
+	h.largest = max(h.largest, float64(amount))
 }
 
 func (h *Holder) decay(now time.Time) {
 	if !h.demandAt.IsZero() && now.After(h.demandAt) {
-		h.demand *= math.Exp2(-float64(now.Sub(h.demandAt)) / float64(demandMemory))
+		keep := math.Exp2(-float64(now.Sub(h.demandAt)) / float64(demandMemory))
+		h.demand *= keep
+		h.largest *= keep
 	}
 	h.demandAt = now
 }
@@ -148,18 +163,14 @@
 	h.decay(now)
 	// The decaying sum holds demandMemory/ln 2 seconds of demand.
 	perSecond := h.demand * math.Ln2 / demandMemory.Seconds()
-	ahead := perSecond * horizon.Seconds()
+	ahead := burst * perSecond * horizon.Seconds()
+	if h.demand > 1 {
+		ahead += largestAhead * h.largest
+	}
 	free := float64(h.Unallocated() + max(h.granted()-h.spent-h.reserved, 0))
-	share := fleetShare / float64(h.hosts)
-	// Some tokens are kept before any demand was seen, so that a first request
-	// during an outage is served.
-	least := free * share / firstShare
-	return core.Tokens(min(max(ahead, least), free*share))
+	return core.Tokens(min(max(ahead, free*idleShare), free*mostShare))
 }
 
-// firstShare is the divisor of the share that is kept without demand.
-const firstShare = 4
-
 // Proposal is a change of the ledger to commit.
 type Proposal struct {
 	Ledger Ledger
--- a/internal/opaque/fund/fund.go
+++ b/internal/opaque/fund/fund.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// waitShare is the part of a request's time for which it waits for tokens
-	// of the store.
-	waitShare = 0.25
-	// awayRetry is given when tokens could not be fetched.
+	// waitShare is the part of a request's objective for which it waits for
+	// tokens of the store; the rest is left for the upstream.
+	waitShare = 0.4
+	// awayRetry is given when tokens could not be fetched. The balancer gives a
+	// retry to another host, which may hold tokens.
 	awayRetry = 300 * time.Millisecond
 )
 
@@ -46,7 +47,7 @@
 		return Reservation{}, nil
 	}
 	now := f.Now()
-	until := now.Add(time.Duration(float64(matched.Deadline.Sub(now)) * waitShare))
+	until := now.Add(time.Duration(float64(matched.Route.Objective) * waitShare))
 	grant, err := f.Balances.Reserve(ctx, matched.Team.Name, amount, until)
 	reservation := Reservation{Team: matched.Team.Name, Amount: amount, Grant: grant}
 	switch {
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -28,8 +28,12 @@
 	// callTimeout bounds a call to the store. A slow store answers within some
 	// hundred milliseconds.
 	callTimeout = 1500 * time.Millisecond
-	// refreshEvery is the time between looks at teams without requests.
-	refreshEvery = 500 * time.Millisecond
+	// refreshEvery is the time between looks at waiting requests and at teams
+	// without requests.
+	refreshEvery = 100 * time.Millisecond
+	// awayMemory is how long after a failed call requests do not wait for the
+	// store. It outlasts the time of the next call.
+	awayMemory = callTimeout + 2*failurePause
 	// failurePause is the delay after a call that failed, so that a store that
 	// is away is not called for each request.
 	failurePause = 250 * time.Millisecond
@@ -51,6 +55,8 @@
 	inbox  *task.Inbox[any]
 	teams  map[core.TeamName]*account
 	hosts  int
+	// awayUntil is until when the store is taken to be away, for all teams.
+	awayUntil time.Time
 	// closing is set when tokens are returned at the end of the process.
 	closing chan<- struct{}
 }
@@ -266,11 +272,11 @@
 		m.reply <- b.grant(a, Spent)
 		return
 	}
-	if now.Before(a.pausedUntil) {
+	if now.Before(a.pausedUntil) || now.Before(b.awayUntil) {
 		m.reply <- b.grant(a, Away)
 		return
 	}
-	a.holder.Await(m.amount)
+	a.holder.Await(m.amount, now)
 	a.waiting = append(a.waiting, waiter{m.amount, m.until, m.reply})
 	b.work(ctx, a)
 	if !a.busy {
@@ -429,8 +435,12 @@
 	if !m.read {
 		a.holder.Done(m.certain)
 	}
+	if m.err == nil {
+		b.awayUntil = time.Time{}
+	}
 	if m.err != nil {
 		a.pausedUntil = now.Add(failurePause)
+		b.awayUntil = now.Add(awayMemory)
 		b.config.Log.Warn("balance not updated", zap.String("event", "balance_commit_failed"), zap.String("team", string(m.team)),
 			zap.Int64("ledger_version", a.holder.Version()), zap.Bool("certain", m.certain), zap.Error(m.err))
 		b.serveWaiters(a)
