--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -38,7 +38,8 @@
 type Holder struct {
 	process Process
 	prepaid core.Tokens
-	hosts   int
+	// ended are bounds of what earlier processes of this host have spent.
+	ended map[string]core.Tokens
 
 	ledger  Ledger
 	version int64
@@ -54,6 +55,10 @@
 	largest  float64
 	demandAt time.Time
 
+	// pledged bounds spending, pending are pledges that may have replaced it.
+	pledged *anchored
+	pending []anchored
+
 	committing bool
 	lastCommit time.Time
 	// returning is the part of reserved that a commit returns. It stays
@@ -64,13 +69,13 @@
 }
 
 // NewHolder returns a holder that has been granted nothing.
-func NewHolder(process Process) *Holder { return &Holder{process: process, hosts: 1} }
-
-// SetBalance sets the team's prepaid total and the number of hosts.
-func (h *Holder) SetBalance(prepaid core.Tokens, hosts int) {
-	h.prepaid, h.hosts = prepaid, max(hosts, 1)
+func NewHolder(process Process) *Holder {
+	return &Holder{process: process, ended: make(map[string]core.Tokens)}
 }
 
+// SetBalance sets the team's prepaid total.
+func (h *Holder) SetBalance(prepaid core.Tokens) { h.prepaid = prepaid }
+
 // Learn takes the ledger as it is in the store at a version.
 func (h *Holder) Learn(ledger Ledger, version int64) {
 	if h.known && version < h.version {
@@ -92,8 +97,9 @@
 func (h *Holder) granted() core.Tokens { return h.ledger.Holdings[h.process.String()].Granted }
 
 // Available returns the tokens that can be reserved without the store.
-func (h *Holder) Available() core.Tokens {
+func (h *Holder) Available(now time.Time) core.Tokens {
 	available := h.granted() - h.spent - h.reserved
+	available = min(available, h.limit(now)-(h.spent+h.reserved-h.returning))
 	if h.ledger.Taken() > h.prepaid {
 		// The balance was lowered below what is granted: nothing more is spent
 		// until hosts have returned what they hold.
@@ -104,7 +110,7 @@
 
 // Reserve takes an amount for a request if it is available.
 func (h *Holder) Reserve(amount core.Tokens, now time.Time) bool {
-	if amount > h.Available() {
+	if amount > h.Available(now) {
 		return false
 	}
 	h.note(amount, now)
@@ -158,12 +164,16 @@
 	h.demandAt = now
 }
 
+// perSecond returns the recent demand in tokens a second.
+func (h *Holder) perSecond() float64 {
+	// The decaying sum holds demandMemory/ln 2 seconds of demand.
+	return h.demand * math.Ln2 / demandMemory.Seconds()
+}
+
 // target returns the tokens to keep ahead of demand.
 func (h *Holder) target(now time.Time) core.Tokens {
 	h.decay(now)
-	// The decaying sum holds demandMemory/ln 2 seconds of demand.
-	perSecond := h.demand * math.Ln2 / demandMemory.Seconds()
-	ahead := burst * perSecond * horizon.Seconds()
+	ahead := burst * h.perSecond() * horizon.Seconds()
 	if h.demand > 1 {
 		ahead += largestAhead * h.largest
 	}
@@ -206,22 +216,37 @@
 	case float64(held) > returnAbove*float64(max(target, h.waiting))+float64(returnLeast) && rest:
 		delta = max(target, h.waiting) - held
 	}
-	if delta == 0 {
+	if delta == 0 && !h.predecessors() {
 		return Proposal{}, false
 	}
 	return h.proposal(delta), true
 }
 
+// predecessors reports whether earlier processes of this host hold tokens.
+func (h *Holder) predecessors() bool {
+	for key, holding := range h.ledger.Holdings {
+		if holding.Host == h.process.Host && key != h.process.String() {
+			return true
+		}
+	}
+	return false
+}
+
 // proposal returns the ledger with a change of the grant. Holdings of earlier
-// processes of this host are closed: they have ended, and what they may have
-// spent of their grant is not known.
+// processes of this host are closed, since they have ended: what they can have
+// spent by their pledge is settled, all of the grant if no pledge is known.
 func (h *Holder) proposal(delta core.Tokens) Proposal {
 	ledger := h.ledger.clone()
 	for key, holding := range ledger.Holdings {
-		if holding.Host == h.process.Host && key != h.process.String() {
-			ledger.Settled += holding.Granted
-			delete(ledger.Holdings, key)
+		if holding.Host != h.process.Host || key == h.process.String() {
+			continue
+		}
+		spent := holding.Granted
+		if bound, known := h.ended[key]; known {
+			spent = min(spent, max(bound, holding.Spent))
 		}
+		ledger.Settled += spent
+		delete(ledger.Holdings, key)
 	}
 	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent}
 	return Proposal{Ledger: ledger, Version: h.version, Delta: delta}
--- /dev/null
+++ b/internal/decide/allowance/pledge.go
@@ -0,0 +1,130 @@
+package allowance
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// Pledge bounds what a process spends of one team's balance while it can't
+// reach the store: no more than Spent and Burst at the pledge's time, and Rate
+// for each second since. When the process has died, the next process of its
+// host takes the bound for spent and returns the rest of the grant.
+type Pledge struct {
+	// Spent counts what is spent and reserved since the process started.
+	Spent core.Tokens `json:"c"`
+	Burst core.Tokens `json:"b"`
+	// Rate is in tokens a second.
+	Rate float64 `json:"r"`
+}
+
+// Limit returns the bound some time after the pledge.
+func (p Pledge) Limit(elapsed time.Duration) core.Tokens {
+	return p.Spent + p.Burst + core.Tokens(p.Rate*max(elapsed.Seconds(), 0))
+}
+
+// Record is the row with a process's pledges.
+type Record struct {
+	// Process is the key of the process in ledgers.
+	Process string `json:"process"`
+	// Clock is the store's clock in milliseconds, read before the record was
+	// written. The time since then bounds the time that the process had.
+	Clock   int64                    `json:"clock"`
+	Pledges map[core.TeamName]Pledge `json:"pledges"`
+}
+
+// DecodeRecord decodes a record.
+func DecodeRecord(raw []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(raw, &record); err != nil {
+		return Record{}, fmt.Errorf("decode a record of pledges; the grants of that process count as spent: %w", err)
+	}
+	return record, nil
+}
+
+// Encode encodes a record.
+func (r Record) Encode() ([]byte, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode a record of pledges: %w", err)
+	}
+	return raw, nil
+}
+
+// Bound returns the most that the record's process can have spent of a team's
+// balance if it had ended by a time of the store's clock.
+func (r Record) Bound(team core.TeamName, end time.Duration) core.Tokens {
+	return r.Pledges[team].Limit(end - time.Duration(r.Clock)*time.Millisecond)
+}
+
+// anchored is a pledge with the local time from which it counts: that at which
+// the answer arrived that bore the record's clock.
+type anchored struct {
+	pledge Pledge
+	at     time.Time
+}
+
+func (a anchored) limit(now time.Time) core.Tokens { return a.pledge.Limit(now.Sub(a.at)) }
+
+const (
+	// pledgeBurst is the multiple of the largest recent amount that may be
+	// spent at once without the store.
+	pledgeBurst = 1.0
+	// pledgeRate is the multiple of the recent demand that may be spent
+	// without the store.
+	pledgeRate = 1.6
+)
+
+// Pledge returns the pledge for the holder's present demand.
+func (h *Holder) Pledge(now time.Time) Pledge {
+	h.decay(now)
+	free := float64(h.Unallocated() + max(h.granted()-h.spent-h.reserved, 0))
+	burst := max(pledgeBurst*h.largest, free*idleShare)
+	return Pledge{
+		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting, Rate: pledgeRate * h.perSecond(),
+	}
+}
+
+// BeginPledge marks a pledge as written but not acknowledged, counting from a
+// local time. Until a later one is acknowledged, the strictest of those that the
+// store may hold applies.
+func (h *Holder) BeginPledge(pledge Pledge, at time.Time) {
+	h.pending = append(h.pending, anchored{pledge, at})
+}
+
+// EndPledge tells what became of the newest pledge.
+func (h *Holder) EndPledge(applied bool) {
+	last := len(h.pending) - 1
+	if last < 0 {
+		return
+	}
+	if !applied {
+		h.pending = h.pending[:last]
+		return
+	}
+	h.pledged = &anchored{h.pending[last].pledge, h.pending[last].at}
+	h.pending = nil
+}
+
+// limit returns what may be spent and reserved at a time by the pledges.
+func (h *Holder) limit(now time.Time) core.Tokens {
+	if h.pledged == nil {
+		return 0
+	}
+	limit := h.pledged.limit(now)
+	for _, pending := range h.pending {
+		limit = min(limit, pending.limit(now))
+	}
+	return limit
+}
+
+// PledgeShort reports whether waiting requests exceed the pledge, though not
+// the grant.
+func (h *Holder) PledgeShort(now time.Time) bool {
+	return h.waiting > 0 && h.spent+h.reserved-h.returning+h.waiting > h.limit(now)
+}
+
+// SetEnded takes the most that an earlier process of this host can have spent.
+func (h *Holder) SetEnded(process string, bound core.Tokens) { h.ended[process] = bound }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,7 +111,7 @@
 	}
 	pool := link.NewPool(options.Platform.DecodeHead, options.Now)
 	e.balances = balances.New(balances.Config{
-		Store: options.Platform.Store, Hosts: assumedHosts, Log: options.Log, Now: options.Now,
+		Store: options.Platform.Store, Log: options.Log, Now: options.Now,
 		Process: allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)},
 	})
 	e.readiness = newReadiness(options.Log)
@@ -131,10 +131,7 @@
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
-		Counted: func(count int) {
-			e.director.SetHosts(count)
-			e.balances.SetHosts(count)
-		},
+		Counted: e.director.SetHosts,
 	})
 	if err := e.peers.Register(server); err != nil {
 		return nil, fmt.Errorf("register the peers' calls: %w", err)
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -62,15 +62,23 @@
 	Removes []Row
 }
 
+// Stamp is what the store says with each answer.
+type Stamp struct {
+	// Version is the newest version in the store.
+	Version int64
+	// Clock is the store's steady clock, from an arbitrary start.
+	Clock time.Duration
+}
+
 // Store keeps versioned rows in tables.
 type Store interface {
 	// Commit applies a transaction and returns its version. It returns
 	// *ConflictError if a condition fails and *UnavailableError if there was
 	// no answer.
-	Commit(ctx context.Context, commit Commit) (int64, error)
+	Commit(ctx context.Context, commit Commit) (Stamp, error)
 	// Get returns the rows of a part of a table, ordered by key, and the
 	// version from which Feed continues.
-	Get(ctx context.Context, table, part string) ([]Row, int64, error)
+	Get(ctx context.Context, table, part string) ([]Row, Stamp, error)
 	// Feed returns the rows of a table that changed after a version, in order,
 	// and the version from which to continue. It waits for a first change and
 	// returns none after the wait. It returns ErrHistoryGone if the history
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -43,10 +43,8 @@
 type Config struct {
 	Store   rowstore.Store
 	Process allowance.Process
-	// Hosts is assumed until peers are known.
-	Hosts int
-	Log   *zap.Logger
-	Now   func() time.Time
+	Log     *zap.Logger
+	Now     func() time.Time
 }
 
 // Balances is the task.
@@ -54,7 +52,7 @@
 	config Config
 	inbox  *task.Inbox[any]
 	teams  map[core.TeamName]*account
-	hosts  int
+	pledge pledging
 	// awayUntil is until when the store is taken to be away, for all teams.
 	awayUntil time.Time
 	// closing is set when tokens are returned at the end of the process.
@@ -114,8 +112,6 @@
 
 type configured struct{ config *gateway.Config }
 
-type hostCount int
-
 type called struct {
 	team core.TeamName
 	// ledger and version are what the store has, if known.
@@ -133,7 +129,8 @@
 // New returns the task.
 func New(config Config) *Balances {
 	return &Balances{
-		config: config, inbox: task.NewInbox[any](inboxSize), teams: make(map[core.TeamName]*account), hosts: config.Hosts,
+		config: config, inbox: task.NewInbox[any](inboxSize), teams: make(map[core.TeamName]*account),
+		pledge: pledging{started: config.Now()},
 	}
 }
 
@@ -170,9 +167,6 @@
 	_ = b.inbox.Send(context.Background(), configured{config})
 }
 
-// SetHosts takes the number of hosts that serve.
-func (b *Balances) SetHosts(count int) { _ = b.inbox.Send(context.Background(), hostCount(count)) }
-
 // Update takes changes of the ledgers from a follower.
 func (b *Balances) Update(update follower.Update) { _ = b.inbox.Send(context.Background(), update) }
 
@@ -197,6 +191,7 @@
 				b.work(ctx, a)
 			}
 			b.finishClose()
+			b.writePledges(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -215,8 +210,6 @@
 		}
 	case configured:
 		b.configure(ctx, m.config)
-	case hostCount:
-		b.hosts = max(int(m), 1)
 	case follower.Update:
 		for _, row := range m.Rows {
 			if a, found := b.teams[core.TeamName(row.Part)]; found && row.Key == ledgerKey {
@@ -227,6 +220,12 @@
 		}
 	case called:
 		b.called(ctx, m, now)
+	case retryRecord:
+		b.readRecord(ctx)
+	case recordRead:
+		b.recordRead(ctx, m)
+	case pledged:
+		b.pledged(ctx, m, now)
 	case retryRead:
 		if a, found := b.teams[m.team]; found && !a.busy {
 			b.read(ctx, a)
@@ -241,6 +240,7 @@
 }
 
 func (b *Balances) configure(ctx context.Context, config *gateway.Config) {
+	b.readRecord(ctx)
 	for name, team := range config.Teams {
 		if !team.Limited {
 			continue
@@ -249,9 +249,10 @@
 		if !found {
 			a = &account{name: name, holder: allowance.NewHolder(b.config.Process)}
 			b.teams[name] = a
+			b.boundEarlier(a)
 			b.read(ctx, a)
 		}
-		a.holder.SetBalance(team.Prepaid, b.hosts)
+		a.holder.SetBalance(team.Prepaid)
 		b.work(ctx, a)
 	}
 }
@@ -279,15 +280,23 @@
 	a.holder.Await(m.amount, now)
 	a.waiting = append(a.waiting, waiter{m.amount, m.until, m.reply})
 	b.work(ctx, a)
-	if !a.busy {
-		// Nothing more can be fetched: what is left is granted to other hosts.
+	if a.holder.PledgeShort(now) {
+		b.writePledges(ctx)
+	}
+	b.refuseHopeless(a)
+}
+
+// refuseHopeless ends waits that no call under way can end: what is left is
+// granted to other hosts.
+func (b *Balances) refuseHopeless(a *account) {
+	if !a.busy && !(b.pledge.busy && a.holder.PledgeShort(b.config.Now())) {
 		b.refuseWaiters(a, Away)
 	}
 }
 
 func (b *Balances) grant(a *account, outcome Outcome) Grant {
 	return Grant{
-		Outcome: outcome, Available: a.holder.Available(), Unallocated: a.holder.Unallocated(), Version: a.holder.Version(),
+		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(), Version: a.holder.Version(),
 	}
 }
 
@@ -334,7 +343,7 @@
 // work starts the commit that the holder wants, if none is under way.
 func (b *Balances) work(ctx context.Context, a *account) {
 	now := b.config.Now()
-	if a.busy || a.closed || now.Before(a.pausedUntil) {
+	if a.busy || a.closed || !b.pledge.read || now.Before(a.pausedUntil) {
 		return
 	}
 	proposal, wanted := a.holder.Propose(now)
@@ -367,12 +376,12 @@
 	row := rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}
 	put := row
 	put.Value = value
-	version, err := b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
+	sent, err := b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
 	var conflict *rowstore.ConflictError
 	var away *rowstore.UnavailableError
 	switch {
 	case err == nil:
-		result.ledger, result.version, result.learned, result.certain = proposal.Ledger, version, true, true
+		result.ledger, result.version, result.learned, result.certain = proposal.Ledger, sent.Version, true, true
 	case errors.As(err, &conflict):
 		result.certain = true
 		result.setRows(conflict.Rows)
@@ -457,9 +466,10 @@
 	}
 	b.serveWaiters(a)
 	b.work(ctx, a)
-	if !a.busy && len(a.waiting) > 0 {
-		b.refuseWaiters(a, Away)
+	if a.holder.PledgeShort(now) {
+		b.writePledges(ctx)
 	}
+	b.refuseHopeless(a)
 }
 
 func (b *Balances) finishClose() {
--- /dev/null
+++ b/internal/tasks/balances/pledges.go
@@ -0,0 +1,257 @@
+package balances
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/rowstore"
+)
+
+const (
+	// PledgeTable holds one row for each host, in a part of its own.
+	PledgeTable = "pledges"
+	// pledgeKey is the key of a host's row in its part.
+	pledgeKey = "record"
+	// pledgeEvery is the time between pledges that no request waits for. A
+	// host that dies strands about this time's demand more.
+	pledgeEvery = 400 * time.Millisecond
+)
+
+// pledging is the state of the host's record of pledges.
+type pledging struct {
+	// started is when the process started; earlier ones had ended.
+	started time.Time
+	// read is true once the record of the earlier process is known.
+	read    bool
+	reading bool
+	earlier allowance.Record
+	end     time.Duration
+
+	version int64
+	busy    bool
+	// unsure is a write without an answer, which is repeated until its fate is
+	// certain.
+	unsure *allowance.Record
+	at     time.Time
+	// clock is the newest reading of the store's clock and clockAt its arrival.
+	clock       time.Duration
+	clockAt     time.Time
+	last        time.Time
+	pausedUntil time.Time
+}
+
+type recordRead struct {
+	rows   []rowstore.Row
+	stamp  rowstore.Stamp
+	sentAt time.Time
+	gotAt  time.Time
+	err    error
+}
+
+type pledged struct {
+	record  *allowance.Record
+	stamp   rowstore.Stamp
+	gotAt   time.Time
+	version int64
+	// conflict holds the rows if another version was there.
+	conflict *rowstore.ConflictError
+	certain  bool
+	err      error
+}
+
+// readRecord reads the record that an earlier process of this host left.
+func (b *Balances) readRecord(ctx context.Context) {
+	if b.pledge.read || b.pledge.reading {
+		return
+	}
+	b.pledge.reading = true
+	go func() {
+		result := recordRead{sentAt: b.config.Now()}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		result.rows, result.stamp, result.err = b.config.Store.Get(callCtx, PledgeTable, string(b.config.Process.Host))
+		result.gotAt = b.config.Now()
+		_ = b.inbox.Send(context.WithoutCancel(ctx), result)
+	}()
+}
+
+func (b *Balances) recordRead(ctx context.Context, m recordRead) {
+	b.pledge.reading = false
+	if m.err != nil {
+		b.config.Log.Warn("record of pledges not read; trying again", zap.String("event", "pledge_read_failed"), zap.Error(m.err))
+		time.AfterFunc(failurePause, func() { _ = b.inbox.Send(context.WithoutCancel(ctx), retryRecord{}) })
+		return
+	}
+	b.pledge.read = true
+	b.noteClock(m.stamp, m.gotAt)
+	// The earlier process had ended when this one started. The call was sent
+	// before the store read its clock, so that this is not too early.
+	b.pledge.end = m.stamp.Clock - m.sentAt.Sub(b.pledge.started)
+	for _, row := range m.rows {
+		if row.Key != pledgeKey {
+			continue
+		}
+		b.pledge.version = row.Version
+		record, err := allowance.DecodeRecord(row.Value)
+		if err != nil {
+			b.config.Log.Error("record of pledges skipped", zap.String("event", "pledge_malformed"), zap.Error(err))
+			continue
+		}
+		b.pledge.earlier = record
+	}
+	for _, a := range b.teams {
+		b.boundEarlier(a)
+		b.work(ctx, a)
+	}
+	b.writePledges(ctx)
+}
+
+// boundEarlier tells the holder what the earlier process can have spent.
+func (b *Balances) boundEarlier(a *account) {
+	if record := b.pledge.earlier; record.Process != "" {
+		bound := record.Bound(a.name, b.pledge.end)
+		a.holder.SetEnded(record.Process, bound)
+		b.config.Log.Info("spending of the earlier process bounded", zap.String("event", "earlier_process_bounded"),
+			zap.String("team", string(a.name)), zap.String("process", record.Process), zap.Int64("bound", int64(bound)),
+			zap.Int64("elapsed_ms", b.pledge.end.Milliseconds()-record.Clock))
+	}
+}
+
+func (b *Balances) noteClock(stamp rowstore.Stamp, at time.Time) {
+	if stamp.Clock > b.pledge.clock {
+		b.pledge.clock, b.pledge.clockAt = stamp.Clock, at
+	}
+}
+
+// writePledges writes the record if it is due or a request waits for it.
+func (b *Balances) writePledges(ctx context.Context) {
+	now := b.config.Now()
+	p := &b.pledge
+	if !p.read || p.busy || b.closing != nil || now.Before(p.pausedUntil) {
+		return
+	}
+	if p.unsure == nil {
+		if !b.pledgeDue(now) {
+			return
+		}
+		p.unsure = b.record(now)
+		p.at = p.clockAt
+		for name, pledge := range p.unsure.Pledges {
+			b.teams[name].holder.BeginPledge(pledge, p.at)
+		}
+	}
+	p.busy, p.last = true, now
+	go b.commitRecord(ctx, p.unsure, p.version)
+}
+
+func (b *Balances) pledgeDue(now time.Time) bool {
+	if now.Sub(b.pledge.last) >= pledgeEvery {
+		return true
+	}
+	for _, a := range b.teams {
+		if a.holder.PledgeShort(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balances) record(now time.Time) *allowance.Record {
+	record := &allowance.Record{
+		Process: b.config.Process.String(), Clock: b.pledge.clock.Milliseconds(),
+		Pledges: make(map[core.TeamName]allowance.Pledge, len(b.teams)),
+	}
+	for name, a := range b.teams {
+		record.Pledges[name] = a.holder.Pledge(now)
+	}
+	return record
+}
+
+// commitRecord performs one write and reports what became of it.
+func (b *Balances) commitRecord(ctx context.Context, record *allowance.Record, version int64) {
+	result := pledged{record: record}
+	defer func() { _ = b.inbox.Send(context.WithoutCancel(ctx), result) }()
+	value, err := record.Encode()
+	if err != nil {
+		result.err, result.certain = err, true
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row := rowstore.Row{Table: PledgeTable, Part: string(b.config.Process.Host), Key: pledgeKey, Version: version}
+	put := row
+	put.Value = value
+	result.stamp, err = b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
+	result.gotAt = b.config.Now()
+	var away *rowstore.UnavailableError
+	switch {
+	case err == nil:
+		result.certain = true
+	case errors.As(err, &result.conflict):
+		result.certain = true
+	case errors.As(err, &away):
+		result.err, result.certain = err, !away.MayApply
+	default:
+		result.err = err
+	}
+}
+
+func (b *Balances) pledged(ctx context.Context, m pledged, now time.Time) {
+	p := &b.pledge
+	p.busy = false
+	switch {
+	case m.conflict != nil:
+		b.resolveRecord(m)
+	case m.err != nil:
+		p.pausedUntil = now.Add(failurePause)
+		b.awayUntil = now.Add(awayMemory)
+		b.config.Log.Warn("pledges not written", zap.String("event", "pledge_failed"), zap.Bool("certain", m.certain), zap.Error(m.err))
+		if m.certain {
+			b.endPledges(false)
+		}
+	default:
+		b.awayUntil = time.Time{}
+		p.version = m.stamp.Version
+		b.noteClock(m.stamp, m.gotAt)
+		b.endPledges(true)
+	}
+	for _, a := range b.teams {
+		b.serveWaiters(a)
+		if len(a.waiting) > 0 {
+			if m.err == nil && a.holder.PledgeShort(now) {
+				b.writePledges(ctx)
+			}
+			b.refuseHopeless(a)
+		}
+	}
+}
+
+// resolveRecord handles a row at another version than was expected: a write
+// without an answer was applied after all.
+func (b *Balances) resolveRecord(m pledged) {
+	b.noteClock(m.stamp, m.gotAt)
+	b.pledge.version = 0
+	for _, row := range m.conflict.Rows {
+		if row.Key == pledgeKey && !row.Deleted {
+			b.pledge.version = row.Version
+		}
+	}
+	// Whether the record there is the one without an answer does not matter:
+	// the stricter of both pledges holds until the next is acknowledged.
+	b.pledge.unsure = nil
+}
+
+func (b *Balances) endPledges(applied bool) {
+	for name := range b.pledge.unsure.Pledges {
+		b.teams[name].holder.EndPledge(applied)
+	}
+	b.pledge.unsure = nil
+}
+
+// retryRecord repeats the read of the record.
+type retryRecord struct{}
--- a/internal/tasks/follower/follower.go
+++ b/internal/tasks/follower/follower.go
@@ -118,7 +118,9 @@
 	if known {
 		rows, next, err = f.Store.Feed(ctx, f.Table, version, feedWait)
 	} else {
-		rows, next, err = f.Store.Get(ctx, f.Table, f.Part)
+		var stamp rowstore.Stamp
+		rows, stamp, err = f.Store.Get(ctx, f.Table, f.Part)
+		next = stamp.Version
 	}
 	if err != nil {
 		return version, err
