--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -13,14 +13,14 @@
 	horizon = 10 * time.Second
 	// burst is the multiple of the expected demand that is kept, as demand
 	// comes in few large requests.
-	burst = 1.6
+	burst = 2.0
 	// largestAhead is the number of the largest recent requests kept besides.
-	largestAhead = 2
+	largestAhead = 3
 	// mostShare is the most of what is not spent that one host keeps ahead.
 	mostShare = 0.5
 	// idleShare is what a host keeps without any demand, so that a first
 	// request during an outage is served.
-	idleShare = 0.012
+	idleShare = 0.02
 	// demandMemory is the time after which past demand counts half.
 	demandMemory = 8 * time.Second
 	// refillBelow is the part of the target below which tokens are fetched.
@@ -146,6 +146,16 @@
 // Unallocated returns the part of the balance that nobody was granted.
 func (h *Holder) Unallocated() core.Tokens { return max(h.prepaid-h.ledger.Taken(), 0) }
 
+// Elsewhere returns what other processes were granted and are not known to have
+// spent.
+func (h *Holder) Elsewhere() core.Tokens {
+	own := h.ledger.Holdings[h.process.String()]
+	return h.ledger.Taken() - h.ledger.Used() - (own.Granted - own.Spent)
+}
+
+// Prepaid returns the team's total in force.
+func (h *Holder) Prepaid() core.Tokens { return h.prepaid }
+
 // Version returns the version of the ledger that is known, for logs.
 func (h *Holder) Version() int64 { return h.version }
 
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -8,21 +8,35 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
-// Pledge bounds what a process spends of one team's balance while it can't
-// reach the store: no more than Spent and Burst at the pledge's time, and Rate
-// for each second since. When the process has died, the next process of its
-// host takes the bound for spent and returns the rest of the grant.
+// Pledge bounds what a process spends of one team's balance without the store.
+// When the process has died, the next process of its host takes the bound for
+// spent and returns the rest of the grant.
+//
+// A process that restarts within outageDelay of its last pledge strands Burst;
+// one that may have lived on without the store strands more.
 type Pledge struct {
 	// Spent counts what is spent and reserved since the process started.
 	Spent core.Tokens `json:"c"`
+	// Burst may be spent besides at any time.
 	Burst core.Tokens `json:"b"`
-	// Rate is in tokens a second.
-	Rate float64 `json:"r"`
+	// Outage may be spent besides once outageDelay has passed, and Rate for
+	// each second from then on.
+	Outage core.Tokens `json:"o"`
+	Rate   float64     `json:"r"`
 }
 
+// outageDelay is the time without the store after which a process spends what
+// it keeps for an outage. It exceeds the age of the last pledge and the time in
+// which a process is usually replaced.
+const outageDelay = 2200 * time.Millisecond
+
 // Limit returns the bound some time after the pledge.
 func (p Pledge) Limit(elapsed time.Duration) core.Tokens {
-	return p.Spent + p.Burst + core.Tokens(p.Rate*max(elapsed.Seconds(), 0))
+	limit := p.Spent + p.Burst
+	if outage := elapsed - outageDelay; outage > 0 {
+		limit += p.Outage + core.Tokens(p.Rate*outage.Seconds())
+	}
+	return limit
 }
 
 // Record is the row with a process's pledges.
@@ -69,21 +83,24 @@
 func (a anchored) limit(now time.Time) core.Tokens { return a.pledge.Limit(now.Sub(a.at)) }
 
 const (
-	// pledgeBurst is the multiple of the largest recent amount that may be
-	// spent at once without the store.
-	pledgeBurst = 1.0
-	// pledgeRate is the multiple of the recent demand that may be spent
-	// without the store.
-	pledgeRate = 1.6
+	// pledgeAhead is the time of demand that a pledge covers at once.
+	pledgeAhead = 3 * time.Second
+	// outageBurst is the multiple of the largest recent amount that may be
+	// spent besides in an outage.
+	outageBurst = 2.0
+	// outageRate is the multiple of the recent demand that may be spent in an
+	// outage.
+	outageRate = 3.0
 )
 
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
 	free := float64(h.Unallocated() + max(h.granted()-h.spent-h.reserved, 0))
-	burst := max(pledgeBurst*h.largest, free*idleShare)
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), free*idleShare/2)
 	return Pledge{
-		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting, Rate: pledgeRate * h.perSecond(),
+		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
+		Outage: core.Tokens(max(outageBurst*h.largest, free*idleShare)), Rate: outageRate * h.perSecond(),
 	}
 }
 
--- a/internal/opaque/line.go
+++ b/internal/opaque/line.go
@@ -66,6 +66,8 @@
 	answer   gateway.Answer
 	matched  *match.Matched
 	reserved fund.Reservation
+	// spent is what of the reservation was consumed.
+	spent    core.Tokens
 	state    again.State
 	progress relay.Progress
 	plan     attempt.Plan
@@ -103,7 +105,8 @@
 		return p.withRetry(err)
 	}
 	err = p.send(ctx)
-	p.line.Fund.Settle(p.reserved, fund.Cost(matched, p.state.MayHaveRun(), p.progress.Events))
+	p.spent = fund.Cost(matched, p.state.MayHaveRun(), p.progress.Events)
+	p.line.Fund.Settle(p.reserved, p.spent)
 	return err
 }
 
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -82,7 +82,10 @@
 	// was granted, and Version that of the ledger on which this rests.
 	Available   core.Tokens
 	Unallocated core.Tokens
-	Version     int64
+	// Elsewhere is granted to other processes and not known to be spent.
+	Elsewhere core.Tokens
+	Prepaid   core.Tokens
+	Version   int64
 }
 
 // Outcome of a reservation.
@@ -296,7 +299,8 @@
 
 func (b *Balances) grant(a *account, outcome Outcome) Grant {
 	return Grant{
-		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(), Version: a.holder.Version(),
+		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(),
+		Elsewhere: a.holder.Elsewhere(), Prepaid: a.holder.Prepaid(), Version: a.holder.Version(),
 	}
 }
 
