--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -13,9 +13,9 @@
 	horizon = 10 * time.Second
 	// burst is the multiple of the expected demand that is kept, as demand
 	// comes in few large requests.
-	burst = 2.0
+	burst = 4.0
 	// largestAhead is the number of the largest recent requests kept besides.
-	largestAhead = 3
+	largestAhead = 4
 	// mostShare is the most of what is not spent that one host keeps ahead.
 	mostShare = 0.5
 	// idleShare is what a host keeps without any demand, so that a first
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -84,13 +84,13 @@
 
 const (
 	// pledgeAhead is the time of demand that a pledge covers at once.
-	pledgeAhead = 3 * time.Second
+	pledgeAhead = 1500 * time.Millisecond
 	// outageBurst is the multiple of the largest recent amount that may be
 	// spent besides in an outage.
 	outageBurst = 2.0
 	// outageRate is the multiple of the recent demand that may be spent in an
 	// outage.
-	outageRate = 3.0
+	outageRate = 4.0
 )
 
 // Pledge returns the pledge for the holder's present demand.
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -267,7 +267,7 @@
 		m.reply <- Grant{Outcome: Granted}
 		return
 	}
-	if len(a.waiting) == 0 && a.holder.Reserve(m.amount, now) {
+	if a.holder.Reserve(m.amount, now) {
 		m.reply <- b.grant(a, Granted)
 		b.work(ctx, a)
 		return
