--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -20,7 +20,7 @@
 	mostShare = 0.5
 	// idleShare is what a host keeps without any demand, so that a first
 	// request during an outage is served.
-	idleShare = 0.02
+	idleShare = 0.03
 	// demandMemory is the time after which past demand counts half.
 	demandMemory = 8 * time.Second
 	// refillBelow is the part of the target below which tokens are fetched.
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -28,7 +28,7 @@
 // outageDelay is the time without the store after which a process spends what
 // it keeps for an outage. It exceeds the age of the last pledge and the time in
 // which a process is usually replaced.
-const outageDelay = 2200 * time.Millisecond
+const outageDelay = 1500 * time.Millisecond
 
 // Limit returns the bound some time after the pledge.
 func (p Pledge) Limit(elapsed time.Duration) core.Tokens {
@@ -39,6 +39,22 @@
 	return limit
 }
 
+// reaches returns the time after which the limit covers an amount, or false if
+// it never does.
+func (p Pledge) reaches(amount core.Tokens) (time.Duration, bool) {
+	rest := amount - p.Spent - p.Burst
+	if rest <= 0 {
+		return 0, true
+	}
+	if rest -= p.Outage; rest <= 0 {
+		return outageDelay + time.Millisecond, true
+	}
+	if p.Rate <= 0 {
+		return 0, false
+	}
+	return outageDelay + time.Millisecond + time.Duration(float64(rest)/p.Rate*float64(time.Second)), true
+}
+
 // Record is the row with a process's pledges.
 type Record struct {
 	// Process is the key of the process in ledgers.
@@ -137,6 +153,26 @@
 	return limit
 }
 
+// AllowedAt returns when the pledge lets an amount be reserved that the grant
+// covers, without the store. It reports false if that is never.
+func (h *Holder) AllowedAt(amount core.Tokens, now time.Time) (time.Time, bool) {
+	if h.granted()-h.spent-h.reserved < amount || h.ledger.Taken() > h.prepaid || h.pledged == nil {
+		return time.Time{}, false
+	}
+	used := h.spent + h.reserved - h.returning
+	at := now
+	for _, anchor := range append([]anchored{*h.pledged}, h.pending...) {
+		elapsed, ever := anchor.pledge.reaches(used + amount)
+		if !ever {
+			return time.Time{}, false
+		}
+		if reached := anchor.at.Add(elapsed); reached.After(at) {
+			at = reached
+		}
+	}
+	return at, true
+}
+
 // PledgeShort reports whether waiting requests exceed the pledge, though not
 // the grant.
 func (h *Holder) PledgeShort(now time.Time) bool {
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -30,7 +30,11 @@
 	callTimeout = 1500 * time.Millisecond
 	// refreshEvery is the time between looks at waiting requests and at teams
 	// without requests.
-	refreshEvery = 100 * time.Millisecond
+	refreshEvery = 50 * time.Millisecond
+	// outageWait is the longest time for which a request waits until the pledge
+	// lets it pass without the store. It is below the objectives' double, so
+	// that waiting is worth more than a refusal.
+	outageWait = 1200 * time.Millisecond
 	// awayMemory is how long after a failed call requests do not wait for the
 	// store. It outlasts the time of the next call.
 	awayMemory = callTimeout + 2*failurePause
@@ -190,6 +194,7 @@
 			b.handle(ctx, message)
 		case <-refresh.C:
 			for _, a := range b.teams {
+				b.serveWaiters(a)
 				b.expireWaiters(a)
 				b.work(ctx, a)
 			}
@@ -276,7 +281,12 @@
 		m.reply <- b.grant(a, Spent)
 		return
 	}
-	if now.Before(a.pausedUntil) || now.Before(b.awayUntil) {
+	allowed, ever := a.holder.AllowedAt(m.amount, now)
+	soon := ever && allowed.Sub(now) <= outageWait
+	if soon && allowed.After(m.until) {
+		m.until = allowed.Add(refreshEvery)
+	}
+	if !soon && (now.Before(a.pausedUntil) || now.Before(b.awayUntil)) {
 		m.reply <- b.grant(a, Away)
 		return
 	}
@@ -289,12 +299,17 @@
 	b.refuseHopeless(a)
 }
 
-// refuseHopeless ends waits that no call under way can end: what is left is
-// granted to other hosts.
+// refuseHopeless ends waits that neither a call under way nor the pledge can
+// end: what is left is granted to other hosts.
 func (b *Balances) refuseHopeless(a *account) {
-	if !a.busy && !(b.pledge.busy && a.holder.PledgeShort(b.config.Now())) {
-		b.refuseWaiters(a, Away)
+	now := b.config.Now()
+	if a.busy || (b.pledge.busy && a.holder.PledgeShort(now)) {
+		return
 	}
+	b.refuseIf(a, Away, func(w waiter) bool {
+		allowed, ever := a.holder.AllowedAt(w.amount, now)
+		return !ever || allowed.After(w.until)
+	})
 }
 
 func (b *Balances) grant(a *account, outcome Outcome) Grant {
@@ -304,36 +319,35 @@
 	}
 }
 
-// serveWaiters grants what is available, in order.
+// serveWaiters grants what is available, in order; a smaller amount may pass a
+// larger one.
 func (b *Balances) serveWaiters(a *account) {
-	now := b.config.Now()
-	for len(a.waiting) > 0 {
-		next := a.waiting[0]
-		if !a.holder.Reserve(next.amount, now) {
-			return
-		}
-		a.holder.Release(next.amount)
-		a.waiting = a.waiting[1:]
-		next.reply <- b.grant(a, Granted)
-	}
-}
-
-func (b *Balances) expireWaiters(a *account) {
 	now := b.config.Now()
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
-		if now.Before(w.until) {
+		if !a.holder.Reserve(w.amount, now) {
 			kept = append(kept, w)
 			continue
 		}
 		a.holder.Release(w.amount)
-		w.reply <- b.grant(a, Away)
+		w.reply <- b.grant(a, Granted)
 	}
 	a.waiting = kept
 }
 
-func (b *Balances) refuseWaiters(a *account, outcome Outcome) {
+func (b *Balances) expireWaiters(a *account) {
+	now := b.config.Now()
+	b.refuseIf(a, Away, func(w waiter) bool { return !now.Before(w.until) })
+}
+
+// refuseIf ends the waits of those that a condition names.
+func (b *Balances) refuseIf(a *account, outcome Outcome, condition func(waiter) bool) {
+	kept := a.waiting[:0]
 	for _, w := range a.waiting {
+		if !condition(w) {
+			kept = append(kept, w)
+			continue
+		}
 		a.holder.Release(w.amount)
 		answer := outcome
 		if !a.holder.Covers(w.amount) {
@@ -341,7 +355,7 @@
 		}
 		w.reply <- b.grant(a, answer)
 	}
-	a.waiting = nil
+	a.waiting = kept
 }
 
 // work starts the commit that the holder wants, if none is under way.
@@ -457,7 +471,7 @@
 		b.config.Log.Warn("balance not updated", zap.String("event", "balance_commit_failed"), zap.String("team", string(m.team)),
 			zap.Int64("ledger_version", a.holder.Version()), zap.Bool("certain", m.certain), zap.Error(m.err))
 		b.serveWaiters(a)
-		b.refuseWaiters(a, Away)
+		b.refuseHopeless(a)
 		if m.read {
 			time.AfterFunc(failurePause, func() { _ = b.inbox.Send(context.WithoutCancel(ctx), retryRead{a.name}) })
 		}
--- a/internal/tasks/balances/pledges.go
+++ b/internal/tasks/balances/pledges.go
@@ -19,7 +19,7 @@
 	pledgeKey = "record"
 	// pledgeEvery is the time between pledges that no request waits for. A
 	// host that dies strands about this time's demand more.
-	pledgeEvery = 250 * time.Millisecond
+	pledgeEvery = 150 * time.Millisecond
 )
 
 // pledging is the state of the host's record of pledges.
