--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -13,24 +13,32 @@
 	horizon = 10 * time.Second
 	// burst is the multiple of the expected demand that is kept, as demand
 	// comes in few large requests.
-	burst = 4.0
+	burst = 3.0
 	// largestAhead is the number of the largest recent requests kept besides.
 	largestAhead = 4
-	// mostShare is the most of what is not spent that one host keeps ahead.
-	mostShare = 0.5
-	// idleShare is what a host keeps without any demand, so that a first
-	// request during an outage is served.
-	idleShare = 0.03
+	// poolRequests is the number of the largest recent requests that are left
+	// unallocated, for hosts whose part does not cover a request.
+	poolRequests = 2
+	// poolShare is the least part of the unspent balance left unallocated.
+	poolShare = 0.08
+	// evenShare is the part of the unspent balance that is spread evenly over
+	// the hosts; the rest is spread by demand.
+	evenShare = 0.3
+	// plenty is the time of the team's demand that the unspent balance must cover
+	// for the even part to be kept in full; below, tokens go where the demand is.
+	plenty = 30 * time.Second
 	// demandMemory is the time after which past demand counts half.
 	demandMemory = 8 * time.Second
 	// refillBelow is the part of the target below which tokens are fetched.
-	refillBelow = 0.75
+	refillBelow = 0.7
 	// returnAbove is the multiple of the target above which they are returned.
-	returnAbove = 1.5
+	returnAbove = 1.4
+	// tellChange is the relative change of demand that is worth a commit.
+	tellChange = 0.2
 	// commitPause is the least time between commits that no request waits for.
 	commitPause = 300 * time.Millisecond
 	// returnLeast is the least amount that is returned by itself.
-	returnLeast = core.Tokens(2000)
+	returnLeast = core.Tokens(1000)
 )
 
 // Holder is one process's part of one team's balance. Its methods take the
@@ -38,6 +46,7 @@
 type Holder struct {
 	process Process
 	prepaid core.Tokens
+	hosts   int
 	// ended are bounds of what earlier processes of this host have spent.
 	ended map[string]core.Tokens
 
@@ -70,11 +79,13 @@
 
 // NewHolder returns a holder that has been granted nothing.
 func NewHolder(process Process) *Holder {
-	return &Holder{process: process, ended: make(map[string]core.Tokens)}
+	return &Holder{process: process, hosts: 1, ended: make(map[string]core.Tokens)}
 }
 
-// SetBalance sets the team's prepaid total.
-func (h *Holder) SetBalance(prepaid core.Tokens) { h.prepaid = prepaid }
+// SetBalance sets the team's prepaid total and the number of hosts that serve.
+func (h *Holder) SetBalance(prepaid core.Tokens, hosts int) {
+	h.prepaid, h.hosts = prepaid, max(hosts, 1)
+}
 
 // Learn takes the ledger as it is in the store at a version.
 func (h *Holder) Learn(ledger Ledger, version int64) {
@@ -113,17 +124,20 @@
 	if amount > h.Available(now) {
 		return false
 	}
-	h.note(amount, now)
 	h.reserved += amount
 	return true
 }
 
-// Await and Release count the requests that wait for tokens.
-func (h *Holder) Await(amount core.Tokens, now time.Time) {
-	h.note(amount, now)
-	h.waiting += amount
+// Note counts a request in the demand, whatever becomes of it.
+func (h *Holder) Note(amount core.Tokens, now time.Time) {
+	h.decay(now)
+	h.demand += float64(amount)
+	h.largest = max(h.largest, float64(amount))
 }
 
+// Await and Release count the requests that wait for tokens.
+func (h *Holder) Await(amount core.Tokens) { h.waiting += amount }
+
 // Release ends the wait of a request.
 func (h *Holder) Release(amount core.Tokens) { h.waiting -= amount }
 
@@ -159,12 +173,6 @@
 // Version returns the version of the ledger that is known, for logs.
 func (h *Holder) Version() int64 { return h.version }
 
-func (h *Holder) note(amount core.Tokens, now time.Time) {
-	h.decay(now)
-	h.demand += float64(amount)
-	h.largest = max(h.largest, float64(amount))
-}
-
 func (h *Holder) decay(now time.Time) {
 	if !h.demandAt.IsZero() && now.After(h.demandAt) {
 		keep := math.Exp2(-float64(now.Sub(h.demandAt)) / float64(demandMemory))
@@ -180,15 +188,43 @@
 	return h.demand * math.Ln2 / demandMemory.Seconds()
 }
 
-// target returns the tokens to keep ahead of demand.
+// unspent returns the part of the balance that is not known to be spent.
+func (h *Holder) unspent() float64 {
+	own := h.ledger.Holdings[h.process.String()].Spent
+	return float64(max(h.prepaid-h.ledger.Used()+own-h.spent-h.reserved+h.returning, 0))
+}
+
+// even returns the part of the unspent balance that each host keeps without
+// demand, so that a first request during an outage is served.
+func (h *Holder) even() float64 {
+	return h.evenShare() * h.distributed() / float64(h.hosts)
+}
+
+// evenShare returns the part of the distributed balance that is spread evenly.
+func (h *Holder) evenShare() float64 {
+	team := h.perSecond() + h.ledger.demand(h.process.String())
+	if team <= 0 {
+		return evenShare
+	}
+	return evenShare * min(1, h.unspent()/(team*plenty.Seconds()))
+}
+
+// distributed returns the part of the unspent balance that hosts keep.
+func (h *Holder) distributed() float64 {
+	unspent := h.unspent()
+	return max(unspent-max(poolRequests*h.largest, poolShare*unspent), 0)
+}
+
+// target returns the tokens to keep ahead of demand: an even part of the
+// unspent balance, and a part by the host's share of the team's demand.
 func (h *Holder) target(now time.Time) core.Tokens {
 	h.decay(now)
-	ahead := burst * h.perSecond() * horizon.Seconds()
-	if h.demand > 1 {
-		ahead += largestAhead * h.largest
+	rate := h.perSecond()
+	needed := burst*rate*horizon.Seconds() + largestAhead*h.largest
+	if total := rate + h.ledger.demand(h.process.String()); total > 0 {
+		needed = min(needed, (1-h.evenShare())*h.distributed()*rate/total)
 	}
-	free := float64(h.Unallocated() + max(h.granted()-h.spent-h.reserved, 0))
-	return core.Tokens(min(max(ahead, free*idleShare), free*mostShare))
+	return core.Tokens(h.even() + needed)
 }
 
 // Proposal is a change of the ledger to commit.
@@ -226,12 +262,22 @@
 	case float64(held) > returnAbove*float64(max(target, h.waiting))+float64(returnLeast) && rest:
 		delta = max(target, h.waiting) - held
 	}
-	if delta == 0 && !h.predecessors() {
+	if delta == 0 && !h.predecessors() && !(rest && h.mustTell(held, target)) {
 		return Proposal{}, false
 	}
 	return h.proposal(delta), true
 }
 
+// mustTell reports whether the others must learn of this host's demand, because
+// it lacks tokens that they hold.
+func (h *Holder) mustTell(held, target core.Tokens) bool {
+	if float64(held) >= refillBelow*float64(target) {
+		return false
+	}
+	told := h.ledger.Holdings[h.process.String()].Demand
+	return math.Abs(h.perSecond()-told) > tellChange*max(told, 1)
+}
+
 // predecessors reports whether earlier processes of this host hold tokens.
 func (h *Holder) predecessors() bool {
 	for key, holding := range h.ledger.Holdings {
@@ -258,7 +304,7 @@
 		ledger.Settled += spent
 		delete(ledger.Holdings, key)
 	}
-	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent}
+	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent, Demand: h.perSecond()}
 	return Proposal{Ledger: ledger, Version: h.version, Delta: delta}
 }
 
--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -30,6 +30,8 @@
 	Granted core.Tokens `json:"g"`
 	// Spent is what the process had spent at its last commit.
 	Spent core.Tokens `json:"s"`
+	// Demand is the process's recent demand in tokens a second.
+	Demand float64 `json:"d"`
 }
 
 // Ledger is the account of one team's balance.
@@ -76,6 +78,17 @@
 	return used
 }
 
+// demand returns the demand of all processes but one, in tokens a second.
+func (l Ledger) demand(except string) float64 {
+	total := 0.0
+	for key, holding := range l.Holdings {
+		if key != except {
+			total += holding.Demand
+		}
+	}
+	return total
+}
+
 func (l Ledger) clone() Ledger {
 	holdings := make(map[string]Holding, len(l.Holdings)+1)
 	for key, holding := range l.Holdings {
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -112,11 +112,10 @@
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
-	free := float64(h.Unallocated() + max(h.granted()-h.spent-h.reserved, 0))
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), free*idleShare/2)
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/2)
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
-		Outage: core.Tokens(max(outageBurst*h.largest, free*idleShare)), Rate: outageRate * h.perSecond(),
+		Outage: core.Tokens(max(outageBurst*h.largest, h.even())), Rate: outageRate * h.perSecond(),
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,7 +45,7 @@
 	// reservedDescriptors are kept for upstreams, the store and peers.
 	reservedDescriptors = 1200
 	// balancePace bounds how often the table of balances is followed.
-	balancePace = 500 * time.Millisecond
+	balancePace = 200 * time.Millisecond
 	// hostsPace bounds how often the table of hosts is followed.
 	hostsPace = time.Second
 )
@@ -111,7 +111,7 @@
 	}
 	pool := link.NewPool(options.Platform.DecodeHead, options.Now)
 	e.balances = balances.New(balances.Config{
-		Store: options.Platform.Store, Log: options.Log, Now: options.Now,
+		Store: options.Platform.Store, Hosts: assumedHosts, Log: options.Log, Now: options.Now,
 		Process: allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)},
 	})
 	e.readiness = newReadiness(options.Log)
@@ -131,7 +131,10 @@
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
-		Counted: e.director.SetHosts,
+		Counted: func(count int) {
+			e.director.SetHosts(count)
+			e.balances.SetHosts(count)
+		},
 	})
 	if err := e.peers.Register(server); err != nil {
 		return nil, fmt.Errorf("register the peers' calls: %w", err)
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -47,8 +47,10 @@
 type Config struct {
 	Store   rowstore.Store
 	Process allowance.Process
-	Log     *zap.Logger
-	Now     func() time.Time
+	// Hosts is assumed until peers are known.
+	Hosts int
+	Log   *zap.Logger
+	Now   func() time.Time
 }
 
 // Balances is the task.
@@ -57,6 +59,7 @@
 	inbox  *task.Inbox[any]
 	teams  map[core.TeamName]*account
 	pledge pledging
+	hosts  int
 	// awayUntil is until when the store is taken to be away, for all teams.
 	awayUntil time.Time
 	// closing is set when tokens are returned at the end of the process.
@@ -64,6 +67,7 @@
 }
 
 type account struct {
+	prepaid core.Tokens
 	name    core.TeamName
 	holder  *allowance.Holder
 	waiting []waiter
@@ -131,12 +135,15 @@
 	err     error
 }
 
+type hostCount int
+
 type closeAll struct{ reply chan<- struct{} }
 
 // New returns the task.
 func New(config Config) *Balances {
 	return &Balances{
 		config: config, inbox: task.NewInbox[any](inboxSize), teams: make(map[core.TeamName]*account),
+		hosts:  config.Hosts,
 		pledge: pledging{started: config.Now()},
 	}
 }
@@ -174,6 +181,9 @@
 	_ = b.inbox.Send(context.Background(), configured{config})
 }
 
+// SetHosts takes the number of hosts that serve.
+func (b *Balances) SetHosts(count int) { _ = b.inbox.Send(context.Background(), hostCount(count)) }
+
 // Update takes changes of the ledgers from a follower.
 func (b *Balances) Update(update follower.Update) { _ = b.inbox.Send(context.Background(), update) }
 
@@ -228,6 +238,11 @@
 		}
 	case called:
 		b.called(ctx, m, now)
+	case hostCount:
+		b.hosts = max(int(m), 1)
+		for _, a := range b.teams {
+			a.holder.SetBalance(a.prepaid, b.hosts)
+		}
 	case retryRecord:
 		b.readRecord(ctx)
 	case recordRead:
@@ -260,7 +275,8 @@
 			b.boundEarlier(a)
 			b.read(ctx, a)
 		}
-		a.holder.SetBalance(team.Prepaid)
+		a.prepaid = team.Prepaid
+		a.holder.SetBalance(a.prepaid, b.hosts)
 		b.work(ctx, a)
 	}
 }
@@ -272,6 +288,7 @@
 		m.reply <- Grant{Outcome: Granted}
 		return
 	}
+	a.holder.Note(m.amount, now)
 	if a.holder.Reserve(m.amount, now) {
 		m.reply <- b.grant(a, Granted)
 		b.work(ctx, a)
@@ -290,7 +307,7 @@
 		m.reply <- b.grant(a, Away)
 		return
 	}
-	a.holder.Await(m.amount, now)
+	a.holder.Await(m.amount)
 	a.waiting = append(a.waiting, waiter{m.amount, m.until, m.reply})
 	b.work(ctx, a)
 	if a.holder.PledgeShort(now) {
