--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -1,7 +1,9 @@
 package allowance
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -21,6 +23,9 @@
 	poolRequests = 2
 	// poolShare is the least part of the unspent balance left unallocated.
 	poolShare = 0.08
+	// scarcePool is the part left unallocated as the balance runs out, when each
+	// token must be within reach of all hosts.
+	scarcePool = 0.6
 	// evenShare is the part of the unspent balance that is spread evenly over
 	// the hosts; the rest is spread by demand.
 	evenShare = 0.3
@@ -147,8 +152,8 @@
 	h.spent += min(max(spent, 0), reserved)
 }
 
-// Covers reports whether the balance may cover an amount: nobody can grant it
-// if not, even if all hosts returned what they hold.
+// Covers reports whether the balance may cover an amount. It does not if not
+// even all that hosts hold, and that dead processes may not have spent, would.
 func (h *Holder) Covers(amount core.Tokens) bool {
 	if !h.known {
 		return true
@@ -164,9 +169,12 @@
 // spent.
 func (h *Holder) Elsewhere() core.Tokens {
 	own := h.ledger.Holdings[h.process.String()]
-	return h.ledger.Taken() - h.ledger.Used() - (own.Granted - own.Spent)
+	return h.ledger.Taken() - h.ledger.Used() - h.ledger.Unsure - (own.Granted - own.Spent)
 }
 
+// Unsure returns what dead processes may not have spent, though it is settled.
+func (h *Holder) Unsure() core.Tokens { return h.ledger.Unsure }
+
 // Prepaid returns the team's total in force.
 func (h *Holder) Prepaid() core.Tokens { return h.prepaid }
 
@@ -191,7 +199,8 @@
 // unspent returns the part of the balance that is not known to be spent.
 func (h *Holder) unspent() float64 {
 	own := h.ledger.Holdings[h.process.String()].Spent
-	return float64(max(h.prepaid-h.ledger.Used()+own-h.spent-h.reserved+h.returning, 0))
+	used := h.ledger.Used() + h.ledger.Unsure - own + h.spent + h.reserved - h.returning
+	return float64(max(h.prepaid-used, 0))
 }
 
 // even returns the part of the unspent balance that each host keeps without
@@ -212,7 +221,12 @@
 // distributed returns the part of the unspent balance that hosts keep.
 func (h *Holder) distributed() float64 {
 	unspent := h.unspent()
-	return max(unspent-max(poolRequests*h.largest, poolShare*unspent), 0)
+	pool := max(poolRequests*h.largest, poolShare*unspent)
+	if team := h.perSecond() + h.ledger.demand(h.process.String()); team > 0 {
+		scarcity := 1 - min(1, unspent/(team*plenty.Seconds()))
+		pool = max(pool, scarcePool*scarcity*unspent)
+	}
+	return max(unspent-pool, 0)
 }
 
 // target returns the tokens to keep ahead of demand: an even part of the
@@ -268,6 +282,45 @@
 	return h.proposal(delta), true
 }
 
+// recallKeep is the time of its own demand that a host keeps when another asks
+// for what it holds.
+const recallKeep = 1500 * time.Millisecond
+
+// Return returns the commit that gives up to an amount back for another host.
+func (h *Holder) Return(amount core.Tokens, now time.Time) (Proposal, bool) {
+	if h.committing || !h.known || h.uncertain {
+		return Proposal{}, false
+	}
+	h.decay(now)
+	spare := h.granted() - h.spent - h.reserved - h.waiting - core.Tokens(h.perSecond()*recallKeep.Seconds())
+	if amount = min(amount, spare); amount <= 0 {
+		return Proposal{}, false
+	}
+	return h.proposal(-amount), true
+}
+
+// Lenders returns the hosts that hold the most of what is not known to be spent,
+// the richest first, and how much the request in front lacks.
+func (h *Holder) Lenders(most int) ([]core.HostID, core.Tokens) {
+	type lender struct {
+		host core.HostID
+		held core.Tokens
+	}
+	var lenders []lender
+	for _, holding := range h.ledger.Holdings {
+		if held := holding.Granted - holding.Spent; holding.Host != h.process.Host && held > 0 {
+			lenders = append(lenders, lender{holding.Host, held})
+		}
+	}
+	slices.SortFunc(lenders, func(a, b lender) int { return cmp.Or(cmp.Compare(b.held, a.held), cmp.Compare(a.host, b.host)) })
+	hosts := make([]core.HostID, 0, most)
+	for _, next := range lenders[:min(most, len(lenders))] {
+		hosts = append(hosts, next.host)
+	}
+	lack := h.waiting - (h.granted() - h.spent - h.reserved) - h.Unallocated()
+	return hosts, lack
+}
+
 // mustTell reports whether the others must learn of this host's demand, because
 // it lacks tokens that they hold.
 func (h *Holder) mustTell(held, target core.Tokens) bool {
@@ -302,6 +355,7 @@
 			spent = min(spent, max(bound, holding.Spent))
 		}
 		ledger.Settled += spent
+		ledger.Unsure += spent - holding.Spent
 		delete(ledger.Holdings, key)
 	}
 	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent, Demand: h.perSecond()}
--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -36,8 +36,11 @@
 
 // Ledger is the account of one team's balance.
 type Ledger struct {
-	// Settled is what processes spent that hold nothing any more.
+	// Settled is what processes spent that hold nothing any more. Of those that
+	// died, it is the most that they can have spent.
 	Settled core.Tokens `json:"settled"`
+	// Unsure is the part of Settled that dead processes may not have spent.
+	Unsure core.Tokens `json:"unsure"`
 	// Holdings are by the key of the process.
 	Holdings map[string]Holding `json:"holdings"`
 }
@@ -71,7 +74,7 @@
 
 // Used returns what is known to be spent.
 func (l Ledger) Used() core.Tokens {
-	used := l.Settled
+	used := l.Settled - l.Unsure
 	for _, holding := range l.Holdings {
 		used += holding.Spent
 	}
@@ -94,5 +97,5 @@
 	for key, holding := range l.Holdings {
 		holdings[key] = holding
 	}
-	return Ledger{Settled: l.Settled, Holdings: holdings}
+	return Ledger{Settled: l.Settled, Unsure: l.Unsure, Holdings: holdings}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,6 +112,9 @@
 	pool := link.NewPool(options.Platform.DecodeHead, options.Now)
 	e.balances = balances.New(balances.Config{
 		Store: options.Platform.Store, Hosts: assumedHosts, Log: options.Log, Now: options.Now,
+		Recall: func(host core.HostID, team core.TeamName, amount core.Tokens, done func(core.Tokens)) {
+			e.peers.Recall(host, team, amount, done)
+		},
 		Process: allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)},
 	})
 	e.readiness = newReadiness(options.Log)
@@ -131,6 +134,7 @@
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
+		Return: e.balances.Return,
 		Counted: func(count int) {
 			e.director.SetHosts(count)
 			e.balances.SetHosts(count)
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -43,6 +43,7 @@
 	if p.reserved.Amount > 0 {
 		fields = append(fields, zap.Int64("reserved", int64(p.reserved.Amount)), zap.String("balance", string(p.reserved.Grant.Outcome)),
 			zap.Int64("available", int64(p.reserved.Grant.Available)), zap.Int64("unallocated", int64(p.reserved.Grant.Unallocated)),
+			zap.Int64("unsure", int64(p.reserved.Grant.Unsure)), zap.Bool("store_away", p.reserved.Grant.StoreAway),
 			zap.Int64("elsewhere", int64(p.reserved.Grant.Elsewhere)), zap.Int64("prepaid", int64(p.reserved.Grant.Prepaid)), zap.Int64("spent", int64(p.spent)),
 			zap.Int64("ledger_version", p.reserved.Grant.Version))
 	}
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -49,8 +49,11 @@
 	Process allowance.Process
 	// Hosts is assumed until peers are known.
 	Hosts int
-	Log   *zap.Logger
-	Now   func() time.Time
+	// Recall asks another host to return tokens and calls done when it has
+	// answered, with what it returned.
+	Recall func(host core.HostID, team core.TeamName, amount core.Tokens, done func(returned core.Tokens))
+	Log    *zap.Logger
+	Now    func() time.Time
 }
 
 // Balances is the task.
@@ -67,11 +70,16 @@
 }
 
 type account struct {
-	prepaid core.Tokens
-	name    core.TeamName
-	holder  *allowance.Holder
-	waiting []waiter
-	busy    bool
+	// recalls counts the calls to other hosts that hold tokens.
+	recalls int
+	// returning is replied to when a commit for another host has ended.
+	returning chan<- core.Tokens
+	returned  core.Tokens
+	prepaid   core.Tokens
+	name      core.TeamName
+	holder    *allowance.Holder
+	waiting   []waiter
+	busy      bool
 	// pausedUntil is when the store is called again after a call that failed.
 	pausedUntil time.Time
 	closed      bool
@@ -92,7 +100,11 @@
 	Unallocated core.Tokens
 	// Elsewhere is granted to other processes and not known to be spent.
 	Elsewhere core.Tokens
-	Prepaid   core.Tokens
+	// Unsure is settled for dead processes, which may not have spent it.
+	Unsure  core.Tokens
+	Prepaid core.Tokens
+	// StoreAway is true if the store did not answer lately.
+	StoreAway bool
 	Version   int64
 }
 
@@ -159,13 +171,13 @@
 	case grant := <-reply:
 		return grant, nil
 	case <-ctx.Done():
-		go b.giveBack(team, amount, reply)
+		go b.settleLate(team, amount, reply)
 		return Grant{}, ctx.Err()
 	}
 }
 
-// giveBack settles a reservation that is granted after its request has ended.
-func (b *Balances) giveBack(team core.TeamName, amount core.Tokens, reply <-chan Grant) {
+// settleLate settles a reservation that is granted after its request has ended.
+func (b *Balances) settleLate(team core.TeamName, amount core.Tokens, reply <-chan Grant) {
 	if grant := <-reply; grant.Outcome == Granted {
 		b.Settle(team, amount, 0)
 	}
@@ -245,6 +257,10 @@
 		}
 	case retryRecord:
 		b.readRecord(ctx)
+	case giveBack:
+		b.giveBackTo(ctx, m, now)
+	case recalled:
+		b.recalled(ctx, m)
 	case recordRead:
 		b.recordRead(ctx, m)
 	case pledged:
@@ -319,8 +335,11 @@
 // refuseHopeless ends waits that neither a call under way nor the pledge can
 // end: what is left is granted to other hosts.
 func (b *Balances) refuseHopeless(a *account) {
+	if len(a.waiting) == 0 {
+		return
+	}
 	now := b.config.Now()
-	if a.busy || (b.pledge.busy && a.holder.PledgeShort(now)) {
+	if a.busy || a.recalls > 0 || (b.pledge.busy && a.holder.PledgeShort(now)) || b.recall(a) {
 		return
 	}
 	b.refuseIf(a, Away, func(w waiter) bool {
@@ -332,7 +351,8 @@
 func (b *Balances) grant(a *account, outcome Outcome) Grant {
 	return Grant{
 		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(),
-		Elsewhere: a.holder.Elsewhere(), Prepaid: a.holder.Prepaid(), Version: a.holder.Version(),
+		Elsewhere: a.holder.Elsewhere(), Prepaid: a.holder.Prepaid(), Unsure: a.holder.Unsure(),
+		StoreAway: b.config.Now().Before(b.awayUntil), Version: a.holder.Version(),
 	}
 }
 
@@ -478,6 +498,7 @@
 	}
 	if !m.read {
 		a.holder.Done(m.certain)
+		b.answerReturn(a, m.err == nil && m.certain)
 	}
 	if m.err == nil {
 		b.awayUntil = time.Time{}
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -27,6 +27,7 @@
 	// method is the name under which peers call Exchange.
 	serviceName = "Beliefs"
 	method      = serviceName + ".Exchange"
+	recall      = serviceName + ".Recall"
 	// interval is the time between rounds of exchanges. With fanout peers a
 	// round, a change reaches all hosts of a site within about two rounds.
 	interval = 400 * time.Millisecond
@@ -61,6 +62,8 @@
 	// Director holds the beliefs that are exchanged.
 	Director     Beliefs
 	DecodeConfig func(raw []byte) (*gateway.Config, error)
+	// Return gives tokens of this host back for a peer.
+	Return func(ctx context.Context, team core.TeamName, amount core.Tokens) (core.Tokens, error)
 	// Counted is called with the number of hosts when it changes.
 	Counted func(int)
 	Log     *zap.Logger
@@ -87,6 +90,17 @@
 	err     error
 }
 type answered struct{ address string }
+type recalling struct {
+	host core.HostID
+	args RecallArgs
+	done func(core.Tokens)
+}
+
+// RecallArgs asks a peer to return tokens of a team.
+type RecallArgs struct {
+	Team   core.TeamName
+	Amount core.Tokens
+}
 
 // Args is a call of a peer.
 type Args struct {
@@ -145,6 +159,22 @@
 	return nil
 }
 
+// Recall answers a peer that lacks tokens.
+func (h *Handler) Recall(args RecallArgs, returned *core.Tokens) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var err error
+	*returned, err = h.peers.config.Return(ctx, args.Team, args.Amount)
+	return err
+}
+
+// Recall asks a host to return tokens and calls done with what it returned.
+func (p *Peers) Recall(host core.HostID, team core.TeamName, amount core.Tokens, done func(core.Tokens)) {
+	if !p.inbox.TrySend(recalling{host, RecallArgs{team, amount}, done}) {
+		go done(0)
+	}
+}
+
 // Update takes changes of the table of hosts.
 func (p *Peers) Update(update follower.Update) { _ = p.inbox.Send(context.Background(), update) }
 
@@ -157,7 +187,7 @@
 	for {
 		select {
 		case message := <-p.inbox.Messages():
-			p.handle(message)
+			p.handle(ctx, message)
 		case <-round.C:
 			for _, address := range p.choose() {
 				go p.exchange(ctx, address)
@@ -169,7 +199,7 @@
 	}
 }
 
-func (p *Peers) handle(message any) {
+func (p *Peers) handle(ctx context.Context, message any) {
 	switch m := message.(type) {
 	case follower.Update:
 		for _, row := range m.Rows {
@@ -184,6 +214,13 @@
 			p.lost[m.address] = true
 			p.config.Log.Warn("peer lost", zap.String("event", "peer_lost"), zap.String("address", m.address), zap.Error(m.err))
 		}
+	case recalling:
+		known, found := p.known[m.host]
+		if !found || p.config.Now().Before(p.avoided[known.Address]) {
+			go m.done(0)
+			return
+		}
+		go p.callRecall(ctx, known.Address, m)
 	case answered:
 		delete(p.avoided, m.address)
 		if p.lost[m.address] {
@@ -263,6 +300,17 @@
 	_, _ = p.config.Director.Exchange(ctx, reply.Host, reply.Loads)
 }
 
+func (p *Peers) callRecall(ctx context.Context, address string, m recalling) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var returned core.Tokens
+	if err := p.config.Caller.Call(ctx, core.Peer{Address: address}, recall, m.args, &returned); err != nil {
+		p.config.Log.Warn("a peer did not return tokens", zap.String("event", "recall_failed"), zap.String("peer", string(m.host)),
+			zap.String("team", string(m.args.Team)), zap.Error(err))
+	}
+	m.done(returned)
+}
+
 // register writes the host's row until it is acknowledged.
 func (p *Peers) register(ctx context.Context) {
 	value, err := json.Marshal(peer{Address: p.config.Address, Zone: p.config.Zone})
