--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -28,7 +28,7 @@
 // outageDelay is the time without the store after which a process spends what
 // it keeps for an outage. It exceeds the age of the last pledge and the time in
 // which a process is usually replaced.
-const outageDelay = 1500 * time.Millisecond
+const outageDelay = 2000 * time.Millisecond
 
 // Limit returns the bound some time after the pledge.
 func (p Pledge) Limit(elapsed time.Duration) core.Tokens {
@@ -103,16 +103,16 @@
 	pledgeAhead = 1500 * time.Millisecond
 	// outageBurst is the multiple of the largest recent amount that may be
 	// spent besides in an outage.
-	outageBurst = 2.0
+	outageBurst = 1.0
 	// outageRate is the multiple of the recent demand that may be spent in an
 	// outage.
-	outageRate = 4.0
+	outageRate = 2.0
 )
 
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/2)
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/5)
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
 		Outage: core.Tokens(max(outageBurst*h.largest, h.even())), Rate: outageRate * h.perSecond(),
