--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -103,7 +103,10 @@
 	pledgeAhead = 1500 * time.Millisecond
 	// outageBurst is the multiple of the largest recent amount that may be
 	// spent besides in an outage.
-	outageBurst = 1.0
+	outageBurst = 0.5
+	// outageRamp is the time in an outage after which the even part and one more
+	// of the largest requests may be spent.
+	outageRamp = 5 * time.Second
 	// outageRate is the multiple of the recent demand that may be spent in an
 	// outage.
 	outageRate = 2.0
@@ -115,7 +118,8 @@
 	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/5)
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
-		Outage: core.Tokens(max(outageBurst*h.largest, h.even())), Rate: outageRate * h.perSecond(),
+		Outage: core.Tokens(outageBurst * h.largest),
+		Rate:   outageRate*h.perSecond() + (h.even()+h.largest)/outageRamp.Seconds(),
 	}
 }
 
