--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -276,7 +276,7 @@
 	case float64(held) > returnAbove*float64(max(target, h.waiting))+float64(returnLeast) && rest:
 		delta = max(target, h.waiting) - held
 	}
-	if delta == 0 && !h.predecessors() && !(rest && h.mustTell(held, target)) {
+	if delta == 0 && !h.predecessors() && (!rest || !h.mustTell(held, target)) {
 		return Proposal{}, false
 	}
 	return h.proposal(delta), true
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -156,6 +156,12 @@
 	return limit
 }
 
+// PledgeStale reports whether tokens were spent or reserved since the newest
+// acknowledged pledge.
+func (h *Holder) PledgeStale() bool {
+	return h.pledged == nil || h.pledged.pledge.Spent != h.spent+h.reserved-h.returning
+}
+
 // AllowedAt returns when the pledge lets an amount be reserved that the grant
 // covers, without the store. It reports false if that is never.
 func (h *Holder) AllowedAt(amount core.Tokens, now time.Time) (time.Time, bool) {
--- a/internal/decide/events/events.go
+++ b/internal/decide/events/events.go
@@ -1,7 +1,10 @@
 // Package events splits a stream of server-sent events at the ends of events.
 package events
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
 
 // maxPartial bounds an event that has not ended.
 const maxPartial = 1 << 20
@@ -16,7 +19,7 @@
 // Push adds bytes and returns those up to the end of the last whole event, and
 // the number of events in them. The result is valid until the next call.
 func (s *Splitter) Push(data []byte) (whole []byte, count int) {
-	buffer := append(s.partial, data...)
+	buffer := slices.Concat(s.partial, data)
 	end, scanned := 0, 0
 	for {
 		length := eventEnd(buffer[scanned:])
--- a/internal/decide/placement/health.go
+++ b/internal/decide/placement/health.go
@@ -76,6 +76,8 @@
 		u.shun(now, shunFull)
 	case Misdirected:
 		u.shun(now, shunMisdirected)
+	case Abandoned:
+		// The caller's leaving says nothing about the upstream.
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,6 +48,9 @@
 	balancePace = 200 * time.Millisecond
 	// hostsPace bounds how often the table of hosts is followed.
 	hostsPace = time.Second
+	// hostsWait is how long the store holds a call for the table of hosts, whose
+	// changes are not urgent.
+	hostsWait = 5 * time.Second
 )
 
 // Platform translates between the platform's names and formats and the
@@ -165,10 +168,10 @@
 	e.group.Start(e.balances)
 	e.group.Start(e.director)
 	e.group.Start(e.peers)
-	e.follow(e.options.Platform.ConfigTable, 0, e.director.Update, e.director.Health)
-	e.follow(e.options.Platform.ServersTable, 0, e.director.Update, e.director.Health)
-	e.follow(peers.Table, hostsPace, e.peers.Update, ignoreHealth)
-	e.follow(balances.Table, balancePace, e.balances.Update, ignoreHealth)
+	e.follow(follower.Follower{Table: e.options.Platform.ConfigTable, Update: e.director.Update, Health: e.director.Health})
+	e.follow(follower.Follower{Table: e.options.Platform.ServersTable, Update: e.director.Update, Health: e.director.Health})
+	e.follow(follower.Follower{Table: peers.Table, Pace: hostsPace, Wait: hostsWait, Update: e.peers.Update, Health: ignoreHealth})
+	e.follow(follower.Follower{Table: balances.Table, Pace: balancePace, Update: e.balances.Update, Health: ignoreHealth})
 	e.group.Start(e.front)
 }
 
@@ -176,11 +179,9 @@
 // the other tables report the store's health.
 func ignoreHealth(follower.Health) {}
 
-func (e *Edge) follow(table string, pace time.Duration, update func(follower.Update), health func(follower.Health)) {
-	e.group.Start(&follower.Follower{
-		Store: e.options.Platform.Store, Table: table, Pace: pace, Now: e.options.Now, Log: e.options.Log,
-		Update: update, Health: health,
-	})
+func (e *Edge) follow(f follower.Follower) {
+	f.Store, f.Now, f.Log = e.options.Platform.Store, e.options.Now, e.options.Log
+	e.group.Start(&f)
 }
 
 func (e *Edge) serveHTTP() error {
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -66,7 +66,7 @@
 func (c *connection) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer c.socket.Close()
+	defer func() { _ = c.socket.Close() }()
 	defer close(c.peek)
 	go c.watch(cancel)
 	for c.awaitRequest(ctx) {
--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -44,8 +44,6 @@
 	idleMargin = 700 * time.Millisecond
 	// maxStrayBytes bounds an answer of another request that is read past.
 	maxStrayBytes = 1 << 20
-	// eventBuffer holds parts of an answer while the caller's socket is busy.
-	eventBuffer = 16
 	// maxInterim bounds interim (1xx) answers before the final one.
 	maxInterim = 5
 )
@@ -147,7 +145,7 @@
 // run carries exchanges until the connection ends.
 func (c *Connection) run() {
 	defer c.pool.closed(c)
-	defer c.socket.Close()
+	defer func() { _ = c.socket.Close() }()
 	go c.read()
 	idle := time.NewTimer(c.idleLimit)
 	defer idle.Stop()
@@ -250,7 +248,9 @@
 func (c *Connection) readAnswer(exchange *Exchange) (End, bool) {
 	stray := false
 	for range maxInterim {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: exchange.Method})
+		// The body needs no close: the connection is closed unless the body was
+		// read to its end.
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: exchange.Method}) //nolint:bodyclose
 		if err != nil {
 			var network net.Error
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
--- a/internal/opaque/line.go
+++ b/internal/opaque/line.go
@@ -136,7 +136,7 @@
 			upstream: upstream, cost: sent.Placed.Cost, home: sent.Placed.Home, fresh: sent.Fresh,
 			ending: p.last.Ending, status: p.last.Status, took: p.line.Now().Sub(began), err: p.last.Err,
 		})
-		done, err := p.next(ctx, upstream)
+		done, err := p.next(upstream)
 		if done {
 			return err
 		}
@@ -144,7 +144,7 @@
 }
 
 // next decides what follows an attempt.
-func (p *passage) next(ctx context.Context, upstream core.UpstreamID) (bool, error) {
+func (p *passage) next(upstream core.UpstreamID) (bool, error) {
 	if p.last.Ending == relay.Delivered {
 		p.state.Ran()
 		return true, nil
@@ -158,7 +158,7 @@
 		Final:   p.last.Ending == relay.TimeUp || p.last.Ending == relay.CallerGone || p.clientFault(),
 	})
 	if decision == again.Stop {
-		return true, p.conclude(ctx)
+		return true, p.conclude()
 	}
 	p.plan.Excluded = append(p.plan.Excluded, upstream)
 	p.plan.Repeat = p.state.Arrivals() > 0
@@ -212,10 +212,10 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			p.last.Ending = relay.TimeUp
 		}
-		return p.conclude(ctx)
+		return p.conclude()
 	}
 	if p.state.MayHaveRun() {
-		return p.conclude(ctx)
+		return p.conclude()
 	}
 	kind := gateway.NoUpstream
 	if len(p.trail) > 0 {
@@ -225,7 +225,7 @@
 }
 
 // conclude gives the final answer of a request that no further attempt follows.
-func (p *passage) conclude(ctx context.Context) error {
+func (p *passage) conclude() error {
 	switch {
 	case p.last.Ending == relay.CallerGone:
 		return gateway.Refuse(gateway.CallerGone, 0, "the caller closed its connection")
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/matching"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
@@ -70,7 +69,7 @@
 	}
 	service, found := config.Services[name]
 	if !found {
-		service = gateway.Service{Name: core.ServiceName(name)}
+		service = gateway.Service{Name: name}
 	}
 	matched.Service = service
 	matched.Urgency = matching.Urgency(matched.Team, route)
--- a/internal/tasks/balances/pledges.go
+++ b/internal/tasks/balances/pledges.go
@@ -20,6 +20,9 @@
 	// pledgeEvery is the time between pledges that no request waits for. A
 	// host that dies strands about this time's demand more.
 	pledgeEvery = 150 * time.Millisecond
+	// pledgeAtLeast is the time after which a pledge is renewed without any
+	// spending, as its age counts as time without the store.
+	pledgeAtLeast = 600 * time.Millisecond
 )
 
 // pledging is the state of the host's record of pledges.
@@ -54,10 +57,9 @@
 }
 
 type pledged struct {
-	record  *allowance.Record
-	stamp   rowstore.Stamp
-	gotAt   time.Time
-	version int64
+	record *allowance.Record
+	stamp  rowstore.Stamp
+	gotAt  time.Time
 	// conflict holds the rows if another version was there.
 	conflict *rowstore.ConflictError
 	certain  bool
@@ -150,15 +152,13 @@
 }
 
 func (b *Balances) pledgeDue(now time.Time) bool {
-	if now.Sub(b.pledge.last) >= pledgeEvery {
-		return true
-	}
+	due := now.Sub(b.pledge.last) >= pledgeEvery
 	for _, a := range b.teams {
-		if a.holder.PledgeShort(now) {
+		if a.holder.PledgeShort(now) || (due && a.holder.PledgeStale()) {
 			return true
 		}
 	}
-	return false
+	return now.Sub(b.pledge.last) >= pledgeAtLeast
 }
 
 func (b *Balances) record(now time.Time) *allowance.Record {
--- a/internal/tasks/follower/follower.go
+++ b/internal/tasks/follower/follower.go
@@ -58,6 +58,8 @@
 	Log    *zap.Logger
 	Update func(Update)
 	Health func(Health)
+	// Wait is how long the store holds a call without changes; 0 for a second.
+	Wait time.Duration
 	// Pace is the least time between two calls; 0 for none. It bounds the
 	// calls for a table that changes all the time.
 	Pace time.Duration
@@ -108,7 +110,7 @@
 func (f *Follower) step(ctx context.Context, version int64, known bool) (int64, error) {
 	timeout := readTimeout
 	if known {
-		timeout = feedWait + answerTimeout
+		timeout = f.wait() + answerTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -116,7 +118,7 @@
 	var next int64
 	var err error
 	if known {
-		rows, next, err = f.Store.Feed(ctx, f.Table, version, feedWait)
+		rows, next, err = f.Store.Feed(ctx, f.Table, version, f.wait())
 	} else {
 		var stamp rowstore.Stamp
 		rows, stamp, err = f.Store.Get(ctx, f.Table, f.Part)
@@ -130,6 +132,13 @@
 	return max(next, version), nil
 }
 
+func (f *Follower) wait() time.Duration {
+	if f.Wait > 0 {
+		return f.Wait
+	}
+	return feedWait
+}
+
 func sleep(ctx context.Context, delay time.Duration) {
 	if delay <= 0 {
 		return
