Pledge half a second of demand ahead, wait up to 2 s for what an outage allows

Cause: of the refusals for balance most came after the closing, where each of nine dead processes strands its burst.

--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -100,13 +100,13 @@
 
 const (
 	// pledgeAhead is the time of demand that a pledge covers at once.
-	pledgeAhead = 1500 * time.Millisecond
+	pledgeAhead = 500 * time.Millisecond
 	// outageBurst is the multiple of the largest recent amount that may be
 	// spent besides in an outage.
-	outageBurst = 0.5
+	outageBurst = 1.0
 	// outageRamp is the time in an outage after which the even part and one more
 	// of the largest requests may be spent.
-	outageRamp = 5 * time.Second
+	outageRamp = 3 * time.Second
 	// outageRate is the multiple of the recent demand that may be spent in an
 	// outage.
 	outageRate = 2.0
@@ -115,7 +115,7 @@
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/5)
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/10)
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
 		Outage: core.Tokens(outageBurst * h.largest),
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -34,7 +34,7 @@
 	// outageWait is the longest time for which a request waits until the pledge
 	// lets it pass without the store. It is below the objectives' double, so
 	// that waiting is worth more than a refusal.
-	outageWait = 1200 * time.Millisecond
+	outageWait = 2000 * time.Millisecond
 	// awayMemory is how long after a failed call requests do not wait for the
 	// store. It outlasts the time of the next call.
 	awayMemory = callTimeout + 2*failurePause
