--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -100,7 +100,7 @@
 
 const (
 	// pledgeAhead is the time of demand that a pledge covers at once.
-	pledgeAhead = 500 * time.Millisecond
+	pledgeAhead = 250 * time.Millisecond
 	// outageBurst is the multiple of the largest recent amount that may be
 	// spent besides in an outage.
 	outageBurst = 1.0
@@ -115,7 +115,7 @@
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/10)
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/20)
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
 		Outage: core.Tokens(outageBurst * h.largest),
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -90,7 +90,7 @@
 	placed, err := f.Director.Place(ctx, director.Placement{
 		Query: placement.Query{
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
-			Prompt: matched.Request.Prompt, Excluded: plan.Excluded,
+			Prompt: matched.Request.Prompt, Objective: matched.Route.Objective, Excluded: plan.Excluded,
 		},
 		First: plan.First, Repeat: plan.Repeat,
 	})
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -98,6 +98,8 @@
 	Task
 	head  *gateway.AnswerHead
 	whole []byte
+	// armed is when the patience began.
+	armed time.Time
 	// streaming is true once the answer is passed on as it comes.
 	streaming bool
 }
@@ -107,6 +109,7 @@
 	var timer *time.Timer
 	if r.Patience > 0 {
 		timer = time.NewTimer(r.Patience)
+		r.armed = r.Now()
 		defer timer.Stop()
 		patience = timer.C
 	}
@@ -119,8 +122,14 @@
 			}
 			if timer != nil {
 				timer.Reset(r.Patience)
+				r.armed = r.Now()
+			}
+		case fired := <-patience:
+			if r.paused(fired) {
+				timer.Reset(r.Patience)
+				r.armed = r.Now()
+				continue
 			}
-		case <-patience:
 			return r.ended(Silent, errors.New("the upstream sent nothing for too long"))
 		case <-ctx.Done():
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -131,6 +140,16 @@
 	}
 }
 
+// pauseTolerance is how late a timer may fire before the process is taken to
+// have been suspended. What came meanwhile has not been read then.
+const pauseTolerance = 150 * time.Millisecond
+
+// paused reports whether the silence may be the host's own: the process was
+// suspended, or parts of the answer wait to be taken.
+func (r *run) paused(fired time.Time) bool {
+	return len(r.Sent.Events) > 0 || fired.Sub(r.armed) > r.Patience+pauseTolerance || r.Now().Sub(fired) > pauseTolerance
+}
+
 func (r *run) ended(ending Ending, err error) Outcome {
 	outcome := Outcome{Ending: ending, Err: err, Arrived: true}
 	if r.head != nil {
