--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -16,16 +16,10 @@
 	loadAge = 1500 * time.Millisecond
 	// peerReportAge is how long a peer's report is used.
 	peerReportAge = 2 * time.Second
-	// readTokensPerMs is the assumed speed of reading prompts until it was
-	// observed.
+	// readTokensPerMs is the assumed speed of reading prompts. The measured
+	// sites have 55 and 112; a speed learnt from first events served no better,
+	// as those are delayed by other work.
 	readTokensPerMs = 60.0
-	// readSamples is the number of observations that the assumption stands for.
-	readSamples = 4.0
-	// readMemory is the time after which an observation counts half.
-	readMemory = 20 * time.Second
-	// readLeast is the least prompt from which the speed is observed; shorter
-	// ones take mostly other time.
-	readLeast = core.Tokens(2500)
 	// lateShare is the part of the objective above which an expected wait is
 	// likely to end late, as work is often slowed by neighbours.
 	lateShare = 0.55
@@ -172,17 +166,16 @@
 
 func (f *Fleet) engineCost(u *unit, query Query, home bool, running int, unread core.Tokens, now time.Time) float64 {
 	missed := f.missed(u, query.Prompt, now)
-	perMs := f.readSpeed(query.Service, now)
-	cost := float64(unread)/perMs + msPerRunning*float64(running)
+	cost := float64(unread)/readTokensPerMs + msPerRunning*float64(running)
 	own := query.Prompt.Input - f.warm.cached(u.upstream.ID, query.Prompt, now)
 	if home {
 		_, shared := query.Prompt.AffinityPart()
 		own = min(own, query.Prompt.Input-shared)
 	} else {
-		cost += float64(missed) * (msPerMissedToken + 1/perMs)
+		cost += float64(missed) * (msPerMissedToken + 1/readTokensPerMs)
 	}
 	if query.Objective > 0 {
-		expected := float64(unread+own) / perMs
+		expected := float64(unread+own) / readTokensPerMs
 		cost += lateWeight * max(expected-lateShare*float64(query.Objective.Milliseconds()), 0)
 	}
 	if query.Engine != nil {
@@ -199,29 +192,6 @@
 	return cost
 }
 
-// readSpeed returns the prompt tokens that an engine of a service reads in a ms.
-func (f *Fleet) readSpeed(service core.ServiceName, now time.Time) float64 {
-	observed, found := f.speeds[service]
-	if !found {
-		return readTokensPerMs
-	}
-	return observed.mean(now, readMemory, readTokensPerMs, readSamples)
-}
-
-// observeSpeed learns from the first event of a prompt that was read alone.
-func (f *Fleet) observeSpeed(u *unit, begun *attempt, now time.Time) {
-	took := now.Sub(begun.since)
-	if !begun.alone || begun.input < readLeast || took < time.Millisecond {
-		return
-	}
-	observed, found := f.speeds[u.upstream.Service]
-	if !found {
-		observed = &average{}
-		f.speeds[u.upstream.Service] = observed
-	}
-	observed.add(float64(begun.input)/(float64(took)/float64(time.Millisecond)), now, readMemory)
-}
-
 // work returns the number of requests at an upstream and the prompt tokens
 // that it has not read, by this host's and its peers' counts and its own.
 func (f *Fleet) work(u *unit, now time.Time) (int, core.Tokens) {
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -17,8 +17,6 @@
 	// byService lists the units of each service, in the order of their ids.
 	byService map[core.ServiceName][]*unit
 	peers     map[core.HostID]peerReport
-	// speeds are the observed speeds of reading prompts, in tokens a ms.
-	speeds map[core.ServiceName]*average
 	warm   *warmth
 }
 
@@ -43,8 +41,6 @@
 	input   core.Tokens
 	total   core.Tokens
 	started bool
-	// alone is true if no other prompt was being read when the attempt began.
-	alone bool
 }
 
 type peerReport struct {
@@ -66,7 +62,7 @@
 func NewFleet(zone core.ZoneName) *Fleet {
 	return &Fleet{
 		zone: zone, units: make(map[core.UpstreamID]*unit), byService: make(map[core.ServiceName][]*unit),
-		peers: make(map[core.HostID]peerReport), speeds: make(map[core.ServiceName]*average), warm: newWarmth(),
+		peers: make(map[core.HostID]peerReport), warm: newWarmth(),
 	}
 }
 
@@ -137,8 +133,6 @@
 	begun := &attempt{since: now}
 	if prompt != nil {
 		begun.input = f.unread(u, prompt, now)
-		_, unread := f.work(u, now)
-		begun.alone = unread == 0
 		begun.total = prompt.Input + prompt.MaxOutput
 		f.warm.touch(id, prompt, now)
 	}
@@ -179,7 +173,6 @@
 	if begun, found := u.attempts[number]; found {
 		if signal == Started {
 			begun.started = true
-			f.observeSpeed(u, begun, now)
 		} else {
 			delete(u.attempts, number)
 		}
