Serve one request of a new connection while a host leaves

A new connection now brings one request; a request that would outlast the host is refused as not run.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -17,7 +17,7 @@
 	// byService lists the units of each service, in the order of their ids.
 	byService map[core.ServiceName][]*unit
 	peers     map[core.HostID]peerReport
-	warm   *warmth
+	warm      *warmth
 }
 
 // unit is one upstream.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -52,6 +52,7 @@
 	defer cancel()
 	e.readiness.draining.Store(true)
 	e.front.Drain()
+	e.director.Leave(e.options.Now().Add(grace - exitMargin))
 	wait := time.NewTimer(balancerWait)
 	defer wait.Stop()
 	select {
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -54,6 +54,8 @@
 	peek    chan struct{}
 	peeked  chan error
 	waiting bool
+	// served is true once a request was read.
+	served bool
 }
 
 func newConnection(server *Server, socket net.Conn) *connection {
@@ -102,7 +104,12 @@
 	since := c.server.config.Now()
 	idle := time.NewTimer(c.idleTimeout(ctx))
 	defer idle.Stop()
-	stopping := c.server.stopping
+	// The balancer still sends connections to a host that leaves if it has no
+	// better one: a new connection may bring one request.
+	var stopping <-chan struct{}
+	if c.served {
+		stopping = c.server.stopping
+	}
 	for {
 		select {
 		case err := <-c.peeked:
@@ -133,6 +140,7 @@
 // serveOne reads a request, has it served and writes the answer. It reports
 // whether the connection can take another request.
 func (c *connection) serveOne(ctx context.Context) bool {
+	c.served = true
 	limits := c.server.config.Limits.Limits(ctx)
 	request, err := c.readHead(limits)
 	if err != nil {
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -18,6 +18,14 @@
 	// does not exist, as it may have missed the version that added it. The
 	// followed table is confirmed at least once a second while it can be read.
 	behindAge = 2500 * time.Millisecond
+	// streamTime is the time that most streams need; a host that ends sooner
+	// takes no new ones.
+	streamTime = 4 * time.Second
+	// wholeObjectives is the multiple of the objective within which other
+	// answers are whole.
+	wholeObjectives = 4
+	// drainRetry is given by a host that ends too soon for a request.
+	drainRetry = 50 * time.Millisecond
 )
 
 // Beliefs returns the configuration in force.
@@ -56,6 +64,9 @@
 		return nil, unknown(belief, gateway.NoRoute, "no route for this host and path; check the address")
 	}
 	matched := &Matched{Request: request, Belief: belief, Route: route, Deadline: request.Arrived.Add(route.Timeout)}
+	if endsTooSoon(belief, route, request.Arrived) {
+		return nil, gateway.Refuse(gateway.Draining, drainRetry, "this host ends in %s; retry on another", belief.Leaves.Sub(request.Arrived).Round(time.Millisecond))
+	}
 	if config.NeedsKeys && !route.Public {
 		team, known := config.Keys[request.Key]
 		if !known || request.Key == "" {
@@ -79,6 +90,19 @@
 	return matched, nil
 }
 
+// endsTooSoon reports whether the host ends before a request's answer would.
+func endsTooSoon(belief director.Belief, route *gateway.Route, now time.Time) bool {
+	if belief.Leaves.IsZero() {
+		return false
+	}
+	needed := route.Objective * wholeObjectives
+	if route.Repeat.Stream() {
+		needed = streamTime
+	}
+	needed = min(needed, route.Timeout)
+	return belief.Leaves.Sub(now) < needed
+}
+
 // unknown refuses for good, or for now if the configuration may be old.
 func unknown(belief director.Belief, kind gateway.RefusalKind, message string) error {
 	if belief.Age > behindAge {
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -58,6 +58,7 @@
 	budgets   map[core.ServiceName]*retrybudget.Budget
 	hosts     int
 	attempts  uint64
+	leaves    time.Time
 	expiry    *time.Timer
 }
 
@@ -76,8 +77,12 @@
 	Config *gateway.Config
 	// Age is how long ago the configuration was known to be the newest.
 	Age time.Duration
+	// Leaves is when the process ends at the latest, zero if it stays.
+	Leaves time.Time
 }
 
+type leave struct{ at time.Time }
+
 type current struct{ reply chan<- Belief }
 
 type place struct {
@@ -189,6 +194,9 @@
 	_ = d.inbox.Send(context.Background(), offeredServers{rows, version})
 }
 
+// Leave takes when the process ends at the latest.
+func (d *Director) Leave(at time.Time) { _ = d.inbox.Send(context.Background(), leave{at}) }
+
 // SetHosts takes the number of hosts that serve.
 func (d *Director) SetHosts(count int) { _ = d.inbox.Send(context.Background(), hostCount(count)) }
 
@@ -219,7 +227,9 @@
 	now := d.config.Now()
 	switch m := message.(type) {
 	case current:
-		m.reply <- Belief{Config: d.current, Age: now.Sub(d.confirmed)}
+		m.reply <- Belief{Config: d.current, Age: now.Sub(d.confirmed), Leaves: d.leaves}
+	case leave:
+		d.leaves = m.at
 	case place:
 		m.reply <- d.place(m.query, now)
 	case observe:
