--- /dev/null
+++ b/internal/decide/events/events_test.go
@@ -0,0 +1,36 @@
+package events
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against bytes of a stream that are lost, doubled or passed on before
+// their event is whole, however the stream is cut into reads.
+func TestReadsOfAnySizeGiveTheSameEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		event := rapid.SampledFrom([]string{"id: 1\ndata: a\n\n", "data: b\r\n\r\n", "weight-versions: 3\nid:7\ndata: c\ndata: d\n\n"})
+		list := rapid.SliceOfN(event, 0, 20).Draw(t, "events")
+		tail := rapid.SampledFrom([]string{"", "id: 9\nda"}).Draw(t, "tail")
+		stream := []byte(strings.Join(list, "") + tail)
+		var splitter Splitter
+		var out bytes.Buffer
+		total := 0
+		for rest := stream; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			whole, count := splitter.Push(rest[:n])
+			if count == 0 && len(whole) > 0 {
+				t.Fatalf("%q was passed on without an event", whole)
+			}
+			out.Write(whole)
+			total += count
+			rest = rest[n:]
+		}
+		if total != len(list) || out.String() != strings.Join(list, "") || splitter.Partial() != (tail != "") {
+			t.Fatalf("%d of %d events, %q", total, len(list), out.String())
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/roster/roster_test.go
@@ -0,0 +1,62 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+)
+
+// Guards against upstreams that are dropped because the list's store was away,
+// and against those that are kept though they are gone.
+func TestEntriesThatVanishAroundAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ready := gateway.Upstream{ID: "u1", Address: "a"}
+	Convey("Given a listed upstream", t, func() {
+		r := New()
+		change, changed := r.Put(ready, 1)
+		So(changed, ShouldBeTrue)
+		So(change.Kind, ShouldEqual, Listed)
+		Convey("A removal while the store answers is final", func() {
+			change, _ := r.Remove("u1", 2, now)
+			So(change.Kind, ShouldEqual, Removed)
+			So(r.Upstreams(), ShouldBeEmpty)
+		})
+		Convey("One that vanished during an outage is kept until the grace ends", func() {
+			r.StoreAway(now)
+			changes := r.RetainOnly(map[core.UpstreamID]bool{}, 2, now.Add(5*time.Second))
+			So(changes[0].Kind, ShouldEqual, Lapsed)
+			back := now.Add(6 * time.Second)
+			r.StoreBack(back)
+			changes, next := r.Expire(back)
+			So(changes, ShouldBeEmpty)
+			So(next, ShouldEqual, back.Add(ReturnGrace))
+			So(len(r.Upstreams()), ShouldEqual, 1)
+			Convey("and dropped then", func() {
+				changes, _ := r.Expire(next)
+				So(changes[0].Kind, ShouldEqual, Expired)
+				So(r.Upstreams(), ShouldBeEmpty)
+			})
+			Convey("unless it came back", func() {
+				_, changed := r.Put(ready, 3)
+				So(changed, ShouldBeTrue)
+				changes, _ := r.Expire(next)
+				So(changes, ShouldBeEmpty)
+				So(len(r.Upstreams()), ShouldEqual, 1)
+			})
+		})
+		Convey("A leaving one is gone for good also during an outage", func() {
+			_, _ = r.Put(gateway.Upstream{ID: "u1", Address: "a", Leaving: true}, 2)
+			r.StoreAway(now)
+			change, _ := r.Remove("u1", 3, now)
+			So(change.Kind, ShouldEqual, Removed)
+		})
+		Convey("An older row changes nothing", func() {
+			_, changed := r.Put(gateway.Upstream{ID: "u1", Address: "old"}, 0)
+			So(changed, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,6 +81,7 @@
 type Edge struct {
 	options   Options
 	group     task.Group
+	callers   net.Listener
 	front     *front.Server
 	director  *director.Director
 	balances  *balances.Balances
@@ -108,6 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.callers = callers
 	peerListener, err := listen("listen.peers", s.Listen.Peers)
 	if err != nil {
 		return nil, err
@@ -160,6 +162,9 @@
 	return e, e.serveHTTP()
 }
 
+// CallersAddress returns the address on which the host takes callers.
+func (e *Edge) CallersAddress() string { return e.callers.Addr().String() }
+
 // start starts the tasks; each may rely on those before it.
 func (e *Edge) start(tasks ...task.Task) {
 	for _, t := range tasks {
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -27,6 +27,9 @@
 	// lingerTimeout is how long a connection that was refused is still read,
 	// because closing it with unread bytes would reset the answer away.
 	lingerTimeout = 500 * time.Millisecond
+	// freshWait is how long a host that leaves waits for the request of a new
+	// connection.
+	freshWait = 500 * time.Millisecond
 	// defaultIdleTimeout and the other defaults hold before a configuration is
 	// known.
 	defaultIdleTimeout   = 15 * time.Second
@@ -104,12 +107,7 @@
 	since := c.server.config.Now()
 	idle := time.NewTimer(c.idleTimeout(ctx))
 	defer idle.Stop()
-	// The balancer still sends connections to a host that leaves if it has no
-	// better one: a new connection may bring one request.
-	var stopping <-chan struct{}
-	if c.served {
-		stopping = c.server.stopping
-	}
+	stopping := c.server.stopping
 	for {
 		select {
 		case err := <-c.peeked:
@@ -123,7 +121,14 @@
 			}
 			idle.Reset(left)
 		case <-stopping:
-			return false
+			if c.served {
+				return false
+			}
+			// The balancer still sends connections to a host that leaves if it
+			// has no better one: a new connection may bring one request.
+			stopping = nil
+			idle.Reset(freshWait)
+			since = c.server.config.Now().Add(freshWait - c.idleTimeout(ctx))
 		case <-ctx.Done():
 			return false
 		}
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,203 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/gateway"
+)
+
+type plainCodec struct{}
+
+func (plainCodec) DecodeRequest(r *http.Request, body []byte, now time.Time) (*gateway.Request, error) {
+	return &gateway.Request{ID: r.Header.Get("Id"), Target: r.RequestURI, Body: body, Arrived: now}, nil
+}
+
+func (plainCodec) EncodeRefusal(refusal *gateway.Refusal, _ string) (int, []gateway.Field) {
+	if refusal.Kind == gateway.BadRequest {
+		return http.StatusBadRequest, nil
+	}
+	return http.StatusServiceUnavailable, nil
+}
+
+type limits gateway.Limits
+
+func (l limits) Limits(context.Context) gateway.Limits { return gateway.Limits(l) }
+
+type handlerFunc func(ctx context.Context, request *gateway.Request, answer gateway.Answer) error
+
+func (f handlerFunc) Serve(ctx context.Context, request *gateway.Request, answer gateway.Answer) error {
+	return f(ctx, request, answer)
+}
+
+// serve starts a server and returns it with a function that dials it.
+func serve(handler handlerFunc) (*Server, func() net.Conn, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	server := NewServer(Config{
+		Listener: listener, Codec: plainCodec{}, Handler: handler, Limits: limits{MaxBodyBytes: 64, MaxHeaderBytes: 512},
+		Log: zap.NewNop(), Now: time.Now, MaxConnections: 100,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		server.Run(ctx)
+		close(done)
+	}()
+	dial := func() net.Conn {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		return connection
+	}
+	return server, dial, func() {
+		cancel()
+		<-done
+	}
+}
+
+func ask(connection net.Conn, text string) (*http.Response, string, error) {
+	_, err := io.WriteString(connection, text)
+	So(err, ShouldBeNil)
+	return answerOn(bufio.NewReader(connection))
+}
+
+func answerOn(reader *bufio.Reader) (*http.Response, string, error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// Guards against connections that a leaving host closes unread while the
+// balancer still sends callers there (deploy/days/rolling-restart-hot-team,
+// 840 resets on cartamarca-lima).
+func TestALeavingServerServesOneRequestOfANewConnection(t *testing.T) {
+	Convey("Given a server that closes idle connections and has a request under way", t, func() {
+		release := make(chan struct{})
+		started := make(chan struct{})
+		server, dial, stop := serve(func(_ context.Context, request *gateway.Request, answer gateway.Answer) error {
+			if request.Target == "/held" {
+				close(started)
+				<-release
+			}
+			return answer.Whole(http.StatusOK, nil, []byte(request.Target))
+		})
+		Reset(stop)
+		held := dial()
+		_, err := io.WriteString(held, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		<-started
+		server.Drain()
+		closed := make(chan error, 1)
+		go func() { closed <- server.CloseIdle(context.Background()) }()
+		<-server.stopping
+		fresh := dial()
+		response, body, err := ask(fresh, "GET /new HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "/new")
+		So(response.Close, ShouldBeTrue)
+		close(release)
+		_, body, err = answerOn(bufio.NewReader(held))
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "/held")
+		So(<-closed, ShouldBeNil)
+	})
+}
+
+// Guards against bodies that run into the next request on a connection, in
+// either framing.
+func TestRequestsFollowEachOtherOnAConnection(t *testing.T) {
+	Convey("Given requests sent at once", t, func() {
+		_, dial, stop := serve(func(_ context.Context, request *gateway.Request, answer gateway.Answer) error {
+			return answer.Whole(http.StatusOK, nil, append([]byte(request.Target+" "), request.Body...))
+		})
+		Reset(stop)
+		connection := dial()
+		_, err := io.WriteString(connection, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"+
+			"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\nTrailer: x\r\n\r\n"+
+			"GET /c HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		reader := bufio.NewReader(connection)
+		for _, expected := range []string{"/a abc", "/b de", "/c "} {
+			_, body, err := answerOn(reader)
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, expected)
+		}
+	})
+}
+
+// Guards against a stream that is broken off and looks complete.
+func TestABrokenStreamDoesNotLookWhole(t *testing.T) {
+	Convey("When a handler fails after it has written", t, func() {
+		_, dial, stop := serve(func(_ context.Context, _ *gateway.Request, answer gateway.Answer) error {
+			if err := errors.Join(answer.Begin(http.StatusOK, nil), answer.Write([]byte("part"))); err != nil {
+				return err
+			}
+			return gateway.Refuse(gateway.UpstreamBroke, 0, "broke")
+		})
+		Reset(stop)
+		_, body, err := ask(dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		So(body, ShouldEqual, "part")
+	})
+	Convey("When it fails before it has written, the caller gets a status", t, func() {
+		_, dial, stop := serve(func(_ context.Context, _ *gateway.Request, answer gateway.Answer) error {
+			if err := answer.Begin(http.StatusOK, nil); err != nil {
+				return err
+			}
+			return gateway.Refuse(gateway.UpstreamBroke, 0, "broke")
+		})
+		Reset(stop)
+		response, _, err := ask(dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
+
+// Guards against work that goes on after its caller has left.
+func TestTheHandlerLearnsThatItsCallerLeft(t *testing.T) {
+	Convey("When the caller closes its connection", t, func() {
+		started, ended := make(chan struct{}), make(chan error, 1)
+		_, dial, stop := serve(func(ctx context.Context, _ *gateway.Request, _ gateway.Answer) error {
+			close(started)
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return gateway.Refuse(gateway.CallerGone, 0, "gone")
+		})
+		Reset(stop)
+		connection := dial()
+		_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		<-started
+		_ = connection.Close()
+		So(<-ended, ShouldEqual, context.Canceled)
+	})
+}
+
+// Guards against bodies beyond the limit that are read whole.
+func TestABodyBeyondTheLimitIsRefused(t *testing.T) {
+	Convey("Given a limit of 64 bytes", t, func() {
+		_, dial, stop := serve(func(context.Context, *gateway.Request, gateway.Answer) error { return nil })
+		Reset(stop)
+		for _, head := range []string{
+			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n",
+			"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" + string(make([]byte, 128)) + "\r\n0\r\n\r\n",
+		} {
+			response, _, err := ask(dial(), head)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+			So(response.Close, ShouldBeTrue)
+		}
+	})
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,200 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+)
+
+func decodeHead(response *http.Response) gateway.AnswerHead {
+	return gateway.AnswerHead{Status: response.StatusCode, ID: response.Header.Get("Id")}
+}
+
+// upstream accepts connections and answers each request with the next script.
+func upstream(scripts ...string) (address string, accepted func() int, stop func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	count := make(chan int, 1)
+	count <- 0
+	next := make(chan string, len(scripts))
+	for _, script := range scripts {
+		next <- script
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			count <- <-count + 1
+			go func() {
+				defer func() { _ = connection.Close() }()
+				reader := bufio.NewReader(connection)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					script := <-next
+					if _, err := connection.Write([]byte(script)); err != nil || script == "" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), func() int {
+			n := <-count
+			count <- n
+			return n
+		}, func() {
+			_ = listener.Close()
+		}
+}
+
+// exchange sends one request and collects its answer.
+func exchange(pool *Pool, address, id string) (heads []gateway.AnswerHead, body string, end End) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	connection, _, err := pool.Acquire(ctx, Target{Upstream: "u", Address: address, MaxConnections: 2})
+	So(err, ShouldBeNil)
+	events := make(chan Event, 8)
+	connection.Send(&Exchange{ID: id, Method: http.MethodGet, Payload: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Events: events, Context: ctx})
+	for event := range events {
+		switch {
+		case event.Head != nil:
+			heads = append(heads, *event.Head)
+		case event.End != nil:
+			return heads, body, *event.End
+		default:
+			body += string(event.Data)
+		}
+	}
+	return heads, body, end
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func startPool() (*Pool, func()) {
+	pool := NewPool(decodeHead, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	go pool.Run(ctx)
+	return pool, cancel
+}
+
+// Guards against connections that are not kept, as each new one is charged.
+func TestAConnectionIsUsedAgain(t *testing.T) {
+	Convey("Given whole answers", t, func() {
+		address, accepted, stop := upstream(whole("1", "a"), whole("2", "b"), whole("3", "c"))
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		for i, expected := range []string{"a", "b", "c"} {
+			_, body, end := exchange(pool, address, fmt.Sprint(i+1))
+			So(end.Err, ShouldBeNil)
+			So(end.Framed, ShouldBeTrue)
+			So(body, ShouldEqual, expected)
+		}
+		So(accepted(), ShouldEqual, 1)
+	})
+}
+
+// Guards against an answer that is delivered for another request.
+func TestAnAnswerOfAnotherRequestIsReadPast(t *testing.T) {
+	Convey("When a late answer comes first", t, func() {
+		address, accepted, stop := upstream(whole("0", "late")+whole("1", "own"), whole("2", "next"))
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		heads, body, ending := exchange(pool, address, "1")
+		So(ending.Err, ShouldBeNil)
+		So(len(heads), ShouldEqual, 1)
+		So(body, ShouldEqual, "own")
+		Convey("the connection is not used again", func() {
+			_, body, _ := exchange(pool, address, "2")
+			So(body, ShouldEqual, "next")
+			So(accepted(), ShouldEqual, 2)
+		})
+	})
+	Convey("When bytes follow a whole answer, the connection is not used again", t, func() {
+		address, accepted, stop := upstream(whole("1", "own")+whole("1", "again"), whole("2", "next"))
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		_, body, _ := exchange(pool, address, "1")
+		So(body, ShouldEqual, "own")
+		_, body, _ = exchange(pool, address, "2")
+		So(body, ShouldEqual, "next")
+		So(accepted(), ShouldEqual, 2)
+	})
+}
+
+// Guards against broken answers that look whole.
+func TestBrokenAnswers(t *testing.T) {
+	for name, script := range map[string]string{
+		"truncated":     "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nabc",
+		"cut in chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"none":          "",
+	} {
+		Convey("An answer that is "+name, t, func() {
+			address, _, stop := upstream(script, "")
+			pool, end := startPool()
+			Reset(func() { end(); stop() })
+			ctx := context.Background()
+			connection, _, err := pool.Acquire(ctx, Target{Upstream: "u", Address: address, MaxConnections: 1})
+			So(err, ShouldBeNil)
+			events := make(chan Event, 8)
+			connection.Send(&Exchange{ID: "1", Method: http.MethodGet, Payload: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Events: events, Context: ctx})
+			if script != "" {
+				// The stand-in waits for another request; closing ends it.
+				_, err = connection.socket.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+				So(err, ShouldBeNil)
+			}
+			for event := range events {
+				if event.End != nil {
+					So(event.End.Err, ShouldWrap, ErrClosed)
+					So(event.End.Unsent, ShouldBeFalse)
+					break
+				}
+			}
+		})
+	}
+	Convey("Bytes that are no answer", t, func() {
+		address, _, stop := upstream("\x00garbage\r\n\r\n")
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		_, _, ending := exchange(pool, address, "1")
+		So(ending.Err, ShouldWrap, ErrGarbled)
+	})
+}
+
+// Guards against a pool that hands out more connections than allowed, and one
+// that keeps those of an upstream that is gone.
+func TestThePoolKeepsToItsBounds(t *testing.T) {
+	Convey("Given a bound of one", t, func() {
+		address, accepted, stop := upstream(whole("1", "a"), whole("2", "b"))
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		target := Target{Upstream: "u", Address: address, MaxConnections: 1}
+		connection, fresh, err := pool.Acquire(context.Background(), target)
+		So(err, ShouldBeNil)
+		So(fresh, ShouldBeTrue)
+		_, _, err = pool.Acquire(context.Background(), target)
+		So(err, ShouldEqual, ErrFull)
+		pool.idle(connection)
+		_, _, ending := exchange(pool, address, "1")
+		So(ending.Err, ShouldBeNil)
+		So(accepted(), ShouldEqual, 1)
+		pool.Forget([]core.UpstreamID{"u"})
+		_, _, ending = exchange(pool, address, "2")
+		So(ending.Err, ShouldBeNil)
+		So(accepted(), ShouldEqual, 2)
+	})
+}
