--- /dev/null
+++ b/cmd/peridotreel/explain.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/peridotreel/peridotreel/internal/explain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell a request's story from the logs of any number of hosts",
+		ArgsUsage: "[ID] [FILE ...]",
+		Description: "Reads log files, or standard input if none is named, and prints where the request was taken, its balance,\n" +
+			"its attempts and its answer, and what the host believed then. With --since or --event, no ID is given and\n" +
+			"the changes of what hosts believe are printed.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "since", Usage: "print what changed from this time on, in RFC 3339"},
+			&cli.StringFlag{Name: "event", Usage: "print only events of this name"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			arguments := command.Args().Slice()
+			changes := command.IsSet("since") || command.IsSet("event")
+			id := ""
+			if !changes {
+				if len(arguments) == 0 {
+					return fmt.Errorf("no request named; give its id, or --since or --event")
+				}
+				id, arguments = arguments[0], arguments[1:]
+			}
+			lines, err := readLogs(arguments)
+			if err != nil {
+				return err
+			}
+			if !changes {
+				if !explain.Request(os.Stdout, lines, id) {
+					return fmt.Errorf("no line names request %s; ordinary answers are sampled, and a host that was killed writes none", id)
+				}
+				return nil
+			}
+			var since time.Time
+			if command.IsSet("since") {
+				if since, err = time.Parse(time.RFC3339Nano, command.String("since")); err != nil {
+					return fmt.Errorf("--since: %w; write a time such as 2026-01-31T10:00:00Z", err)
+				}
+			}
+			explain.Changes(os.Stdout, lines, since, command.String("event"))
+			return nil
+		},
+	}
+}
+
+func readLogs(names []string) ([]explain.Line, error) {
+	if len(names) == 0 {
+		lines, _, err := explain.Read("stdin", os.Stdin)
+		return lines, err
+	}
+	var all []explain.Line
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("open a log: %w; name readable files", err)
+		}
+		lines, _, err := explain.Read(name, file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/cmd/peridotreel/main.go
+++ b/cmd/peridotreel/main.go
@@ -23,7 +23,7 @@
 		Name:  "peridotreel",
 		Usage: "router fleet for language-model work on prepaid token budgets",
 		Commands: []*cli.Command{
-			serveCommand(), gatewayCommand(), checkCommand(), tableCommand(), standinCommand(), demoCommand(), measureCommand(),
+			serveCommand(), gatewayCommand(), explainCommand(), checkCommand(), tableCommand(), standinCommand(), demoCommand(), measureCommand(),
 		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
