--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -398,7 +398,10 @@
 // work starts the commit that the holder wants, if none is under way.
 func (b *Balances) work(ctx context.Context, a *account) {
 	now := b.config.Now()
-	if a.busy || a.closed || !b.pledge.read || now.Before(a.pausedUntil) {
+	// While the store is away, the record of pledges alone is written: it tells
+	// when the store is back, for all teams.
+	away := now.Before(b.awayUntil) && b.closing == nil
+	if a.busy || a.closed || away || !b.pledge.read || now.Before(a.pausedUntil) {
 		return
 	}
 	proposal, wanted := a.holder.Propose(now)
--- a/internal/tasks/balances/pledges.go
+++ b/internal/tasks/balances/pledges.go
@@ -222,6 +222,9 @@
 	}
 	for _, a := range b.teams {
 		b.serveWaiters(a)
+		if m.err == nil {
+			b.work(ctx, a)
+		}
 		if len(a.waiting) > 0 {
 			if m.err == nil && a.holder.PledgeShort(now) {
 				b.writePledges(ctx)
