--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -64,19 +64,27 @@
 	}
 }
 
-func ask(connection net.Conn, text string) (*http.Response, string, error) {
+func ask(connection net.Conn, text string) (reply, error) {
 	_, err := io.WriteString(connection, text)
 	So(err, ShouldBeNil)
 	return answerOn(bufio.NewReader(connection))
 }
 
-func answerOn(reader *bufio.Reader) (*http.Response, string, error) {
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	closing bool
+	body    string
+}
+
+func answerOn(reader *bufio.Reader) (reply, error) {
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		return nil, "", err
+		return reply{}, err
 	}
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	return reply{response.StatusCode, response.Close, string(body)}, err
 }
 
 // Guards against connections that a leaving host closes unread while the
@@ -103,14 +111,13 @@
 		go func() { closed <- server.CloseIdle(context.Background()) }()
 		<-server.stopping
 		fresh := dial()
-		response, body, err := ask(fresh, "GET /new HTTP/1.1\r\nHost: h\r\n\r\n")
+		got, err := ask(fresh, "GET /new HTTP/1.1\r\nHost: h\r\n\r\n")
 		So(err, ShouldBeNil)
-		So(body, ShouldEqual, "/new")
-		So(response.Close, ShouldBeTrue)
+		So(got, ShouldResemble, reply{http.StatusOK, true, "/new"})
 		close(release)
-		_, body, err = answerOn(bufio.NewReader(held))
+		got, err = answerOn(bufio.NewReader(held))
 		So(err, ShouldBeNil)
-		So(body, ShouldEqual, "/held")
+		So(got.body, ShouldEqual, "/held")
 		So(<-closed, ShouldBeNil)
 	})
 }
@@ -130,9 +137,9 @@
 		So(err, ShouldBeNil)
 		reader := bufio.NewReader(connection)
 		for _, expected := range []string{"/a abc", "/b de", "/c "} {
-			_, body, err := answerOn(reader)
+			got, err := answerOn(reader)
 			So(err, ShouldBeNil)
-			So(body, ShouldEqual, expected)
+			So(got.body, ShouldEqual, expected)
 		}
 	})
 }
@@ -147,9 +154,9 @@
 			return gateway.Refuse(gateway.UpstreamBroke, 0, "broke")
 		})
 		Reset(stop)
-		_, body, err := ask(dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		got, err := ask(dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		So(err, ShouldEqual, io.ErrUnexpectedEOF)
-		So(body, ShouldEqual, "part")
+		So(got.body, ShouldEqual, "part")
 	})
 	Convey("When it fails before it has written, the caller gets a status", t, func() {
 		_, dial, stop := serve(func(_ context.Context, _ *gateway.Request, answer gateway.Answer) error {
@@ -159,9 +166,9 @@
 			return gateway.Refuse(gateway.UpstreamBroke, 0, "broke")
 		})
 		Reset(stop)
-		response, _, err := ask(dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		got, err := ask(dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		So(err, ShouldBeNil)
-		So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
 
@@ -194,10 +201,10 @@
 			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n",
 			"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" + string(make([]byte, 128)) + "\r\n0\r\n\r\n",
 		} {
-			response, _, err := ask(dial(), head)
+			got, err := ask(dial(), head)
 			So(err, ShouldBeNil)
-			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
-			So(response.Close, ShouldBeTrue)
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.closing, ShouldBeTrue)
 		}
 	})
 }
