--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,20 +68,24 @@
 	closing chan<- struct{}
 }
 
+// account is the task's state for one team.
 type account struct {
+	name    core.TeamName
+	holder  *allowance.Holder
+	prepaid core.Tokens
+	waiting []waiter
+	// busy is true while a call of the store is under way.
+	busy bool
+	// pausedUntil is when the store is called again after a call that failed.
+	pausedUntil time.Time
 	// recalls counts the calls to other hosts that hold tokens.
 	recalls int
-	// returning is replied to when a commit for another host has ended.
+	// returning is replied to when a commit for another host has ended, with
+	// returned if it was applied.
 	returning chan<- core.Tokens
 	returned  core.Tokens
-	prepaid   core.Tokens
-	name      core.TeamName
-	holder    *allowance.Holder
-	waiting   []waiter
-	busy      bool
-	// pausedUntil is when the store is called again after a call that failed.
-	pausedUntil time.Time
-	closed      bool
+	// closed is true once the tokens were returned at the end of the process.
+	closed bool
 }
 
 type waiter struct {
@@ -135,18 +138,6 @@
 
 type configured struct{ config *gateway.Config }
 
-type called struct {
-	team core.TeamName
-	// ledger and version are what the store has, if known.
-	ledger  allowance.Ledger
-	version int64
-	learned bool
-	// certain is false if a commit may still be applied.
-	certain bool
-	read    bool
-	err     error
-}
-
 type hostCount int
 
 type closeAll struct{ reply chan<- struct{} }
@@ -297,240 +288,6 @@
 	}
 }
 
-func (b *Balances) reserve(ctx context.Context, m reserve, now time.Time) {
-	a, found := b.teams[m.team]
-	if !found {
-		// A team without a prepaid total spends without a reservation.
-		m.reply <- Grant{Outcome: Granted}
-		return
-	}
-	a.holder.Note(m.amount, now)
-	if a.holder.Reserve(m.amount, now) {
-		m.reply <- b.grant(a, Granted)
-		b.work(ctx, a)
-		return
-	}
-	if !a.holder.Covers(m.amount) {
-		m.reply <- b.grant(a, Spent)
-		return
-	}
-	allowed, ever := a.holder.AllowedAt(m.amount, now)
-	soon := ever && allowed.Sub(now) <= outageWait
-	if soon && allowed.After(m.until) {
-		m.until = allowed.Add(refreshEvery)
-	}
-	if !soon && (now.Before(a.pausedUntil) || now.Before(b.awayUntil)) {
-		m.reply <- b.grant(a, Away)
-		return
-	}
-	a.holder.Await(m.amount)
-	a.waiting = append(a.waiting, waiter{m.amount, m.until, m.reply})
-	b.work(ctx, a)
-	if a.holder.PledgeShort(now) {
-		b.writePledges(ctx)
-	}
-	b.refuseHopeless(a)
-}
-
-// refuseHopeless ends waits that neither a call under way nor the pledge can
-// end: what is left is granted to other hosts.
-func (b *Balances) refuseHopeless(a *account) {
-	if len(a.waiting) == 0 {
-		return
-	}
-	now := b.config.Now()
-	if a.busy || a.recalls > 0 || (b.pledge.busy && a.holder.PledgeShort(now)) || b.recall(a) {
-		return
-	}
-	b.refuseIf(a, Away, func(w waiter) bool {
-		allowed, ever := a.holder.AllowedAt(w.amount, now)
-		return !ever || allowed.After(w.until)
-	})
-}
-
-func (b *Balances) grant(a *account, outcome Outcome) Grant {
-	return Grant{
-		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(),
-		Elsewhere: a.holder.Elsewhere(), Prepaid: a.holder.Prepaid(), Unsure: a.holder.Unsure(),
-		StoreAway: b.config.Now().Before(b.awayUntil), Version: a.holder.Version(),
-	}
-}
-
-// serveWaiters grants what is available, in order; a smaller amount may pass a
-// larger one.
-func (b *Balances) serveWaiters(a *account) {
-	now := b.config.Now()
-	kept := a.waiting[:0]
-	for _, w := range a.waiting {
-		if !a.holder.Reserve(w.amount, now) {
-			kept = append(kept, w)
-			continue
-		}
-		a.holder.Release(w.amount)
-		w.reply <- b.grant(a, Granted)
-	}
-	a.waiting = kept
-}
-
-func (b *Balances) expireWaiters(a *account) {
-	now := b.config.Now()
-	b.refuseIf(a, Away, func(w waiter) bool { return !now.Before(w.until) })
-}
-
-// refuseIf ends the waits of those that a condition names.
-func (b *Balances) refuseIf(a *account, outcome Outcome, condition func(waiter) bool) {
-	kept := a.waiting[:0]
-	for _, w := range a.waiting {
-		if !condition(w) {
-			kept = append(kept, w)
-			continue
-		}
-		a.holder.Release(w.amount)
-		answer := outcome
-		if !a.holder.Covers(w.amount) {
-			answer = Spent
-		}
-		w.reply <- b.grant(a, answer)
-	}
-	a.waiting = kept
-}
-
-// work starts the commit that the holder wants, if none is under way.
-func (b *Balances) work(ctx context.Context, a *account) {
-	now := b.config.Now()
-	// While the store is away, the record of pledges alone is written: it tells
-	// when the store is back, for all teams.
-	away := now.Before(b.awayUntil) && b.closing == nil
-	if a.busy || a.closed || away || !b.pledge.read || now.Before(a.pausedUntil) {
-		return
-	}
-	proposal, wanted := a.holder.Propose(now)
-	if b.closing != nil {
-		if proposal, wanted = a.holder.Close(); !wanted {
-			a.closed = true
-			return
-		}
-	}
-	if !wanted {
-		return
-	}
-	a.holder.Begin(proposal, now)
-	a.busy = true
-	go b.commit(ctx, a.name, proposal)
-}
-
-// commit performs one commit and reports what became of it. It touches no
-// state of the task.
-func (b *Balances) commit(ctx context.Context, team core.TeamName, proposal allowance.Proposal) {
-	result := called{team: team}
-	defer func() { _ = b.inbox.Send(context.WithoutCancel(ctx), result) }()
-	value, err := proposal.Ledger.Encode()
-	if err != nil {
-		result.err, result.certain = err, true
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row := rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}
-	put := row
-	put.Value = value
-	sent, err := b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
-	var conflict *rowstore.ConflictError
-	var away *rowstore.UnavailableError
-	switch {
-	case err == nil:
-		result.ledger, result.version, result.learned, result.certain = proposal.Ledger, sent.Version, true, true
-	case errors.As(err, &conflict):
-		result.certain = true
-		result.setRows(conflict.Rows)
-	case errors.As(err, &away):
-		result.err, result.certain = err, !away.MayApply
-	default:
-		result.err = err
-	}
-}
-
-// setRows takes the ledger from rows of the store.
-func (r *called) setRows(rows []rowstore.Row) {
-	r.learned = true
-	for _, row := range rows {
-		if row.Key != ledgerKey || row.Version == 0 || row.Deleted {
-			continue
-		}
-		r.ledger, r.err = allowance.DecodeLedger(row.Value)
-		r.version, r.learned = row.Version, r.err == nil
-	}
-}
-
-// read fetches a ledger that is not known yet.
-func (b *Balances) read(ctx context.Context, a *account) {
-	a.busy = true
-	team := a.name
-	go func() {
-		result := called{team: team, certain: true, read: true}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		rows, _, err := b.config.Store.Get(ctx, Table, string(team))
-		if err != nil {
-			result.err = err
-		} else {
-			result.setRows(rows)
-		}
-		_ = b.inbox.Send(context.WithoutCancel(ctx), result)
-	}()
-}
-
-func (b *Balances) learn(a *account, row rowstore.Row) {
-	ledger, err := allowance.DecodeLedger(row.Value)
-	if err != nil {
-		b.config.Log.Error("balance ledger skipped", zap.String("event", "ledger_malformed"),
-			zap.String("team", string(a.name)), zap.Int64("row_version", row.Version), zap.Error(err))
-		return
-	}
-	a.holder.Learn(ledger, row.Version)
-}
-
-func (b *Balances) called(ctx context.Context, m called, now time.Time) {
-	a, found := b.teams[m.team]
-	if !found {
-		return
-	}
-	a.busy = false
-	if m.learned {
-		a.holder.Learn(m.ledger, m.version)
-	}
-	if !m.read {
-		a.holder.Done(m.certain)
-		b.answerReturn(a, m.err == nil && m.certain)
-	}
-	if m.err == nil {
-		b.awayUntil = time.Time{}
-	}
-	if m.err != nil {
-		a.pausedUntil = now.Add(failurePause)
-		b.awayUntil = now.Add(awayMemory)
-		b.config.Log.Warn("balance not updated", zap.String("event", "balance_commit_failed"), zap.String("team", string(m.team)),
-			zap.Int64("ledger_version", a.holder.Version()), zap.Bool("certain", m.certain), zap.Error(m.err))
-		b.serveWaiters(a)
-		b.refuseHopeless(a)
-		if m.read {
-			time.AfterFunc(failurePause, func() { _ = b.inbox.Send(context.WithoutCancel(ctx), retryRead{a.name}) })
-		}
-		return
-	}
-	if b.closing != nil && !m.read && m.learned && m.certain {
-		b.work(ctx, a)
-		b.finishClose()
-		return
-	}
-	b.serveWaiters(a)
-	b.work(ctx, a)
-	if a.holder.PledgeShort(now) {
-		b.writePledges(ctx)
-	}
-	b.refuseHopeless(a)
-}
-
 func (b *Balances) finishClose() {
 	if b.closing == nil {
 		return
@@ -543,6 +300,3 @@
 	b.closing <- struct{}{}
 	b.closing = nil
 }
-
-// retryRead repeats the read of a ledger.
-type retryRead struct{ team core.TeamName }
--- /dev/null
+++ b/internal/tasks/balances/commit.go
@@ -0,0 +1,164 @@
+package balances
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/rowstore"
+)
+
+type called struct {
+	team core.TeamName
+	// ledger and version are what the store has, if known.
+	ledger  allowance.Ledger
+	version int64
+	learned bool
+	// certain is false if a commit may still be applied.
+	certain bool
+	read    bool
+	err     error
+}
+
+// work starts the commit that the holder wants, if none is under way.
+func (b *Balances) work(ctx context.Context, a *account) {
+	now := b.config.Now()
+	// While the store is away, the record of pledges alone is written: it tells
+	// when the store is back, for all teams.
+	away := now.Before(b.awayUntil) && b.closing == nil
+	if a.busy || a.closed || away || !b.pledge.read || now.Before(a.pausedUntil) {
+		return
+	}
+	proposal, wanted := a.holder.Propose(now)
+	if b.closing != nil {
+		if proposal, wanted = a.holder.Close(); !wanted {
+			a.closed = true
+			return
+		}
+	}
+	if !wanted {
+		return
+	}
+	a.holder.Begin(proposal, now)
+	a.busy = true
+	go b.commit(ctx, a.name, proposal)
+}
+
+// commit performs one commit and reports what became of it. It touches no
+// state of the task.
+func (b *Balances) commit(ctx context.Context, team core.TeamName, proposal allowance.Proposal) {
+	result := called{team: team}
+	defer func() { _ = b.inbox.Send(context.WithoutCancel(ctx), result) }()
+	value, err := proposal.Ledger.Encode()
+	if err != nil {
+		result.err, result.certain = err, true
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row := rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}
+	put := row
+	put.Value = value
+	sent, err := b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
+	var conflict *rowstore.ConflictError
+	var away *rowstore.UnavailableError
+	switch {
+	case err == nil:
+		result.ledger, result.version, result.learned, result.certain = proposal.Ledger, sent.Version, true, true
+	case errors.As(err, &conflict):
+		result.certain = true
+		result.setRows(conflict.Rows)
+	case errors.As(err, &away):
+		result.err, result.certain = err, !away.MayApply
+	default:
+		result.err = err
+	}
+}
+
+// setRows takes the ledger from rows of the store.
+func (r *called) setRows(rows []rowstore.Row) {
+	r.learned = true
+	for _, row := range rows {
+		if row.Key != ledgerKey || row.Version == 0 || row.Deleted {
+			continue
+		}
+		r.ledger, r.err = allowance.DecodeLedger(row.Value)
+		r.version, r.learned = row.Version, r.err == nil
+	}
+}
+
+// read fetches a ledger that is not known yet.
+func (b *Balances) read(ctx context.Context, a *account) {
+	a.busy = true
+	team := a.name
+	go func() {
+		result := called{team: team, certain: true, read: true}
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		rows, _, err := b.config.Store.Get(ctx, Table, string(team))
+		if err != nil {
+			result.err = err
+		} else {
+			result.setRows(rows)
+		}
+		_ = b.inbox.Send(context.WithoutCancel(ctx), result)
+	}()
+}
+
+func (b *Balances) learn(a *account, row rowstore.Row) {
+	ledger, err := allowance.DecodeLedger(row.Value)
+	if err != nil {
+		b.config.Log.Error("balance ledger skipped", zap.String("event", "ledger_malformed"),
+			zap.String("team", string(a.name)), zap.Int64("row_version", row.Version), zap.Error(err))
+		return
+	}
+	a.holder.Learn(ledger, row.Version)
+}
+
+func (b *Balances) called(ctx context.Context, m called, now time.Time) {
+	a, found := b.teams[m.team]
+	if !found {
+		return
+	}
+	a.busy = false
+	if m.learned {
+		a.holder.Learn(m.ledger, m.version)
+	}
+	if !m.read {
+		a.holder.Done(m.certain)
+		b.answerReturn(a, m.err == nil && m.certain)
+	}
+	if m.err == nil {
+		b.awayUntil = time.Time{}
+	}
+	if m.err != nil {
+		a.pausedUntil = now.Add(failurePause)
+		b.awayUntil = now.Add(awayMemory)
+		b.config.Log.Warn("balance not updated", zap.String("event", "balance_commit_failed"), zap.String("team", string(m.team)),
+			zap.Int64("ledger_version", a.holder.Version()), zap.Bool("certain", m.certain), zap.Error(m.err))
+		b.serveWaiters(a)
+		b.refuseHopeless(a)
+		if m.read {
+			time.AfterFunc(failurePause, func() { _ = b.inbox.Send(context.WithoutCancel(ctx), retryRead{a.name}) })
+		}
+		return
+	}
+	if b.closing != nil && !m.read && m.learned && m.certain {
+		b.work(ctx, a)
+		b.finishClose()
+		return
+	}
+	b.serveWaiters(a)
+	b.work(ctx, a)
+	if a.holder.PledgeShort(now) {
+		b.writePledges(ctx)
+	}
+	b.refuseHopeless(a)
+}
+
+// retryRead repeats the read of a ledger.
+type retryRead struct{ team core.TeamName }
--- /dev/null
+++ b/internal/tasks/balances/waiting.go
@@ -0,0 +1,104 @@
+package balances
+
+import (
+	"context"
+	"time"
+)
+
+func (b *Balances) reserve(ctx context.Context, m reserve, now time.Time) {
+	a, found := b.teams[m.team]
+	if !found {
+		// A team without a prepaid total spends without a reservation.
+		m.reply <- Grant{Outcome: Granted}
+		return
+	}
+	a.holder.Note(m.amount, now)
+	if a.holder.Reserve(m.amount, now) {
+		m.reply <- b.grant(a, Granted)
+		b.work(ctx, a)
+		return
+	}
+	if !a.holder.Covers(m.amount) {
+		m.reply <- b.grant(a, Spent)
+		return
+	}
+	allowed, ever := a.holder.AllowedAt(m.amount, now)
+	soon := ever && allowed.Sub(now) <= outageWait
+	if soon && allowed.After(m.until) {
+		m.until = allowed.Add(refreshEvery)
+	}
+	if !soon && (now.Before(a.pausedUntil) || now.Before(b.awayUntil)) {
+		m.reply <- b.grant(a, Away)
+		return
+	}
+	a.holder.Await(m.amount)
+	a.waiting = append(a.waiting, waiter{m.amount, m.until, m.reply})
+	b.work(ctx, a)
+	if a.holder.PledgeShort(now) {
+		b.writePledges(ctx)
+	}
+	b.refuseHopeless(a)
+}
+
+// refuseHopeless ends waits that neither a call under way nor the pledge can
+// end: what is left is granted to other hosts.
+func (b *Balances) refuseHopeless(a *account) {
+	if len(a.waiting) == 0 {
+		return
+	}
+	now := b.config.Now()
+	if a.busy || a.recalls > 0 || (b.pledge.busy && a.holder.PledgeShort(now)) || b.recall(a) {
+		return
+	}
+	b.refuseIf(a, Away, func(w waiter) bool {
+		allowed, ever := a.holder.AllowedAt(w.amount, now)
+		return !ever || allowed.After(w.until)
+	})
+}
+
+func (b *Balances) grant(a *account, outcome Outcome) Grant {
+	return Grant{
+		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(),
+		Elsewhere: a.holder.Elsewhere(), Prepaid: a.holder.Prepaid(), Unsure: a.holder.Unsure(),
+		StoreAway: b.config.Now().Before(b.awayUntil), Version: a.holder.Version(),
+	}
+}
+
+// serveWaiters grants what is available, in order; a smaller amount may pass a
+// larger one.
+func (b *Balances) serveWaiters(a *account) {
+	now := b.config.Now()
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if !a.holder.Reserve(w.amount, now) {
+			kept = append(kept, w)
+			continue
+		}
+		a.holder.Release(w.amount)
+		w.reply <- b.grant(a, Granted)
+	}
+	a.waiting = kept
+}
+
+func (b *Balances) expireWaiters(a *account) {
+	now := b.config.Now()
+	b.refuseIf(a, Away, func(w waiter) bool { return !now.Before(w.until) })
+}
+
+// refuseIf ends the waits of those that a condition names.
+func (b *Balances) refuseIf(a *account, outcome Outcome, condition func(waiter) bool) {
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if !condition(w) {
+			kept = append(kept, w)
+			continue
+		}
+		a.holder.Release(w.amount)
+		answer := outcome
+		if !a.holder.Covers(w.amount) {
+			answer = Spent
+		}
+		w.reply <- b.grant(a, answer)
+	}
+	a.waiting = kept
+}
