--- a/internal/opaque/fund/fund.go
+++ b/internal/opaque/fund/fund.go
@@ -19,6 +19,9 @@
 	// awayRetry is given when tokens could not be fetched. The balancer gives a
 	// retry to another host, which may hold tokens.
 	awayRetry = 300 * time.Millisecond
+	// outageRetry is given while the store is away: what a host may spend grows
+	// with the time of an outage, and most outages end within seconds.
+	outageRetry = 2 * time.Second
 )
 
 // Balances reserves and settles.
@@ -57,7 +60,11 @@
 		return reservation, gateway.Refuse(gateway.BalanceSpent, 0,
 			"the balance of team %s does not cover %d tokens; top it up or ask for fewer", matched.Team.Name, amount)
 	case grant.Outcome == balances.Away:
-		return reservation, gateway.Refuse(gateway.BalanceAway, awayRetry,
+		retry := awayRetry
+		if grant.StoreAway {
+			retry = outageRetry
+		}
+		return reservation, gateway.Refuse(gateway.BalanceAway, retry,
 			"no tokens of team %s could be fetched in time; retry later", matched.Team.Name)
 	}
 	return reservation, nil
