--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -61,16 +61,11 @@
 	Capacity core.Tokens
 	// TokensPerEvent is the most tokens that one event carries.
 	TokensPerEvent core.Tokens
-	// Backups is true when a run's memory can be copied while it runs.
-	Backups bool
-	// Moves is true when a run's memory can be moved.
-	Moves bool
 }
 
 // Service is a group of upstreams that do the same work.
 type Service struct {
-	Name       core.ServiceName
-	HealthPath string
+	Name core.ServiceName
 	// MaxConnections bounds the connections to one upstream from all hosts.
 	MaxConnections int
 	// Engine is nil for plain services.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,8 +89,4 @@
 	Urgency int
 	// ResumeAfter is the id of the last event delivered, "" to start anew.
 	ResumeAfter string
-	// ContinueFrom names the copy of a run's memory to go on from, "" for none.
-	ContinueFrom string
-	// BackupTo is the address to which the run's memory is copied, "" for none.
-	BackupTo string
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
@@ -15,8 +13,6 @@
 	Slots   int
 	// Leaving is true when the upstream must get no new work.
 	Leaving bool
-	// ColdFor is how much longer the upstream is slow after its start.
-	ColdFor time.Duration
 	// Born is the time of its start in Unix milliseconds, 0 if unknown. An
 	// upstream that restarts may keep its id but not its state.
 	Born int64
