--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -53,12 +55,8 @@
 	e.readiness.draining.Store(true)
 	e.front.Drain()
 	e.director.Leave(e.options.Now().Add(grace - exitMargin))
-	wait := time.NewTimer(balancerWait)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
+	// If ctx ends first, CloseIdle reports it.
+	_ = task.Sleep(ctx, balancerWait)
 	if err := e.front.CloseIdle(ctx); err != nil {
 		e.options.Log.Warn("requests are cut off at the end of the grace", zap.String("event", "drain_incomplete"), zap.Error(err))
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -153,9 +153,7 @@
 				return
 			}
 			s.config.Log.Warn("accept failed", zap.String("event", "accept_failed"), zap.Error(err))
-			select {
-			case <-time.After(acceptRetry):
-			case <-ctx.Done():
+			if task.Sleep(ctx, acceptRetry) != nil {
 				return
 			}
 			continue
--- a/internal/measure/fleet/slopes.go
+++ b/internal/measure/fleet/slopes.go
@@ -85,7 +85,7 @@
 			host.group.Stop()
 		}
 	}()
-	if err := sleep(ctx, time.Duration(settlePeriods+hosts/3)*period); err != nil {
+	if err := task.Sleep(ctx, time.Duration(settlePeriods+hosts/3)*period); err != nil {
 		return Slope{}, err
 	}
 	slope := Slope{Hosts: hosts, Periods: periods}
@@ -198,7 +198,7 @@
 		}
 		reached := false
 		for range changeEvery * scale {
-			if err := sleep(ctx, period/time.Duration(scale)); err != nil {
+			if err := task.Sleep(ctx, period/time.Duration(scale)); err != nil {
 				return err
 			}
 			if !reached && inForce(hosts, int64(revision)) {
@@ -245,14 +245,3 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc + stats.StackInuse)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -13,6 +13,7 @@
 	"github.com/peridotreel/peridotreel/internal/filter/attempt"
 	"github.com/peridotreel/peridotreel/internal/filter/relay"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -79,7 +80,7 @@
 		return core.Target{}, plan.last
 	}
 	if e.attempts > 1 {
-		if err := sleep(ctx, retry.Backoff(e.attempts, rand.Float64())); err != nil {
+		if err := task.Sleep(ctx, retry.Backoff(e.attempts, rand.Float64())); err != nil {
 			return core.Target{}, plan.last
 		}
 	}
@@ -232,15 +233,3 @@
 func mayRepeat(work *core.Work, err error) bool {
 	return work.Idempotent || fault.From(err).Run == fault.NotRun
 }
-
-// sleep waits for a delay or until ctx ends.
-func sleep(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/platform/service.go
+++ b/internal/standin/platform/service.go
@@ -81,7 +81,7 @@
 		return answer.value, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	if answer.delay > 0 {
-		if err := sleep(ctx, answer.delay); err != nil {
+		if err := task.Sleep(ctx, answer.delay); err != nil {
 			return answer.value, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 		}
 	}
@@ -107,17 +107,6 @@
 	}
 }
 
-func sleep(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // control runs an operation in the service's task whatever the fault. It does
 // nothing when the task has ended.
 func (s *Service) control(operation func(*state)) {
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 )
 
 // ErrOverloaded is returned when an inbox stayed full until the sender's
@@ -84,6 +85,18 @@
 	}
 }
 
+// Sleep waits for a delay and returns nil, or ctx's error if it ends before.
+func Sleep(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Task is a unit of concurrency with its own state.
 type Task interface {
 	// Run handles messages until ctx ends.
--- a/internal/tasks/follower/follower.go
+++ b/internal/tasks/follower/follower.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/rowstore"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -84,7 +85,10 @@
 				f.Log.Info("the store answers again", zap.String("event", "store_regained"), zap.String("table", f.Table), zap.Int64("version", version))
 				f.Health(Health{Table: f.Table, Answers: true, Since: lastSeen, LastSeen: lastSeen})
 			}
-			sleep(ctx, f.Pace-f.Now().Sub(began))
+			// A wait that ctx ends is noticed by the loop.
+			if rest := f.Pace - f.Now().Sub(began); rest > 0 {
+				_ = task.Sleep(ctx, rest)
+			}
 			continue
 		}
 		if errors.Is(err, rowstore.ErrHistoryGone) {
@@ -101,7 +105,7 @@
 		// Sent with each failure, so that the receiver knows the time of the
 		// last answer.
 		f.Health(Health{Table: f.Table, Cause: err, Since: began, LastSeen: lastSeen})
-		sleep(ctx, delay/2+rand.N(delay/2))
+		_ = task.Sleep(ctx, delay/2+rand.N(delay/2))
 		delay = min(delay*2, retryMost)
 	}
 }
@@ -138,15 +142,3 @@
 	}
 	return feedWait
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	if delay <= 0 {
-		return
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -327,12 +327,8 @@
 			return
 		}
 		p.config.Log.Debug("host entry not written; trying again", zap.String("event", "register_failed"), zap.Error(err))
-		timer := time.NewTimer(registerRetry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		// A wait that ctx ends is noticed by the loop.
+		_ = task.Sleep(ctx, registerRetry)
 	}
 }
 
