--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -203,42 +203,41 @@
 	return float64(max(h.prepaid-used, 0))
 }
 
-// even returns the part of the unspent balance that each host keeps without
-// demand, so that a first request during an outage is served.
-func (h *Holder) even() float64 {
-	return h.evenShare() * h.distributed() / float64(h.hosts)
+// spread is how the unspent balance is divided.
+type spread struct {
+	// even is what each host keeps without demand, so that a first request
+	// during an outage is served.
+	even float64
+	// byDemand is what hosts keep by their share of the team's demand.
+	byDemand float64
+	// teamRate is the demand of all hosts in tokens a second.
+	teamRate float64
 }
 
-// evenShare returns the part of the distributed balance that is spread evenly.
-func (h *Holder) evenShare() float64 {
-	team := h.perSecond() + h.ledger.demand(h.process.String())
-	if team <= 0 {
-		return evenShare
+// spread divides the unspent balance. Where it covers less than plenty of the
+// team's demand, more is left unallocated and less is spread evenly.
+func (h *Holder) spread() spread {
+	unspent, teamRate := h.unspent(), h.perSecond()+h.ledger.demand(h.process.String())
+	abundance := 1.0
+	if teamRate > 0 {
+		abundance = min(1, unspent/(teamRate*plenty.Seconds()))
 	}
-	return evenShare * min(1, h.unspent()/(team*plenty.Seconds()))
-}
-
-// distributed returns the part of the unspent balance that hosts keep.
-func (h *Holder) distributed() float64 {
-	unspent := h.unspent()
-	pool := max(poolRequests*h.largest, poolShare*unspent)
-	if team := h.perSecond() + h.ledger.demand(h.process.String()); team > 0 {
-		scarcity := 1 - min(1, unspent/(team*plenty.Seconds()))
-		pool = max(pool, scarcePool*scarcity*unspent)
-	}
-	return max(unspent-pool, 0)
+	pool := max(poolRequests*h.largest, poolShare*unspent, scarcePool*(1-abundance)*unspent)
+	distributed := max(unspent-pool, 0)
+	share := evenShare * abundance
+	return spread{even: share * distributed / float64(h.hosts), byDemand: (1 - share) * distributed, teamRate: teamRate}
 }
 
 // target returns the tokens to keep ahead of demand: an even part of the
 // unspent balance, and a part by the host's share of the team's demand.
 func (h *Holder) target(now time.Time) core.Tokens {
 	h.decay(now)
-	rate := h.perSecond()
+	rate, spread := h.perSecond(), h.spread()
 	needed := burst*rate*horizon.Seconds() + largestAhead*h.largest
-	if total := rate + h.ledger.demand(h.process.String()); total > 0 {
-		needed = min(needed, (1-h.evenShare())*h.distributed()*rate/total)
+	if spread.teamRate > 0 {
+		needed = min(needed, spread.byDemand*rate/spread.teamRate)
 	}
-	return core.Tokens(h.even() + needed)
+	return core.Tokens(spread.even + needed)
 }
 
 // Proposal is a change of the ledger to commit.
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -115,11 +115,12 @@
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), h.even()/20)
+	even := h.spread().even
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), even/20)
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
 		Outage: core.Tokens(outageBurst * h.largest),
-		Rate:   outageRate*h.perSecond() + (h.even()+h.largest)/outageRamp.Seconds(),
+		Rate:   outageRate*h.perSecond() + (even+h.largest)/outageRamp.Seconds(),
 	}
 }
 
