--- a/internal/tasks/balances/commit.go
+++ b/internal/tasks/balances/commit.go
@@ -58,25 +58,48 @@
 		result.err, result.certain = err, true
 		return
 	}
+	w := b.write(ctx, rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}, value)
+	result.certain, result.err = w.certain, w.err
+	switch {
+	case w.conflict != nil:
+		result.setRows(w.conflict.Rows)
+	case w.err == nil:
+		result.ledger, result.version, result.learned = proposal.Ledger, w.stamp.Version, true
+	}
+}
+
+// written tells what became of the write of a row.
+type written struct {
+	stamp rowstore.Stamp
+	gotAt time.Time
+	// conflict holds the rows if another version was there.
+	conflict *rowstore.ConflictError
+	// certain is false if the write may still be applied.
+	certain bool
+	err     error
+}
+
+// write replaces the value of a row that has the version in row. It touches no
+// state of the task.
+func (b *Balances) write(ctx context.Context, row rowstore.Row, value []byte) written {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row := rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}
 	put := row
 	put.Value = value
-	sent, err := b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
-	var conflict *rowstore.ConflictError
+	var w written
+	var err error
+	w.stamp, err = b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
+	w.gotAt = b.config.Now()
 	var away *rowstore.UnavailableError
 	switch {
-	case err == nil:
-		result.ledger, result.version, result.learned, result.certain = proposal.Ledger, sent.Version, true, true
-	case errors.As(err, &conflict):
-		result.certain = true
-		result.setRows(conflict.Rows)
+	case err == nil, errors.As(err, &w.conflict):
+		w.certain = true
 	case errors.As(err, &away):
-		result.err, result.certain = err, !away.MayApply
+		w.err, w.certain = err, !away.MayApply
 	default:
-		result.err = err
+		w.err = err
 	}
+	return w
 }
 
 // setRows takes the ledger from rows of the store.
--- a/internal/tasks/balances/pledges.go
+++ b/internal/tasks/balances/pledges.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,15 +55,7 @@
 	err    error
 }
 
-type pledged struct {
-	record *allowance.Record
-	stamp  rowstore.Stamp
-	gotAt  time.Time
-	// conflict holds the rows if another version was there.
-	conflict *rowstore.ConflictError
-	certain  bool
-	err      error
-}
+type pledged struct{ written }
 
 // readRecord reads the record that an earlier process of this host left.
 func (b *Balances) readRecord(ctx context.Context) {
@@ -174,31 +165,14 @@
 
 // commitRecord performs one write and reports what became of it.
 func (b *Balances) commitRecord(ctx context.Context, record *allowance.Record, version int64) {
-	result := pledged{record: record}
-	defer func() { _ = b.inbox.Send(context.WithoutCancel(ctx), result) }()
-	value, err := record.Encode()
-	if err != nil {
-		result.err, result.certain = err, true
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row := rowstore.Row{Table: PledgeTable, Part: string(b.config.Process.Host), Key: pledgeKey, Version: version}
-	put := row
-	put.Value = value
-	result.stamp, err = b.config.Store.Commit(ctx, rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}})
-	result.gotAt = b.config.Now()
-	var away *rowstore.UnavailableError
-	switch {
-	case err == nil:
-		result.certain = true
-	case errors.As(err, &result.conflict):
-		result.certain = true
-	case errors.As(err, &away):
-		result.err, result.certain = err, !away.MayApply
-	default:
-		result.err = err
-	}
+	var result written
+	if value, err := record.Encode(); err != nil {
+		result = written{err: err, certain: true}
+	} else {
+		row := rowstore.Row{Table: PledgeTable, Part: string(b.config.Process.Host), Key: pledgeKey, Version: version}
+		result = b.write(ctx, row, value)
+	}
+	_ = b.inbox.Send(context.WithoutCancel(ctx), pledged{result})
 }
 
 func (b *Balances) pledged(ctx context.Context, m pledged, now time.Time) {
