--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -52,14 +52,17 @@
 	// confirmed is when the configuration was last known to be the newest.
 	confirmed time.Time
 	rawServer map[string]rowstore.Row
-	serverRev int64
-	roster    *roster.Roster
-	fleet     *placement.Fleet
-	budgets   map[core.ServiceName]*retrybudget.Budget
-	hosts     int
-	attempts  uint64
-	leaves    time.Time
-	expiry    *time.Timer
+	// serverRows are the rows for peers, made anew with each change; they are
+	// shared and never changed.
+	serverRows []rowstore.Row
+	serverRev  int64
+	roster     *roster.Roster
+	fleet      *placement.Fleet
+	budgets    map[core.ServiceName]*retrybudget.Budget
+	hosts      int
+	attempts   uint64
+	leaves     time.Time
+	expiry     *time.Timer
 }
 
 // New returns a director.
@@ -259,12 +262,10 @@
 }
 
 func (d *Director) known(now time.Time) Known {
-	known := Known{Config: d.current, ConfigAge: now.Sub(d.confirmed), ServerVersion: d.serverRev, Loads: d.fleet.OwnLoads()}
-	known.ServerRows = make([]rowstore.Row, 0, len(d.rawServer))
-	for _, row := range d.rawServer {
-		known.ServerRows = append(known.ServerRows, row)
+	return Known{
+		Config: d.current, ConfigAge: now.Sub(d.confirmed), ServerRows: d.serverRows, ServerVersion: d.serverRev,
+		Loads: d.fleet.OwnLoads(),
 	}
-	return known
 }
 
 func (d *Director) place(query Placement, now time.Time) Placed {
--- a/internal/tasks/director/learn.go
+++ b/internal/tasks/director/learn.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -92,6 +94,9 @@
 		}
 		changes = append(changes, d.roster.RetainOnly(listed, version, now)...)
 	}
+	if full || len(rows) > 0 {
+		d.serverRows = slices.Collect(maps.Values(d.rawServer))
+	}
 	d.serverRev = max(d.serverRev, version)
 	d.applyRoster(changes, version)
 	d.expire()
