--- a/internal/decide/events/events.go
+++ b/internal/decide/events/events.go
@@ -44,9 +44,6 @@
 // Overflow reports whether an event is longer than is accepted.
 func (s *Splitter) Overflow() bool { return len(s.partial) > maxPartial }
 
-// Rest returns the bytes after the last whole event.
-func (s *Splitter) Rest() []byte { return s.partial }
-
 // DropPartial forgets the bytes after the last whole event, because the stream
 // goes on from its end at another upstream.
 func (s *Splitter) DropPartial() { s.partial = nil }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -34,11 +34,6 @@
 	CallerGone    RefusalKind = "caller_gone"
 )
 
-// MayRun reports whether a request refused with the kind may have run.
-func (k RefusalKind) MayRun() bool {
-	return k == UpstreamBroke || k == Timeout || k == CallerGone
-}
-
 // Refusal is an error that ends a request without an upstream's answer.
 type Refusal struct {
 	Kind RefusalKind
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
@@ -45,3 +47,8 @@
 	// Load is nil if the answer reports none.
 	Load *Load
 }
+
+// Success reports whether the upstream answered with success.
+func (h *AnswerHead) Success() bool {
+	return h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -86,7 +86,7 @@
 }
 
 func startPool() (*Pool, func()) {
-	pool := NewPool(decodeHead, time.Now)
+	pool := NewPool(decodeHead)
 	ctx, cancel := context.WithCancel(context.Background())
 	go pool.Run(ctx)
 	return pool, cancel
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"slices"
-	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/task"
@@ -30,7 +29,6 @@
 type Pool struct {
 	inbox  *task.Inbox[any]
 	decode DecodeHead
-	now    func() time.Time
 }
 
 type acquire struct {
@@ -85,8 +83,8 @@
 }
 
 // NewPool returns a pool whose connections decode heads with decode.
-func NewPool(decode DecodeHead, now func() time.Time) *Pool {
-	return &Pool{inbox: task.NewInbox[any](inboxSize), decode: decode, now: now}
+func NewPool(decode DecodeHead) *Pool {
+	return &Pool{inbox: task.NewInbox[any](inboxSize), decode: decode}
 }
 
 // Acquire returns a connection to the upstream, and whether it is new. An
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -57,7 +57,6 @@
 	Events <-chan link.Event
 	// Fresh is true if the connection was set up for the attempt.
 	Fresh  bool
-	at     time.Time
 	end    context.CancelFunc
 	filter *Filter
 }
@@ -116,9 +115,8 @@
 		f.Director.Observe(upstream.ID, placed.Attempt, signal, nil)
 		return nil, &Unreached{Upstream: upstream.ID, Cause: err}
 	}
-	now := f.Now()
 	dispatch := gateway.Dispatch{
-		Instance: upstream.ID, TimeLeft: matched.Deadline.Sub(now), Urgency: matched.Urgency, ResumeAfter: plan.ResumeAfter,
+		Instance: upstream.ID, TimeLeft: matched.Deadline.Sub(f.Now()), Urgency: matched.Urgency, ResumeAfter: plan.ResumeAfter,
 	}
 	if matched.Team != nil {
 		dispatch.Team = matched.Team.Name
@@ -129,7 +127,7 @@
 		ID: matched.Request.ID, Method: matched.Request.Method, Payload: f.Encode(matched.Request, dispatch),
 		Events: events, Context: attemptCtx,
 	})
-	return &Sent{Placed: placed, Events: events, Fresh: fresh, at: now, end: end, filter: f}, nil
+	return &Sent{Placed: placed, Events: events, Fresh: fresh, end: end, filter: f}, nil
 }
 
 // Observe passes on a signal of the attempt.
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -108,8 +108,7 @@
 	var patience <-chan time.Time
 	var timer *time.Timer
 	if r.Patience > 0 {
-		timer = time.NewTimer(r.Patience)
-		r.armed = r.Now()
+		timer, r.armed = time.NewTimer(r.Patience), r.Now()
 		defer timer.Stop()
 		patience = timer.C
 	}
@@ -179,8 +178,7 @@
 func (r *run) takeHead(head *gateway.AnswerHead) (Outcome, bool) {
 	r.head = head
 	r.Sent.Observe(placement.Started, head.Load)
-	success := head.Status >= http.StatusOK && head.Status < http.StatusMultipleChoices
-	if !success {
+	if !head.Success() {
 		return Outcome{}, false
 	}
 	if !head.Signed || head.ID == "" || head.Encoded {
@@ -236,7 +234,7 @@
 	}
 	outcome := r.ended(Failed, nil)
 	outcome.Answer = &WholeAnswer{Head: *r.head, Body: r.whole}
-	if r.head.Status >= http.StatusOK && r.head.Status < http.StatusMultipleChoices {
+	if r.head.Success() {
 		if err := r.Answer.Whole(r.head.Status, r.head.Fields, r.whole); err != nil {
 			return r.ended(CallerGone, err)
 		}
