--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,16 +105,16 @@
 	if err != nil {
 		return nil, err
 	}
-	callers, err := listen("listen.callers", s.Listen.Callers)
+	callers, err := settings.OpenListener("listen.callers", s.Listen.Callers)
 	if err != nil {
 		return nil, err
 	}
 	e.callers = callers
-	peerListener, err := listen("listen.peers", s.Listen.Peers)
+	peerListener, err := settings.OpenListener("listen.peers", s.Listen.Peers)
 	if err != nil {
 		return nil, err
 	}
-	pool := link.NewPool(options.Platform.DecodeHead, options.Now)
+	pool := link.NewPool(options.Platform.DecodeHead)
 	e.balances = balances.New(balances.Config{
 		Store: options.Platform.Store, Hosts: assumedHosts, Log: options.Log, Now: options.Now,
 		Recall: func(host core.HostID, team core.TeamName, amount core.Tokens, done func(core.Tokens)) {
@@ -192,7 +192,7 @@
 func (e *Edge) serveHTTP() error {
 	router := mux.NewRouter()
 	router.HandleFunc(e.options.Platform.ReadyPath, e.readiness.serve)
-	listener, err := listen("listen.ready", e.options.Settings.Listen.Ready)
+	listener, err := settings.OpenListener("listen.ready", e.options.Settings.Listen.Ready)
 	if err != nil {
 		return err
 	}
@@ -200,7 +200,7 @@
 	if e.options.Settings.Listen.Metrics == "" {
 		return nil
 	}
-	if listener, err = listen("listen.metrics", e.options.Settings.Listen.Metrics); err != nil {
+	if listener, err = settings.OpenListener("listen.metrics", e.options.Settings.Listen.Metrics); err != nil {
 		return err
 	}
 	router = mux.NewRouter()
@@ -222,14 +222,6 @@
 	return server
 }
 
-func listen(field, address string) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, &settings.Error{Field: field, Remedy: fmt.Sprintf("can't listen on %s (%v); free the address or choose another", address, err)}
-	}
-	return listener, nil
-}
-
 // recorder records the summaries of requests, the route as class.
 type recorder struct{ requests *telemetry.Requests }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -75,11 +75,10 @@
 		{"listen.peers", addresses.Peers, &opened.peers},
 		{"listen.admin", addresses.Admin, &opened.admin},
 	} {
-		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", entry.address)
+		listener, err := settings.OpenListener(entry.field, entry.address)
 		if err != nil {
 			opened.close()
-			return listeners{}, &settings.Error{Field: entry.field,
-				Remedy: fmt.Sprintf("can't listen on %s (%v); free the address or choose another", entry.address, err)}
+			return listeners{}, err
 		}
 		*entry.target = listener
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -215,11 +215,20 @@
 // machine can't listen.
 func (l *Listen) CheckAddresses() error {
 	for _, field := range l.fields() {
-		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", field[1])
+		listener, err := OpenListener(field[0], field[1])
 		if err != nil {
-			return wrong(field[0], "can't listen on %s (%v); free the address or choose another", field[1], err)
+			return err
 		}
 		_ = listener.Close()
 	}
 	return nil
 }
+
+// OpenListener listens on the address of a field. Its error names the field.
+func OpenListener(field, address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, wrong(field, "can't listen on %s (%v); free the address or choose another", address, err)
+	}
+	return listener, nil
+}
