Hold each balance at one owner a zone, asked by the other hosts

Change: rendezvous hashing chooses one owner of a team a zone. The other hosts reserve and settle with it by net/rpc, then with other zones' owners. Only owners read and write ledgers; the feed of balances is gone. A pledge covers the time until an outage is known while the balance is ample, and its clock is extrapolated, so that its age is not counted twice.

--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -27,7 +27,7 @@
 	// token must be within reach of all hosts.
 	scarcePool = 0.6
 	// evenShare is the part of the unspent balance that is spread evenly over
-	// the hosts; the rest is spread by demand.
+	// the owners; the rest is spread by demand.
 	evenShare = 0.3
 	// plenty is the time of the team's demand that the unspent balance must cover
 	// for the even part to be kept in full; below, tokens go where the demand is.
@@ -51,7 +51,12 @@
 type Holder struct {
 	process Process
 	prepaid core.Tokens
-	hosts   int
+	// owners is the number of hosts that own the balance, owned whether this is
+	// one of them.
+	owners int
+	owned  bool
+	// retired is set once the host leaves.
+	retired bool
 	// ended are bounds of what earlier processes of this host have spent.
 	ended map[string]core.Tokens
 
@@ -84,12 +89,30 @@
 
 // NewHolder returns a holder that has been granted nothing.
 func NewHolder(process Process) *Holder {
-	return &Holder{process: process, hosts: 1, ended: make(map[string]core.Tokens)}
+	return &Holder{process: process, owners: 1, ended: make(map[string]core.Tokens)}
 }
 
-// SetBalance sets the team's prepaid total and the number of hosts that serve.
-func (h *Holder) SetBalance(prepaid core.Tokens, hosts int) {
-	h.prepaid, h.hosts = prepaid, max(hosts, 1)
+// SetBalance sets the team's prepaid total, the number of hosts that own the
+// balance, and whether this is one of them.
+func (h *Holder) SetBalance(prepaid core.Tokens, owners int, owned bool) {
+	h.prepaid, h.owners, h.owned = prepaid, max(owners, 1), owned
+}
+
+// Retire makes the holder return what no request needs.
+func (h *Holder) Retire() { h.retired = true }
+
+// Known reports whether the ledger was read.
+func (h *Holder) Known() bool { return h.known }
+
+// Engaged reports whether the holder has been granted tokens or needs some.
+func (h *Holder) Engaged() bool {
+	return h.granted() > 0 || h.waiting > 0 || h.pledged != nil || len(h.pending) > 0
+}
+
+// Lacks reports whether the holder has much less than it wants.
+func (h *Holder) Lacks(now time.Time) bool {
+	held := h.granted() - h.spent - h.reserved
+	return h.known && (h.waiting > held || float64(held) < refillBelow*float64(h.target(now)))
 }
 
 // Learn takes the ledger as it is in the store at a version.
@@ -205,7 +228,7 @@
 
 // spread is how the unspent balance is divided.
 type spread struct {
-	// even is what each host keeps without demand, so that a first request
+	// even is what an owner keeps without demand, so that a first request
 	// during an outage is served.
 	even float64
 	// byDemand is what hosts keep by their share of the team's demand.
@@ -225,13 +248,20 @@
 	pool := max(poolRequests*h.largest, poolShare*unspent, scarcePool*(1-abundance)*unspent)
 	distributed := max(unspent-pool, 0)
 	share := evenShare * abundance
-	return spread{even: share * distributed / float64(h.hosts), byDemand: (1 - share) * distributed, teamRate: teamRate}
+	split := spread{byDemand: (1 - share) * distributed, teamRate: teamRate}
+	if h.owned {
+		split.even = share * distributed / float64(h.owners)
+	}
+	return split
 }
 
 // target returns the tokens to keep ahead of demand: an even part of the
 // unspent balance, and a part by the host's share of the team's demand.
 func (h *Holder) target(now time.Time) core.Tokens {
 	h.decay(now)
+	if h.retired {
+		return 0
+	}
 	rate, spread := h.perSecond(), h.spread()
 	needed := burst*rate*horizon.Seconds() + largestAhead*h.largest
 	if spread.teamRate > 0 {
--- a/internal/decide/allowance/model_test.go
+++ b/internal/decide/allowance/model_test.go
@@ -57,7 +57,7 @@
 	w.starts++
 	p := &process{id: Process{Host: host, Start: fmt.Sprint(w.starts)}}
 	p.holder = NewHolder(p.id)
-	p.holder.SetBalance(w.prepaid, len(w.hosts)+1)
+	p.holder.SetBalance(w.prepaid, len(w.hosts)+1, true)
 	return p
 }
 
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -28,7 +28,7 @@
 // outageDelay is the time without the store after which a process spends what
 // it keeps for an outage. It exceeds the age of the last pledge and the time in
 // which a process is usually replaced.
-const outageDelay = 2000 * time.Millisecond
+const outageDelay = 2400 * time.Millisecond
 
 // Limit returns the bound some time after the pledge.
 func (p Pledge) Limit(elapsed time.Duration) core.Tokens {
@@ -59,8 +59,9 @@
 type Record struct {
 	// Process is the key of the process in ledgers.
 	Process string `json:"process"`
-	// Clock is the store's clock in milliseconds, read before the record was
-	// written. The time since then bounds the time that the process had.
+	// Clock is a time in milliseconds that the store's clock had passed when the
+	// record was written. The time since then bounds the time that the process
+	// had.
 	Clock   int64                    `json:"clock"`
 	Pledges map[core.TeamName]Pledge `json:"pledges"`
 }
@@ -89,8 +90,8 @@
 	return r.Pledges[team].Limit(end - time.Duration(r.Clock)*time.Millisecond)
 }
 
-// anchored is a pledge with the local time from which it counts: that at which
-// the answer arrived that bore the record's clock.
+// anchored is a pledge with the local time from which it counts: that for which
+// the record's clock was computed.
 type anchored struct {
 	pledge Pledge
 	at     time.Time
@@ -99,31 +100,58 @@
 func (a anchored) limit(now time.Time) core.Tokens { return a.pledge.Limit(now.Sub(a.at)) }
 
 const (
-	// pledgeAhead is the time of demand that a pledge covers at once.
+	// pledgeAhead is the time of demand that a pledge covers at once, however
+	// little of the balance is left.
 	pledgeAhead = 250 * time.Millisecond
+	// bridge is the time of demand that a pledge covers while the balance is
+	// ample, so that requests do not wait until an outage is known as one.
+	bridge = outageDelay + 400*time.Millisecond
+	// ample is the time of the team's demand that the unspent balance must cover
+	// for the bridge to be pledged in full. A death strands the bridge, so that
+	// there is none if the balance covers less than scarce.
+	ample  = 30 * time.Second
+	scarce = 8 * time.Second
+	// bridgeShare bounds the bridge by the unspent balance, for teams that send
+	// few large requests.
+	bridgeShare = 0.03
 	// outageBurst is the multiple of the largest recent amount that may be
 	// spent besides in an outage.
 	outageBurst = 1.0
-	// outageRamp is the time in an outage after which the even part and one more
-	// of the largest requests may be spent.
+	// outageRamp is the time in an outage after which one more of the largest
+	// requests may be spent.
 	outageRamp = 3 * time.Second
+	// evenRamp is likewise for the even part. It exceeds the usual outage, as what
+	// is not spent of it is stranded by a death.
+	evenRamp = 20 * time.Second
 	// outageRate is the multiple of the recent demand that may be spent in an
 	// outage.
-	outageRate = 2.0
+	outageRate = 1.5
 )
 
 // Pledge returns the pledge for the holder's present demand.
 func (h *Holder) Pledge(now time.Time) Pledge {
 	h.decay(now)
-	even := h.spread().even
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), even/20)
+	spread := h.spread()
+	even := spread.even
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), even/20, h.bridged(spread.teamRate))
 	return Pledge{
 		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
 		Outage: core.Tokens(outageBurst * h.largest),
-		Rate:   outageRate*h.perSecond() + (even+h.largest)/outageRamp.Seconds(),
+		Rate:   outageRate*h.perSecond() + even/evenRamp.Seconds() + h.largest/outageRamp.Seconds(),
 	}
 }
 
+// bridged returns the demand that is pledged for the time until an outage is
+// known as one.
+func (h *Holder) bridged(teamRate float64) float64 {
+	if teamRate <= 0 {
+		return 0
+	}
+	covered := h.unspent() / teamRate
+	part := (covered - scarce.Seconds()) / (ample - scarce).Seconds()
+	return min(max(part, 0), 1) * min(h.perSecond()*bridge.Seconds()+h.largest, bridgeShare*h.unspent())
+}
+
 // BeginPledge marks a pledge as written but not acknowledged, counting from a
 // local time. Until a later one is acknowledged, the strictest of those that the
 // store may hold applies.
@@ -157,10 +185,20 @@
 	return limit
 }
 
-// PledgeStale reports whether tokens were spent or reserved since the newest
-// acknowledged pledge.
-func (h *Holder) PledgeStale() bool {
-	return h.pledged == nil || h.pledged.pledge.Spent != h.spent+h.reserved-h.returning
+// pledgeLow is the part of the burst below which a pledge is renewed.
+const pledgeLow = 0.5
+
+// PledgeLow reports whether much of the newest acknowledged pledge was used.
+func (h *Holder) PledgeLow(now time.Time) bool {
+	if !h.Engaged() {
+		return false
+	}
+	if h.pledged == nil {
+		return true
+	}
+	used := h.spent + h.reserved - h.returning
+	rest := h.pledged.pledge.Spent + h.pledged.pledge.Burst - used
+	return float64(rest) < pledgeLow*float64(h.Pledge(now).Burst)
 }
 
 // AllowedAt returns when the pledge lets an amount be reserved that the grant
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,6 +31,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
 	"github.com/peridotreel/peridotreel/internal/tasks/follower"
+	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 	"github.com/peridotreel/peridotreel/internal/tasks/peers"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
 )
@@ -44,8 +45,6 @@
 	memoryShare = 0.6
 	// reservedDescriptors are kept for upstreams, the store and peers.
 	reservedDescriptors = 1200
-	// balancePace bounds how often the table of balances is followed.
-	balancePace = 200 * time.Millisecond
 	// hostsPace bounds how often the table of hosts is followed.
 	hostsPace = time.Second
 	// hostsWait is how long the store holds a call for the table of hosts, whose
@@ -85,6 +84,7 @@
 	front     *front.Server
 	director  *director.Director
 	balances  *balances.Balances
+	owners    *owners.Owners
 	peers     *peers.Peers
 	readiness *readiness
 	ready     *http.Server
@@ -115,12 +115,12 @@
 		return nil, err
 	}
 	pool := link.NewPool(options.Platform.DecodeHead)
+	process := allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	e.balances = balances.New(balances.Config{
-		Store: options.Platform.Store, Hosts: assumedHosts, Log: options.Log, Now: options.Now,
+		Store: options.Platform.Store, Process: process, Zone: s.Zone, Log: options.Log, Now: options.Now,
 		Recall: func(host core.HostID, team core.TeamName, amount core.Tokens, done func(core.Tokens)) {
 			e.peers.Recall(host, team, amount, done)
 		},
-		Process: allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)},
 	})
 	e.readiness = newReadiness(options.Log)
 	e.director = director.New(director.Config{
@@ -140,17 +140,23 @@
 		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
 		Return: e.balances.Return,
-		Counted: func(count int) {
-			e.director.SetHosts(count)
-			e.balances.SetHosts(count)
+		Members: func(hosts int, members []allowance.Member) {
+			e.director.SetHosts(hosts)
+			e.owners.SetMembers(members)
 		},
 	})
+	e.owners = owners.New(owners.Config{
+		Process: process, Zone: s.Zone, Balances: e.balances, Caller: client, Log: options.Log, Now: options.Now,
+	})
+	if err := e.owners.Register(server); err != nil {
+		return nil, fmt.Errorf("register the owners' calls: %w", err)
+	}
 	if err := e.peers.Register(server); err != nil {
 		return nil, fmt.Errorf("register the peers' calls: %w", err)
 	}
 	line := &opaque.Line{
 		Match:   &match.Filter{Beliefs: e.director},
-		Fund:    &fund.Filter{Balances: e.balances, Now: options.Now},
+		Fund:    &fund.Filter{Balances: e.owners, Now: options.Now},
 		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, Now: options.Now},
 		Log:     options.Log, Now: options.Now, Recorder: recorder{requests},
 	}
@@ -171,12 +177,12 @@
 		e.group.Start(t)
 	}
 	e.group.Start(e.balances)
+	e.group.Start(e.owners)
 	e.group.Start(e.director)
 	e.group.Start(e.peers)
 	e.follow(follower.Follower{Table: e.options.Platform.ConfigTable, Update: e.director.Update, Health: e.director.Health})
 	e.follow(follower.Follower{Table: e.options.Platform.ServersTable, Update: e.director.Update, Health: e.director.Health})
 	e.follow(follower.Follower{Table: peers.Table, Pace: hostsPace, Wait: hostsWait, Update: e.peers.Update, Health: ignoreHealth})
-	e.follow(follower.Follower{Table: balances.Table, Pace: balancePace, Update: e.balances.Update, Health: ignoreHealth})
 	e.group.Start(e.front)
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -55,6 +55,7 @@
 	e.readiness.draining.Store(true)
 	e.front.Drain()
 	e.director.Leave(e.options.Now().Add(grace - exitMargin))
+	e.leave()
 	// If ctx ends first, CloseIdle reports it.
 	_ = task.Sleep(ctx, balancerWait)
 	if err := e.front.CloseIdle(ctx); err != nil {
@@ -68,11 +69,24 @@
 	}
 }
 
-// release returns tokens and withdraws the host. A failure strands the tokens
-// that the host holds until its next process.
+// leave gives the balances that this host owns to the next owners.
+func (e *Edge) leave() {
+	e.owners.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	if err := e.peers.Leave(ctx); err != nil {
+		e.options.Log.Warn("the host's row does not say that it leaves", zap.String("event", "withdraw_failed"), zap.Error(err))
+	}
+}
+
+// release settles what was spent elsewhere and returns the tokens. A failure
+// strands tokens, those of this host until its next process.
 func (e *Edge) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
 	defer cancel()
+	if err := e.owners.Flush(ctx); err != nil {
+		e.options.Log.Warn("settlements were not delivered in time", zap.String("event", "flush_failed"), zap.Error(err))
+	}
 	if err := e.balances.Close(ctx); err != nil {
 		e.options.Log.Warn("tokens could not be returned in time", zap.String("event", "return_failed"), zap.Error(err))
 	}
--- a/internal/opaque/fund/fund.go
+++ b/internal/opaque/fund/fund.go
@@ -10,6 +10,7 @@
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
+	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 )
 
 const (
@@ -26,16 +27,12 @@
 
 // Balances reserves and settles.
 type Balances interface {
-	Reserve(ctx context.Context, team core.TeamName, amount core.Tokens, until time.Time) (balances.Grant, error)
-	Settle(team core.TeamName, reserved, spent core.Tokens)
+	Reserve(ctx context.Context, team core.TeamName, amount core.Tokens, until time.Time) (Reservation, error)
+	Settle(reservation Reservation, spent core.Tokens)
 }
 
 // Reservation is an amount held for one request.
-type Reservation struct {
-	Team   core.TeamName
-	Amount core.Tokens
-	Grant  balances.Grant
-}
+type Reservation = owners.Reservation
 
 // Filter reserves and settles.
 type Filter struct {
@@ -51,15 +48,17 @@
 	}
 	now := f.Now()
 	until := now.Add(time.Duration(float64(matched.Route.Objective) * waitShare))
-	grant, err := f.Balances.Reserve(ctx, matched.Team.Name, amount, until)
-	reservation := Reservation{Team: matched.Team.Name, Amount: amount, Grant: grant}
+	reservation, err := f.Balances.Reserve(ctx, matched.Team.Name, amount, until)
+	grant := reservation.Grant
+	// An owner whose configuration is older may not know of a higher total.
+	final := grant.Outcome == balances.Spent && grant.Prepaid >= matched.Team.Prepaid
 	switch {
 	case err != nil:
 		return Reservation{}, gateway.Refuse(gateway.BalanceAway, awayRetry, "the team's balance could not be read in time; retry later")
-	case grant.Outcome == balances.Spent:
+	case final:
 		return reservation, gateway.Refuse(gateway.BalanceSpent, 0,
 			"the balance of team %s does not cover %d tokens; top it up or ask for fewer", matched.Team.Name, amount)
-	case grant.Outcome == balances.Away:
+	case grant.Outcome != balances.Granted:
 		retry := awayRetry
 		if grant.StoreAway {
 			retry = outageRetry
@@ -73,7 +72,7 @@
 // Settle ends a reservation.
 func (f *Filter) Settle(reservation Reservation, spent core.Tokens) {
 	if reservation.Amount > 0 {
-		f.Balances.Settle(reservation.Team, reservation.Amount, spent)
+		f.Balances.Settle(reservation, spent)
 	}
 }
 
--- a/internal/opaque/fund/fund_test.go
+++ b/internal/opaque/fund/fund_test.go
@@ -20,11 +20,11 @@
 	settled core.Tokens
 }
 
-func (s *scripted) Reserve(context.Context, core.TeamName, core.Tokens, time.Time) (balances.Grant, error) {
-	return s.grant, nil
+func (s *scripted) Reserve(_ context.Context, team core.TeamName, amount core.Tokens, _ time.Time) (Reservation, error) {
+	return Reservation{Team: team, Amount: amount, Grant: s.grant}, nil
 }
 
-func (s *scripted) Settle(_ core.TeamName, _, spent core.Tokens) { s.settled += spent }
+func (s *scripted) Settle(_ Reservation, spent core.Tokens) { s.settled += spent }
 
 func matched() *match.Matched {
 	return &match.Matched{
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -13,7 +13,6 @@
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
 	"github.com/peridotreel/peridotreel/internal/task"
-	"github.com/peridotreel/peridotreel/internal/tasks/follower"
 )
 
 const (
@@ -46,8 +45,7 @@
 type Config struct {
 	Store   rowstore.Store
 	Process allowance.Process
-	// Hosts is assumed until peers are known.
-	Hosts int
+	Zone    core.ZoneName
 	// Recall asks another host to return tokens and calls done when it has
 	// answered, with what it returned.
 	Recall func(host core.HostID, team core.TeamName, amount core.Tokens, done func(returned core.Tokens))
@@ -61,7 +59,10 @@
 	inbox  *task.Inbox[any]
 	teams  map[core.TeamName]*account
 	pledge pledging
-	hosts  int
+	// members are the hosts that may own balances, empty until they are known.
+	members []allowance.Member
+	// retired is set once the host leaves and keeps no tokens without need.
+	retired bool
 	// awayUntil is until when the store is taken to be away, for all teams.
 	awayUntil time.Time
 	// closing is set when tokens are returned at the end of the process.
@@ -73,11 +74,15 @@
 	name    core.TeamName
 	holder  *allowance.Holder
 	prepaid core.Tokens
+	// owned is true if this host owns the team's balance in its zone.
+	owned   bool
 	waiting []waiter
 	// busy is true while a call of the store is under way.
 	busy bool
 	// pausedUntil is when the store is called again after a call that failed.
 	pausedUntil time.Time
+	// learnedAt is when the ledger was last read or written.
+	learnedAt time.Time
 	// recalls counts the calls to other hosts that hold tokens.
 	recalls int
 	// returning is replied to when a commit for another host has ended, with
@@ -89,9 +94,25 @@
 }
 
 type waiter struct {
-	amount core.Tokens
-	until  time.Time
-	reply  chan<- Grant
+	amount  core.Tokens
+	until   time.Time
+	patient bool
+	reply   chan<- Grant
+}
+
+// Request asks for a reservation.
+type Request struct {
+	Team   core.TeamName
+	Amount core.Tokens
+	// Until is how long the request waits for the store.
+	Until time.Time
+	// Patient is set if the request may wait beyond Until for its pledge to grow
+	// in an outage, and may have tokens of other hosts recalled.
+	Patient bool
+	// Foreign is set for a request of another host. That host's configuration
+	// may be newer, so that a team which this host does not know is not one
+	// without a prepaid total.
+	Foreign bool
 }
 
 // Grant is the answer to a reservation.
@@ -124,10 +145,8 @@
 )
 
 type reserve struct {
-	team   core.TeamName
-	amount core.Tokens
-	until  time.Time
-	reply  chan<- Grant
+	Request
+	reply chan<- Grant
 }
 
 type settle struct {
@@ -138,7 +157,9 @@
 
 type configured struct{ config *gateway.Config }
 
-type hostCount int
+type setMembers []allowance.Member
+
+type retire struct{}
 
 type closeAll struct{ reply chan<- struct{} }
 
@@ -146,23 +167,21 @@
 func New(config Config) *Balances {
 	return &Balances{
 		config: config, inbox: task.NewInbox[any](inboxSize), teams: make(map[core.TeamName]*account),
-		hosts:  config.Hosts,
 		pledge: pledging{started: config.Now()},
 	}
 }
 
-// Reserve takes an amount of a team's balance, waiting for the store until a
-// time at most.
-func (b *Balances) Reserve(ctx context.Context, team core.TeamName, amount core.Tokens, until time.Time) (Grant, error) {
+// Reserve takes an amount of a team's balance.
+func (b *Balances) Reserve(ctx context.Context, request Request) (Grant, error) {
 	reply := make(chan Grant, 1)
-	if err := b.inbox.Send(ctx, reserve{team, amount, until, reply}); err != nil {
+	if err := b.inbox.Send(ctx, reserve{request, reply}); err != nil {
 		return Grant{}, err
 	}
 	select {
 	case grant := <-reply:
 		return grant, nil
 	case <-ctx.Done():
-		go b.settleLate(team, amount, reply)
+		go b.settleLate(request.Team, request.Amount, reply)
 		return Grant{}, ctx.Err()
 	}
 }
@@ -184,11 +203,14 @@
 	_ = b.inbox.Send(context.Background(), configured{config})
 }
 
-// SetHosts takes the number of hosts that serve.
-func (b *Balances) SetHosts(count int) { _ = b.inbox.Send(context.Background(), hostCount(count)) }
+// SetMembers takes the hosts that may own balances.
+func (b *Balances) SetMembers(members []allowance.Member) {
+	_ = b.inbox.Send(context.Background(), setMembers(members))
+}
 
-// Update takes changes of the ledgers from a follower.
-func (b *Balances) Update(update follower.Update) { _ = b.inbox.Send(context.Background(), update) }
+// Retire makes the task return the tokens that no request needs, because the
+// host leaves.
+func (b *Balances) Retire() { _ = b.inbox.Send(context.Background(), retire{}) }
 
 // Close returns all unspent tokens, until ctx ends. Requests have ended.
 func (b *Balances) Close(ctx context.Context) error {
@@ -210,6 +232,7 @@
 				b.serveWaiters(a)
 				b.expireWaiters(a)
 				b.work(ctx, a)
+				b.refreshStale(ctx, a)
 			}
 			b.finishClose()
 			b.writePledges(ctx)
@@ -231,20 +254,18 @@
 		}
 	case configured:
 		b.configure(ctx, m.config)
-	case follower.Update:
-		for _, row := range m.Rows {
-			if a, found := b.teams[core.TeamName(row.Part)]; found && row.Key == ledgerKey {
-				b.learn(a, row)
-				b.serveWaiters(a)
-				b.work(ctx, a)
-			}
-		}
 	case called:
 		b.called(ctx, m, now)
-	case hostCount:
-		b.hosts = max(int(m), 1)
+	case setMembers:
+		b.members = m
 		for _, a := range b.teams {
-			a.holder.SetBalance(a.prepaid, b.hosts)
+			b.divide(ctx, a)
+		}
+	case retire:
+		b.retired = true
+		for _, a := range b.teams {
+			a.holder.Retire()
+			b.work(ctx, a)
 		}
 	case retryRecord:
 		b.readRecord(ctx)
@@ -279,15 +300,28 @@
 		if !found {
 			a = &account{name: name, holder: allowance.NewHolder(b.config.Process)}
 			b.teams[name] = a
-			b.boundEarlier(a)
-			b.read(ctx, a)
+			b.boundEarlier(ctx, a)
+			if b.retired {
+				a.holder.Retire()
+			}
 		}
 		a.prepaid = team.Prepaid
-		a.holder.SetBalance(a.prepaid, b.hosts)
+		b.divide(ctx, a)
 		b.work(ctx, a)
 	}
 }
 
+// divide tells the holder by how many owners the balance is divided, and reads
+// the ledger of a balance that this host owns.
+func (b *Balances) divide(ctx context.Context, a *account) {
+	owners := allowance.Owners(a.name, b.config.Zone, b.members, func(allowance.Member) bool { return true })
+	a.owned = len(owners) > 0 && owners[0].Host == b.config.Process.Host
+	a.holder.SetBalance(a.prepaid, len(owners), a.owned)
+	if a.owned {
+		b.readUnknown(ctx, a)
+	}
+}
+
 func (b *Balances) finishClose() {
 	if b.closing == nil {
 		return
--- a/internal/tasks/balances/commit.go
+++ b/internal/tasks/balances/commit.go
@@ -58,7 +58,7 @@
 		result.err, result.certain = err, true
 		return
 	}
-	w := b.write(ctx, rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}, value)
+	w := b.write(ctx, rowstore.Row{Table: Table, Part: string(team), Key: ledgerKey, Version: proposal.Version}, value, callTimeout)
 	result.certain, result.err = w.certain, w.err
 	switch {
 	case w.conflict != nil:
@@ -81,8 +81,8 @@
 
 // write replaces the value of a row that has the version in row. It touches no
 // state of the task.
-func (b *Balances) write(ctx context.Context, row rowstore.Row, value []byte) written {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (b *Balances) write(ctx context.Context, row rowstore.Row, value []byte, timeout time.Duration) written {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	put := row
 	put.Value = value
@@ -132,14 +132,21 @@
 	}()
 }
 
-func (b *Balances) learn(a *account, row rowstore.Row) {
-	ledger, err := allowance.DecodeLedger(row.Value)
-	if err != nil {
-		b.config.Log.Error("balance ledger skipped", zap.String("event", "ledger_malformed"),
-			zap.String("team", string(a.name)), zap.Int64("row_version", row.Version), zap.Error(err))
+// readUnknown fetches a ledger that was never read.
+func (b *Balances) readUnknown(ctx context.Context, a *account) {
+	if !a.busy && !a.holder.Known() && !b.config.Now().Before(a.pausedUntil) {
+		b.read(ctx, a)
+	}
+}
+
+// refreshStale fetches a ledger anew if this host lacks tokens and others may
+// have returned some since it was read.
+func (b *Balances) refreshStale(ctx context.Context, a *account) {
+	now := b.config.Now()
+	if a.busy || a.closed || now.Before(b.awayUntil) || now.Before(a.pausedUntil) || now.Sub(a.learnedAt) < staleAfter || !a.holder.Lacks(now) {
 		return
 	}
-	a.holder.Learn(ledger, row.Version)
+	b.read(ctx, a)
 }
 
 func (b *Balances) called(ctx context.Context, m called, now time.Time) {
@@ -150,6 +157,7 @@
 	a.busy = false
 	if m.learned {
 		a.holder.Learn(m.ledger, m.version)
+		a.learnedAt = now
 	}
 	if !m.read {
 		a.holder.Done(m.certain)
@@ -183,5 +191,9 @@
 	b.refuseHopeless(a)
 }
 
+// staleAfter is the age from which a ledger is read again by a host that lacks
+// tokens. It bounds the reads of a team whose balance is nearly spent.
+const staleAfter = 500 * time.Millisecond
+
 // retryRead repeats the read of a ledger.
 type retryRead struct{ team core.TeamName }
--- a/internal/tasks/balances/pledges.go
+++ b/internal/tasks/balances/pledges.go
@@ -16,12 +16,14 @@
 	PledgeTable = "pledges"
 	// pledgeKey is the key of a host's row in its part.
 	pledgeKey = "record"
-	// pledgeEvery is the time between pledges that no request waits for. A
-	// host that dies strands about this time's demand more.
+	// pledgeEvery is the least time between pledges that no request waits for.
 	pledgeEvery = 150 * time.Millisecond
-	// pledgeAtLeast is the time after which a pledge is renewed without any
-	// spending, as its age counts as time without the store.
-	pledgeAtLeast = 600 * time.Millisecond
+	// pledgeAtLeast is the time after which a pledge is renewed without need, as
+	// its age counts as time without the store.
+	pledgeAtLeast = 800 * time.Millisecond
+	// probeTimeout bounds a write while the store is away, so that its return is
+	// noticed soon: a call into a partition is never answered.
+	probeTimeout = 600 * time.Millisecond
 )
 
 // pledging is the state of the host's record of pledges.
@@ -98,20 +100,22 @@
 		b.pledge.earlier = record
 	}
 	for _, a := range b.teams {
-		b.boundEarlier(a)
+		b.boundEarlier(ctx, a)
 		b.work(ctx, a)
 	}
 	b.writePledges(ctx)
 }
 
-// boundEarlier tells the holder what the earlier process can have spent.
-func (b *Balances) boundEarlier(a *account) {
+// boundEarlier tells the holder what the earlier process can have spent, and
+// reads the ledger, so that what that process held returns.
+func (b *Balances) boundEarlier(ctx context.Context, a *account) {
 	if record := b.pledge.earlier; record.Process != "" {
 		bound := record.Bound(a.name, b.pledge.end)
 		a.holder.SetEnded(record.Process, bound)
 		b.config.Log.Info("spending of the earlier process bounded", zap.String("event", "earlier_process_bounded"),
 			zap.String("team", string(a.name)), zap.String("process", record.Process), zap.Int64("bound", int64(bound)),
 			zap.Int64("elapsed_ms", b.pledge.end.Milliseconds()-record.Clock))
+		b.readUnknown(ctx, a)
 	}
 }
 
@@ -133,44 +137,61 @@
 			return
 		}
 		p.unsure = b.record(now)
-		p.at = p.clockAt
+		p.at = now
 		for name, pledge := range p.unsure.Pledges {
 			b.teams[name].holder.BeginPledge(pledge, p.at)
 		}
 	}
 	p.busy, p.last = true, now
-	go b.commitRecord(ctx, p.unsure, p.version)
+	timeout := callTimeout
+	if now.Before(b.awayUntil) {
+		timeout = probeTimeout
+	}
+	go b.commitRecord(ctx, p.unsure, p.version, timeout)
 }
 
 func (b *Balances) pledgeDue(now time.Time) bool {
-	due := now.Sub(b.pledge.last) >= pledgeEvery
+	rest, engaged := now.Sub(b.pledge.last), b.pledge.last.IsZero()
 	for _, a := range b.teams {
-		if a.holder.PledgeShort(now) || (due && a.holder.PledgeStale()) {
+		if a.holder.PledgeShort(now) || (rest >= pledgeEvery && a.holder.PledgeLow(now)) {
 			return true
 		}
+		engaged = engaged || a.holder.Engaged()
 	}
-	return now.Sub(b.pledge.last) >= pledgeAtLeast
+	return engaged && rest >= pledgeAtLeast
+}
+
+// clockSlack is the part of the time since the store's clock was read that is
+// left out, so that a local clock that runs fast does not run ahead of it.
+const clockSlack = 0.01
+
+// storeClock returns a time that the store's clock has passed: its latest
+// reading and the local time since it arrived.
+func (p *pledging) storeClock(now time.Time) time.Duration {
+	return p.clock + time.Duration((1-clockSlack)*float64(now.Sub(p.clockAt)))
 }
 
 func (b *Balances) record(now time.Time) *allowance.Record {
 	record := &allowance.Record{
-		Process: b.config.Process.String(), Clock: b.pledge.clock.Milliseconds(),
+		Process: b.config.Process.String(), Clock: b.pledge.storeClock(now).Milliseconds(),
 		Pledges: make(map[core.TeamName]allowance.Pledge, len(b.teams)),
 	}
 	for name, a := range b.teams {
-		record.Pledges[name] = a.holder.Pledge(now)
+		if a.holder.Engaged() {
+			record.Pledges[name] = a.holder.Pledge(now)
+		}
 	}
 	return record
 }
 
 // commitRecord performs one write and reports what became of it.
-func (b *Balances) commitRecord(ctx context.Context, record *allowance.Record, version int64) {
+func (b *Balances) commitRecord(ctx context.Context, record *allowance.Record, version int64, timeout time.Duration) {
 	var result written
 	if value, err := record.Encode(); err != nil {
 		result = written{err: err, certain: true}
 	} else {
 		row := rowstore.Row{Table: PledgeTable, Part: string(b.config.Process.Host), Key: pledgeKey, Version: version}
-		result = b.write(ctx, row, value)
+		result = b.write(ctx, row, value, timeout)
 	}
 	_ = b.inbox.Send(context.WithoutCancel(ctx), pledged{result})
 }
--- a/internal/tasks/balances/waiting.go
+++ b/internal/tasks/balances/waiting.go
@@ -2,37 +2,43 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
 func (b *Balances) reserve(ctx context.Context, m reserve, now time.Time) {
-	a, found := b.teams[m.team]
-	if !found {
+	a, found := b.teams[m.Team]
+	switch {
+	case !found && m.Foreign:
+		m.reply <- Grant{Outcome: Away}
+		return
+	case !found:
 		// A team without a prepaid total spends without a reservation.
 		m.reply <- Grant{Outcome: Granted}
 		return
 	}
-	a.holder.Note(m.amount, now)
-	if a.holder.Reserve(m.amount, now) {
+	a.holder.Note(m.Amount, now)
+	if a.holder.Reserve(m.Amount, now) {
 		m.reply <- b.grant(a, Granted)
 		b.work(ctx, a)
 		return
 	}
-	if !a.holder.Covers(m.amount) {
+	if !a.holder.Covers(m.Amount) {
 		m.reply <- b.grant(a, Spent)
 		return
 	}
-	allowed, ever := a.holder.AllowedAt(m.amount, now)
-	soon := ever && allowed.Sub(now) <= outageWait
-	if soon && allowed.After(m.until) {
-		m.until = allowed.Add(refreshEvery)
+	allowed, ever := a.holder.AllowedAt(m.Amount, now)
+	soon := m.Patient && ever && allowed.Sub(now) <= outageWait
+	if soon && allowed.After(m.Until) {
+		m.Until = allowed.Add(refreshEvery)
 	}
 	if !soon && (now.Before(a.pausedUntil) || now.Before(b.awayUntil)) {
 		m.reply <- b.grant(a, Away)
 		return
 	}
-	a.holder.Await(m.amount)
-	a.waiting = append(a.waiting, waiter{m.amount, m.until, m.reply})
+	a.holder.Await(m.Amount)
+	a.waiting = append(a.waiting, waiter{m.Amount, m.Until, m.Patient, m.reply})
+	b.readUnknown(ctx, a)
 	b.work(ctx, a)
 	if a.holder.PledgeShort(now) {
 		b.writePledges(ctx)
@@ -47,7 +53,11 @@
 		return
 	}
 	now := b.config.Now()
-	if a.busy || a.recalls > 0 || (b.pledge.busy && a.holder.PledgeShort(now)) || b.recall(a) {
+	if a.busy || a.recalls > 0 || (b.pledge.busy && a.holder.PledgeShort(now)) {
+		return
+	}
+	patient := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.patient })
+	if patient && b.recall(a) {
 		return
 	}
 	b.refuseIf(a, Away, func(w waiter) bool {
--- /dev/null
+++ b/internal/tasks/owners/owners_test.go
@@ -0,0 +1,206 @@
+package owners
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/fleet"
+	"github.com/peridotreel/peridotreel/internal/tasks/balances"
+)
+
+// purse is a balance that counts what is reserved.
+type purse struct {
+	mutex    sync.Mutex
+	left     core.Tokens
+	reserved core.Tokens
+	members  []allowance.Member
+	retired  bool
+}
+
+func (p *purse) Reserve(_ context.Context, request balances.Request) (balances.Grant, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if request.Amount > p.left {
+		return balances.Grant{Outcome: balances.Away}, nil
+	}
+	p.left -= request.Amount
+	p.reserved += request.Amount
+	return balances.Grant{Outcome: balances.Granted, Available: p.left}, nil
+}
+
+func (p *purse) Settle(_ core.TeamName, reserved, spent core.Tokens) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.reserved -= reserved
+	p.left += reserved - spent
+}
+
+func (p *purse) SetMembers(members []allowance.Member) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.members = members
+}
+
+func (p *purse) Retire() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.retired = true
+}
+
+func (p *purse) state() (left, reserved core.Tokens) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.left, p.reserved
+}
+
+// wires carry calls between tasks in one process. Answers may be lost.
+type wires struct {
+	mutex    sync.Mutex
+	hosts    map[string]*Owners
+	down     map[string]bool
+	loseNext map[string]bool
+}
+
+var errCut = errors.New("cut")
+
+func (w *wires) Call(ctx context.Context, peer core.Peer, method string, args, reply any) error {
+	w.mutex.Lock()
+	target, down, lose := w.hosts[peer.Address], w.down[peer.Address], w.loseNext[method]
+	delete(w.loseNext, method)
+	w.mutex.Unlock()
+	if down {
+		<-ctx.Done()
+		return errors.Join(fleet.ErrUnreachable, ctx.Err())
+	}
+	handler := &Handler{target}
+	var err error
+	switch method {
+	case reserveMethod:
+		err = handler.Reserve(args.(ReserveArgs), reply.(*ReserveReply))
+	case settleMethod:
+		err = handler.Settle(args.([]Settlement), reply.(*int))
+	}
+	if lose {
+		return errors.Join(fleet.ErrUnreachable, errCut)
+	}
+	return err
+}
+
+type host struct {
+	*Owners
+	purse *purse
+}
+
+// site starts hosts in zones a, b and c, the owners of the one team.
+func site(amounts ...core.Tokens) (*wires, []host, func()) {
+	w := &wires{hosts: make(map[string]*Owners), down: make(map[string]bool), loseNext: make(map[string]bool)}
+	var hosts []host
+	var members []allowance.Member
+	ctx, cancel := context.WithCancel(context.Background())
+	for i, amount := range amounts {
+		name := string(rune('a' + i))
+		p := &purse{left: amount}
+		o := New(Config{
+			Process: allowance.Process{Host: core.HostID(name), Start: "1"}, Zone: core.ZoneName(name),
+			Balances: p, Caller: w, Log: zap.NewNop(), Now: time.Now,
+		})
+		w.hosts[name] = o
+		go o.Run(ctx)
+		hosts = append(hosts, host{o, p})
+		members = append(members, allowance.Member{Host: core.HostID(name), Zone: core.ZoneName(name), Address: name})
+	}
+	for _, h := range hosts {
+		h.SetMembers(members)
+	}
+	return w, hosts, cancel
+}
+
+func reserve(from host, amount core.Tokens) Reservation {
+	r, err := from.Reserve(context.Background(), "team", amount, time.Now().Add(200*time.Millisecond))
+	So(err, ShouldBeNil)
+	return r
+}
+
+// Guards against refusals for balance while another zone's owner holds tokens,
+// and against tokens that are not given back there.
+func TestAnotherZonesOwnerGivesTokens(t *testing.T) {
+	Convey("Given an owner without tokens", t, func() {
+		synctest.Test(t, func(*testing.T) {
+			_, hosts, stop := site(0, 0, 500)
+			r := reserve(hosts[0], 300)
+			So(r.Grant.Outcome, ShouldEqual, balances.Granted)
+			So(r.Owner.Host, ShouldEqual, core.HostID("c"))
+			hosts[0].Settle(r, 100)
+			So(hosts[0].Flush(context.Background()), ShouldBeNil)
+			synctest.Wait()
+			left, reserved := hosts[2].purse.state()
+			So(left, ShouldEqual, core.Tokens(400))
+			So(reserved, ShouldEqual, core.Tokens(0))
+			stop()
+			synctest.Wait()
+		})
+	})
+}
+
+// Guards against tokens that stay reserved for good after an answer was lost,
+// and against a request that waits for an owner that is away.
+func TestALostAnswerReservesNothing(t *testing.T) {
+	Convey("Given an owner whose answer is lost", t, func() {
+		synctest.Test(t, func(*testing.T) {
+			w, hosts, stop := site(0, 400, 0)
+			w.loseNext[reserveMethod] = true
+			first := reserve(hosts[0], 300)
+			So(hosts[0].Flush(context.Background()), ShouldBeNil)
+			synctest.Wait()
+			_, reserved := hosts[1].purse.state()
+			if first.Grant.Outcome == balances.Granted {
+				reserved -= first.Amount
+			}
+			So(reserved, ShouldEqual, core.Tokens(0))
+			stop()
+			synctest.Wait()
+		})
+	})
+	Convey("Given an owner that is away", t, func() {
+		synctest.Test(t, func(*testing.T) {
+			w, hosts, stop := site(0, 0, 400)
+			w.down["b"] = true
+			So(reserve(hosts[0], 100).Grant.Outcome, ShouldEqual, balances.Granted)
+			began := time.Now()
+			So(reserve(hosts[0], 100).Grant.Outcome, ShouldEqual, balances.Granted)
+			So(time.Since(began), ShouldBeLessThan, answerTime)
+			stop()
+			synctest.Wait()
+		})
+	})
+}
+
+// Guards against reservations at a host that is about to end, which would be
+// counted as spent in full.
+func TestALeavingOwnerTakesNoReservations(t *testing.T) {
+	Convey("Given an owner that leaves", t, func() {
+		synctest.Test(t, func(*testing.T) {
+			_, hosts, stop := site(0, 400, 400)
+			hosts[1].Leave()
+			synctest.Wait()
+			r := reserve(hosts[0], 100)
+			So(r.Grant.Outcome, ShouldEqual, balances.Granted)
+			So(r.Owner.Host, ShouldEqual, core.HostID("c"))
+			hosts[1].purse.mutex.Lock()
+			So(hosts[1].purse.retired, ShouldBeTrue)
+			So(len(hosts[1].purse.members), ShouldEqual, 2)
+			hosts[1].purse.mutex.Unlock()
+			stop()
+			synctest.Wait()
+		})
+	})
+}
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/fleet"
 	"github.com/peridotreel/peridotreel/internal/gateway"
@@ -64,8 +66,9 @@
 	DecodeConfig func(raw []byte) (*gateway.Config, error)
 	// Return gives tokens of this host back for a peer.
 	Return func(ctx context.Context, team core.TeamName, amount core.Tokens) (core.Tokens, error)
-	// Counted is called with the number of hosts when it changes.
-	Counted func(int)
+	// Members is called when the hosts change, with their number and those of
+	// them that may own balances.
+	Members func(hosts int, owners []allowance.Member)
 	Log     *zap.Logger
 	Now     func() time.Time
 }
@@ -83,6 +86,9 @@
 type peer struct {
 	Address string        `json:"address"`
 	Zone    core.ZoneName `json:"zone"`
+	// Leaving is true once the host has been told to stop. It still counts as a
+	// host, since it serves what it has taken.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 type failed struct {
@@ -206,7 +212,7 @@
 			p.learn(row)
 		}
 		if len(m.Rows) > 0 {
-			p.config.Counted(max(len(p.known), 1))
+			p.config.Members(max(len(p.known), 1), p.owners())
 		}
 	case failed:
 		p.avoided[m.address] = p.config.Now().Add(avoidAfterFailure)
@@ -230,6 +236,18 @@
 	}
 }
 
+// owners returns the hosts that do not leave.
+func (p *Peers) owners() []allowance.Member {
+	members := make([]allowance.Member, 0, len(p.known))
+	for host, known := range p.known {
+		if known.Leaving {
+			continue
+		}
+		members = append(members, allowance.Member{Host: host, Zone: known.Zone, Address: known.Address})
+	}
+	return members
+}
+
 func (p *Peers) learn(row rowstore.Row) {
 	host := core.HostID(row.Key)
 	if row.Deleted {
@@ -332,6 +350,17 @@
 	}
 }
 
+// Leave says in the host's row that it leaves.
+func (p *Peers) Leave(ctx context.Context) error {
+	value, err := json.Marshal(peer{Address: p.config.Address, Zone: p.config.Zone, Leaving: true})
+	if err != nil {
+		return fmt.Errorf("encode the host's row: %w", err)
+	}
+	row := rowstore.Row{Table: Table, Key: string(p.config.Host), Value: value}
+	_, err = p.config.Store.Commit(ctx, rowstore.Commit{Puts: []rowstore.Row{row}})
+	return err
+}
+
 // Withdraw removes the host's row, so that the others do not count it.
 func (p *Peers) Withdraw(ctx context.Context) error {
 	row := rowstore.Row{Table: Table, Key: string(p.config.Host)}
