Exchange lists between peers only where the store is silent

Cause: the list of upstreams changes with each heartbeat, so that any two hosts differ and each exchange carried all rows: 0.7 MB/s a host with 144 upstreams, more than half of a 10 Mbit/s link. Change: a host asks for rows and configurations once the store has told it nothing for 1.1 s. The list of upstreams is followed four times a second.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,9 @@
 	memoryShare = 0.6
 	// reservedDescriptors are kept for upstreams, the store and peers.
 	reservedDescriptors = 1200
+	// serversPace bounds how often the list of upstreams is followed; each of
+	// them writes about once a second. A leaving one must be left within seconds.
+	serversPace = 250 * time.Millisecond
 	// hostsPace bounds how often the table of hosts is followed.
 	hostsPace = time.Second
 	// hostsWait is how long the store holds a call for the table of hosts, whose
@@ -181,7 +184,7 @@
 	e.group.Start(e.director)
 	e.group.Start(e.peers)
 	e.follow(follower.Follower{Table: e.options.Platform.ConfigTable, Update: e.director.Update, Health: e.director.Health})
-	e.follow(follower.Follower{Table: e.options.Platform.ServersTable, Update: e.director.Update, Health: e.director.Health})
+	e.follow(follower.Follower{Table: e.options.Platform.ServersTable, Pace: serversPace, Update: e.director.Update, Health: e.director.Health})
 	e.follow(follower.Follower{Table: peers.Table, Pace: hostsPace, Wait: hostsWait, Update: e.peers.Update, Health: ignoreHealth})
 	e.group.Start(e.front)
 }
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -56,13 +56,15 @@
 	// shared and never changed.
 	serverRows []rowstore.Row
 	serverRev  int64
-	roster     *roster.Roster
-	fleet      *placement.Fleet
-	budgets    map[core.ServiceName]*retrybudget.Budget
-	hosts      int
-	attempts   uint64
-	leaves     time.Time
-	expiry     *time.Timer
+	// serversAt is when the store last answered about the upstreams.
+	serversAt time.Time
+	roster    *roster.Roster
+	fleet     *placement.Fleet
+	budgets   map[core.ServiceName]*retrybudget.Budget
+	hosts     int
+	attempts  uint64
+	leaves    time.Time
+	expiry    *time.Timer
 }
 
 // New returns a director.
@@ -120,6 +122,12 @@
 	version int64
 }
 
+// storeSilence is the time without an answer of the store after which a host
+// takes lists and configurations from its peers. It exceeds the time for which
+// the store holds a call. Both are large, so that a host with the store takes
+// them from there only.
+const storeSilence = 1100 * time.Millisecond
+
 // Known is what this host tells its peers.
 type Known struct {
 	Config *gateway.Config
@@ -128,6 +136,10 @@
 	ServerRows    []rowstore.Row
 	ServerVersion int64
 	Loads         []placement.PeerLoad
+	// LacksConfig and LacksServers are true if the store has not told this host
+	// lately of configurations and upstreams.
+	LacksConfig  bool
+	LacksServers bool
 }
 
 // Placement asks for the upstream of an attempt.
@@ -264,7 +276,8 @@
 func (d *Director) known(now time.Time) Known {
 	return Known{
 		Config: d.current, ConfigAge: now.Sub(d.confirmed), ServerRows: d.serverRows, ServerVersion: d.serverRev,
-		Loads: d.fleet.OwnLoads(),
+		Loads:       d.fleet.OwnLoads(),
+		LacksConfig: d.current == nil || now.Sub(d.confirmed) > storeSilence, LacksServers: now.Sub(d.serversAt) > storeSilence,
 	}
 }
 
--- a/internal/tasks/director/learn.go
+++ b/internal/tasks/director/learn.go
@@ -24,6 +24,7 @@
 		}
 		d.confirmed = update.At
 	case d.config.ServersTable:
+		d.serversAt = update.At
 		d.learnServers(update.Rows, update.Full, update.Version, update.At)
 	}
 }
--- a/internal/tasks/owners/owners_test.go
+++ b/internal/tasks/owners/owners_test.go
@@ -133,8 +133,8 @@
 // Guards against refusals for balance while another zone's owner holds tokens,
 // and against tokens that are not given back there.
 func TestAnotherZonesOwnerGivesTokens(t *testing.T) {
-	Convey("Given an owner without tokens", t, func() {
-		synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner without tokens", t, func() {
 			_, hosts, stop := site(0, 0, 500)
 			r := reserve(hosts[0], 300)
 			So(r.Grant.Outcome, ShouldEqual, balances.Granted)
@@ -154,8 +154,8 @@
 // Guards against tokens that stay reserved for good after an answer was lost,
 // and against a request that waits for an owner that is away.
 func TestALostAnswerReservesNothing(t *testing.T) {
-	Convey("Given an owner whose answer is lost", t, func() {
-		synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner whose answer is lost", t, func() {
 			w, hosts, stop := site(0, 400, 0)
 			w.loseNext[reserveMethod] = true
 			first := reserve(hosts[0], 300)
@@ -170,8 +170,8 @@
 			synctest.Wait()
 		})
 	})
-	Convey("Given an owner that is away", t, func() {
-		synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner that is away", t, func() {
 			w, hosts, stop := site(0, 0, 400)
 			w.down["b"] = true
 			So(reserve(hosts[0], 100).Grant.Outcome, ShouldEqual, balances.Granted)
@@ -187,8 +187,8 @@
 // Guards against reservations at a host that is about to end, which would be
 // counted as spent in full.
 func TestALeavingOwnerTakesNoReservations(t *testing.T) {
-	Convey("Given an owner that leaves", t, func() {
-		synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner that leaves", t, func() {
 			_, hosts, stop := site(0, 400, 400)
 			hosts[1].Leave()
 			synctest.Wait()
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -114,6 +114,9 @@
 	ConfigVersion int64
 	ServerVersion int64
 	Loads         []placement.PeerLoad
+	// WantsConfig and WantsServers ask for what is newer than the versions.
+	WantsConfig  bool
+	WantsServers bool
 }
 
 // Reply is the answer to a call. Config and Rows are set if they are newer than
@@ -155,11 +158,11 @@
 	*reply = Reply{Host: h.peers.config.Host, ServerVersion: known.ServerVersion, Loads: known.Loads, ConfigAge: known.ConfigAge}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
-		if known.Config.Version > args.ConfigVersion {
+		if args.WantsConfig && known.Config.Version > args.ConfigVersion {
 			reply.Config = known.Config.Raw
 		}
 	}
-	if known.ServerVersion > args.ServerVersion {
+	if args.WantsServers && known.ServerVersion > args.ServerVersion {
 		reply.Rows = known.ServerRows
 	}
 	return nil
@@ -293,7 +296,10 @@
 	if err != nil {
 		return
 	}
-	args := Args{Host: p.config.Host, ServerVersion: own.ServerVersion, Loads: own.Loads}
+	args := Args{
+		Host: p.config.Host, ServerVersion: own.ServerVersion, Loads: own.Loads,
+		WantsConfig: own.LacksConfig, WantsServers: own.LacksServers,
+	}
 	if own.Config != nil {
 		args.ConfigVersion = own.Config.Version
 	}
--- /dev/null
+++ b/internal/tasks/peers/peers_test.go
@@ -0,0 +1,53 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/rowstore"
+	"github.com/peridotreel/peridotreel/internal/tasks/director"
+)
+
+// beliefs are those of a director that knows a configuration and upstreams.
+type beliefs struct{}
+
+func (beliefs) Exchange(context.Context, core.HostID, []placement.PeerLoad) (director.Known, error) {
+	return director.Known{
+		Config: &gateway.Config{Version: 7, Raw: []byte("raw")}, ConfigAge: time.Second,
+		ServerRows: []rowstore.Row{{Key: "server-1"}}, ServerVersion: 9,
+	}, nil
+}
+
+func (beliefs) Offer(int64, *gateway.Config, time.Duration, string) {}
+
+func (beliefs) OfferServers([]rowstore.Row, int64) {}
+
+// Guards against peers that send each other all lists several times a second,
+// which fills the links of small hosts, and against a host that the store turns
+// away and that gets none.
+func TestListsAreSentWhereTheyAreWanted(t *testing.T) {
+	Convey("Given a peer with newer lists", t, func() {
+		handler := &Handler{New(Config{Director: beliefs{}, Now: time.Now})}
+		ask := func(args Args) Reply {
+			var reply Reply
+			So(handler.Exchange(args, &reply), ShouldBeNil)
+			So(reply.ConfigVersion, ShouldEqual, 7)
+			return reply
+		}
+		healthy := ask(Args{ConfigVersion: 6, ServerVersion: 8})
+		So(healthy.Config, ShouldBeNil)
+		So(healthy.Rows, ShouldBeNil)
+		behind := ask(Args{ConfigVersion: 6, ServerVersion: 8, WantsConfig: true, WantsServers: true})
+		So(string(behind.Config), ShouldEqual, "raw")
+		So(len(behind.Rows), ShouldEqual, 1)
+		same := ask(Args{ConfigVersion: 7, ServerVersion: 9, WantsConfig: true, WantsServers: true})
+		So(same.Config, ShouldBeNil)
+		So(same.Rows, ShouldBeNil)
+	})
+}
