--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -33,8 +33,9 @@
 	// msPerMissedToken weighs reading a shared part again: it is charged, and
 	// delays the others at the upstream.
 	msPerMissedToken = 0.1
-	// msOtherZone is the cost of crossing zones, mostly the price of the bytes.
-	msOtherZone = 8.0
+	// msOtherZone is the cost of crossing zones: the bytes have a price, and a
+	// cut between zones breaks the streams that cross it.
+	msOtherZone = 25.0
 	// msPerFailure is the cost of an upstream that fails everything.
 	msPerFailure = 4000.0
 	// msShunned keeps avoided upstreams behind all others.
