--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -45,7 +45,7 @@
 			zap.Int64("available", int64(p.reserved.Grant.Available)), zap.Int64("unallocated", int64(p.reserved.Grant.Unallocated)),
 			zap.Int64("unsure", int64(p.reserved.Grant.Unsure)), zap.Bool("store_away", p.reserved.Grant.StoreAway),
 			zap.Int64("elsewhere", int64(p.reserved.Grant.Elsewhere)), zap.Int64("prepaid", int64(p.reserved.Grant.Prepaid)), zap.Int64("spent", int64(p.spent)),
-			zap.Int64("ledger_version", p.reserved.Grant.Version))
+			zap.Int64("ledger_version", p.reserved.Grant.Version), zap.String("owner", string(p.reserved.Owner.Host)))
 	}
 	if len(p.trail) > 0 {
 		fields = append(fields, zap.String("attempts", p.describeTrail()))
