--- a/internal/measure/sockets/baseline.go
+++ b/internal/measure/sockets/baseline.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -62,12 +63,18 @@
 }
 
 func (b *bareRelay) forward(w http.ResponseWriter, r *http.Request, target string) {
-	outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+target+r.URL.RequestURI(), r.Body)
+	// The body is read before the answer begins: net/http's server closes it with
+	// the first flush, and a transport that still reads it breaks the answer off.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+target+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	outgoing.ContentLength = r.ContentLength
 	outgoing.Header = r.Header.Clone()
 	id := setRequestID(outgoing.Header)
 	response, err := b.transport.RoundTrip(outgoing)
