Use one wait, one row of a host and one name for what a holder holds

task.Sleep replaces its copies in the host, the fleet's server and the socket measurements. A host's row is encoded once. The holder names what it holds and uses. The question whether a host leaves has its own message. State that only its own statement read, and an accessor that only a test called, are gone.

--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -111,7 +111,7 @@
 
 // Lacks reports whether the holder has much less than it wants.
 func (h *Holder) Lacks(now time.Time) bool {
-	held := h.granted() - h.spent - h.reserved
+	held := h.held()
 	return h.known && (h.waiting > held || float64(held) < refillBelow*float64(h.target(now)))
 }
 
@@ -135,10 +135,15 @@
 
 func (h *Holder) granted() core.Tokens { return h.ledger.Holdings[h.process.String()].Granted }
 
+// held returns what is granted and neither spent nor reserved.
+func (h *Holder) held() core.Tokens { return h.granted() - h.spent - h.reserved }
+
+// used returns what is spent or reserved for requests.
+func (h *Holder) used() core.Tokens { return h.spent + h.reserved - h.returning }
+
 // Available returns the tokens that can be reserved without the store.
 func (h *Holder) Available(now time.Time) core.Tokens {
-	available := h.granted() - h.spent - h.reserved
-	available = min(available, h.limit(now)-(h.spent+h.reserved-h.returning))
+	available := min(h.held(), h.limit(now)-h.used())
 	if h.ledger.Taken() > h.prepaid {
 		// The balance was lowered below what is granted: nothing more is spent
 		// until hosts have returned what they hold.
@@ -222,7 +227,7 @@
 // unspent returns the part of the balance that is not known to be spent.
 func (h *Holder) unspent() float64 {
 	own := h.ledger.Holdings[h.process.String()].Spent
-	used := h.ledger.Used() + h.ledger.Unsure - own + h.spent + h.reserved - h.returning
+	used := h.ledger.Used() + h.ledger.Unsure - own + h.used()
 	return float64(max(h.prepaid-used, 0))
 }
 
@@ -289,7 +294,7 @@
 		// at most one of them finds the row at its version.
 		return h.proposal(-h.returning), true
 	}
-	held := h.granted() - h.spent - h.reserved
+	held := h.held()
 	target := h.target(now)
 	rest := h.lastCommit.IsZero() || now.Sub(h.lastCommit) >= commitPause
 	delta := core.Tokens(0)
@@ -321,7 +326,7 @@
 		return Proposal{}, false
 	}
 	h.decay(now)
-	spare := h.granted() - h.spent - h.reserved - h.waiting - core.Tokens(h.perSecond()*recallKeep.Seconds())
+	spare := h.held() - h.waiting - core.Tokens(h.perSecond()*recallKeep.Seconds())
 	if amount = min(amount, spare); amount <= 0 {
 		return Proposal{}, false
 	}
@@ -346,7 +351,7 @@
 	for _, next := range lenders[:min(most, len(lenders))] {
 		hosts = append(hosts, next.host)
 	}
-	lack := h.waiting - (h.granted() - h.spent - h.reserved) - h.Unallocated()
+	lack := h.waiting - h.held() - h.Unallocated()
 	return hosts, lack
 }
 
--- a/internal/decide/allowance/owners_test.go
+++ b/internal/decide/allowance/owners_test.go
@@ -75,8 +75,8 @@
 					count++
 				}
 			}
-			if held != expected || register.Held() != count {
-				t.Fatalf("%d tokens are held in %d reservations, want %d in %d", held, register.Held(), expected, count)
+			if held != expected || len(register.held) != count {
+				t.Fatalf("%d tokens are held in %d reservations, want %d in %d", held, len(register.held), expected, count)
 			}
 		}
 	})
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -103,6 +103,9 @@
 	// pledgeAhead is the time of demand that a pledge covers at once, however
 	// little of the balance is left.
 	pledgeAhead = 250 * time.Millisecond
+	// evenBurst is the part of the even share, as a divisor, that a burst allows
+	// to a team without demand.
+	evenBurst = 20.0
 	// burstShare bounds the burst by the unspent balance: requests that are
 	// refused and repeated at once count as demand too.
 	burstShare = 0.1
@@ -136,10 +139,10 @@
 	h.decay(now)
 	spread := h.spread()
 	even := spread.even
-	burst := max(h.perSecond()*pledgeAhead.Seconds(), even/20, h.bridged(spread.teamRate))
+	burst := max(h.perSecond()*pledgeAhead.Seconds(), even/evenBurst, h.bridged(spread.teamRate))
 	burst = min(burst, burstShare*h.unspent())
 	return Pledge{
-		Spent: h.spent + h.reserved - h.returning, Burst: core.Tokens(burst) + h.waiting,
+		Spent: h.used(), Burst: core.Tokens(burst) + h.waiting,
 		Outage: core.Tokens(outageBurst * h.largest),
 		Rate:   outageRate*h.perSecond() + even/evenRamp.Seconds() + h.largest/outageRamp.Seconds(),
 	}
@@ -200,18 +203,17 @@
 	if h.pledged == nil {
 		return true
 	}
-	used := h.spent + h.reserved - h.returning
-	rest := h.pledged.pledge.Spent + h.pledged.pledge.Burst - used
+	rest := h.pledged.pledge.Spent + h.pledged.pledge.Burst - h.used()
 	return float64(rest) < pledgeLow*float64(h.Pledge(now).Burst)
 }
 
 // AllowedAt returns when the pledge lets an amount be reserved that the grant
 // covers, without the store. It reports false if that is never.
 func (h *Holder) AllowedAt(amount core.Tokens, now time.Time) (time.Time, bool) {
-	if h.granted()-h.spent-h.reserved < amount || h.ledger.Taken() > h.prepaid || h.pledged == nil {
+	if h.held() < amount || h.ledger.Taken() > h.prepaid || h.pledged == nil {
 		return time.Time{}, false
 	}
-	used := h.spent + h.reserved - h.returning
+	used := h.used()
 	at := now
 	for _, anchor := range append([]anchored{*h.pledged}, h.pending...) {
 		elapsed, ever := anchor.pledge.reaches(used + amount)
@@ -228,7 +230,7 @@
 // PledgeShort reports whether waiting requests exceed the pledge, though not
 // the grant.
 func (h *Holder) PledgeShort(now time.Time) bool {
-	return h.waiting > 0 && h.spent+h.reserved-h.returning+h.waiting > h.limit(now)
+	return h.waiting > 0 && h.used()+h.waiting > h.limit(now)
 }
 
 // SetEnded takes the most that an earlier process of this host can have spent.
--- a/internal/decide/allowance/reservations.go
+++ b/internal/decide/allowance/reservations.go
@@ -73,9 +73,6 @@
 	return held.team, held.amount, found
 }
 
-// Held returns the number of reservations that are not settled.
-func (r *Reservations) Held() int { return len(r.held) }
-
 // forgetAbove is the number of remembered settlements from which old ones are
 // looked for, so that a look costs little for each settlement.
 const forgetAbove = 256
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -106,7 +106,7 @@
 			return
 		default:
 			s.config.Log.Warn("accepting a connection from a peer failed", zap.Error(err))
-			if !pause(ctx, acceptRetry) {
+			if task.Sleep(ctx, acceptRetry) != nil {
 				return
 			}
 		}
@@ -127,15 +127,4 @@
 	}
 }
 
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 var _ task.Task = (*Server)(nil)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -202,7 +202,7 @@
 	if err := h.tasks.leave(ctx); err != nil {
 		h.log.Warn("peers could not be told that this host leaves; they will find out", zap.Error(err))
 	}
-	if err := wait(ctx, time.Duration(h.options.Settings.Drain.BalancerWait)); err != nil {
+	if err := task.Sleep(ctx, time.Duration(h.options.Settings.Drain.BalancerWait)); err != nil {
 		return h.abort(err)
 	}
 	if err := h.callers.Shutdown(ctx); err != nil {
@@ -232,14 +232,3 @@
 	_ = h.admin.Close()
 	h.group.Stop()
 }
-
-func wait(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/measure/sockets/calls.go
+++ b/internal/measure/sockets/calls.go
@@ -12,6 +12,7 @@
 	"github.com/peridotreel/peridotreel/internal/client"
 	"github.com/peridotreel/peridotreel/internal/core"
 	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 // maxInFlight bounds the open requests of a load.
@@ -129,7 +130,7 @@
 	sent := 0
 	for i := range jobs {
 		j := &jobs[i]
-		if pause(ctx, time.Until(started.Add(j.at))) != nil {
+		if task.Sleep(ctx, time.Until(started.Add(j.at))) != nil {
 			break
 		}
 		open <- struct{}{}
--- a/internal/measure/sockets/drain.go
+++ b/internal/measure/sockets/drain.go
@@ -10,6 +10,7 @@
 	"github.com/peridotreel/peridotreel/internal/localfleet"
 	"github.com/peridotreel/peridotreel/internal/measure"
 	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -76,7 +77,7 @@
 // time.
 func killAfterWait(ctx context.Context, fleet *localfleet.Fleet, b *balancer, leaving *localfleet.RunningHost) error {
 	b.set(fleet, leaving)
-	if err := pause(ctx, fixedWait); err != nil {
+	if err := task.Sleep(ctx, fixedWait); err != nil {
 		return err
 	}
 	fleet.KillHost(leaving)
--- a/internal/measure/sockets/front.go
+++ b/internal/measure/sockets/front.go
@@ -8,6 +8,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/localfleet"
 	"github.com/peridotreel/peridotreel/internal/measure"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 // settleTime lets hosts read the list of machines, the table and the first
@@ -47,7 +48,7 @@
 	if err := v.begin(ctx, l, f); err != nil {
 		return nil, errors.Join(err, f.stop())
 	}
-	return f, pause(ctx, settleTime)
+	return f, task.Sleep(ctx, settleTime)
 }
 
 // productVariant serves with the hosts of the fleet.
@@ -82,15 +83,3 @@
 		inner.ServeHTTP(w, r)
 	})
 }
-
-// pause waits for a delay or returns the error of ctx.
-func pause(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/measure/sockets/relay.go
+++ b/internal/measure/sockets/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/measure"
 	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -149,11 +150,11 @@
 		j := &jobs[number%len(jobs)]
 		go func() { results <- loop(loops, sending, f.spread(j), j) }()
 	}
-	if err := pause(ctx, relayWarmUp); err != nil {
+	if err := task.Sleep(ctx, relayWarmUp); err != nil {
 		return err
 	}
 	from := f.usage()
-	if err := pause(ctx, relayWindow); err != nil {
+	if err := task.Sleep(ctx, relayWindow); err != nil {
 		return err
 	}
 	add(cost, from, f.usage())
@@ -166,7 +167,7 @@
 		}
 		cost.firsts = append(cost.firsts, ended.firsts...)
 	}
-	return errors.Join(failed, pause(ctx, relayRecover))
+	return errors.Join(failed, task.Sleep(ctx, relayRecover))
 }
 
 // relayLoop is what one caller saw.
--- a/internal/measure/sockets/silent.go
+++ b/internal/measure/sockets/silent.go
@@ -12,6 +12,7 @@
 	"github.com/peridotreel/peridotreel/internal/client"
 	"github.com/peridotreel/peridotreel/internal/measure"
 	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -107,7 +108,7 @@
 	results := make(chan serviceOutcome, len(jobs))
 	started := time.Now()
 	for i := range jobs {
-		if pause(ctx, time.Until(started.Add(jobs[i].at))) != nil {
+		if task.Sleep(ctx, time.Until(started.Add(jobs[i].at))) != nil {
 			jobs = jobs[:i]
 			break
 		}
--- a/internal/measure/sockets/stragglers.go
+++ b/internal/measure/sockets/stragglers.go
@@ -6,6 +6,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/measure"
 	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
+	"github.com/peridotreel/peridotreel/internal/task"
 )
 
 const (
@@ -36,13 +37,13 @@
 
 // slowInTurn slows two engines down, one after the other.
 func slowInTurn(ctx context.Context, f *front) {
-	if pause(ctx, stragglersAt) != nil {
+	if task.Sleep(ctx, stragglersAt) != nil {
 		return
 	}
 	for _, number := range []int{2, 7} {
 		engine := f.fleet.Engines[number]
 		engine.SetSlowdown(stragglerFactor)
-		err := pause(ctx, stragglerSpell)
+		err := task.Sleep(ctx, stragglerSpell)
 		engine.SetSlowdown(1)
 		if err != nil {
 			return
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -74,8 +74,6 @@
 	name    core.TeamName
 	holder  *allowance.Holder
 	prepaid core.Tokens
-	// owned is true if this host owns the team's balance in its zone.
-	owned   bool
 	waiting []waiter
 	// busy is true while a call of the store is under way.
 	busy bool
@@ -315,9 +313,9 @@
 // the ledger of a balance that this host owns.
 func (b *Balances) divide(ctx context.Context, a *account) {
 	owners := allowance.Owners(a.name, b.config.Zone, b.members, func(allowance.Member) bool { return true })
-	a.owned = len(owners) > 0 && owners[0].Host == b.config.Process.Host
-	a.holder.SetBalance(a.prepaid, len(owners), a.owned)
-	if a.owned {
+	owned := len(owners) > 0 && owners[0].Host == b.config.Process.Host
+	a.holder.SetBalance(a.prepaid, len(owners), owned)
+	if owned {
 		b.readUnknown(ctx, a)
 	}
 }
--- a/internal/tasks/balances/pledges.go
+++ b/internal/tasks/balances/pledges.go
@@ -41,7 +41,6 @@
 	// unsure is a write without an answer, which is repeated until its fate is
 	// certain.
 	unsure *allowance.Record
-	at     time.Time
 	// clock is the newest reading of the store's clock and clockAt its arrival.
 	clock       time.Duration
 	clockAt     time.Time
@@ -137,9 +136,8 @@
 			return
 		}
 		p.unsure = b.record(now)
-		p.at = now
 		for name, pledge := range p.unsure.Pledges {
-			b.teams[name].holder.BeginPledge(pledge, p.at)
+			b.teams[name].holder.BeginPledge(pledge, now)
 		}
 	}
 	p.busy, p.last = true, now
--- a/internal/tasks/owners/owners.go
+++ b/internal/tasks/owners/owners.go
@@ -154,7 +154,9 @@
 			o.config.Log.Info("owner regained", zap.String("event", "owner_regained"), zap.String("host", string(m.host)))
 		}
 	case keep:
-		m.reply <- o.keep(m, now)
+		m.reply <- o.held.Keep(m.args.ID, m.args.Team, m.args.Amount, now)
+	case isLeaving:
+		m.reply <- o.leaving
 	case settled:
 		o.settled(m, now)
 	case post:
--- a/internal/tasks/owners/serve.go
+++ b/internal/tasks/owners/serve.go
@@ -47,17 +47,13 @@
 	Spent core.Tokens
 }
 
+// isLeaving asks whether the host takes no reservations any more.
+type isLeaving struct{ reply chan<- bool }
+
 // keep registers an amount that was reserved for another host.
 type keep struct {
-	args ReserveArgs
-	// reserved is false for the question that comes before the reservation.
-	reserved bool
-	reply    chan<- kept
-}
-
-type kept struct {
-	verdict allowance.Verdict
-	leaving bool
+	args  ReserveArgs
+	reply chan<- allowance.Verdict
 }
 
 type settled []Settlement
@@ -75,24 +71,22 @@
 	o := h.owners
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+patientAnswerTime+registerTime)
 	defer cancel()
-	before, err := task.Ask(ctx, o.inbox, func(reply chan<- kept) any { return keep{args, false, reply} })
-	if err != nil {
+	var err error
+	reply.Leaving, err = task.Ask(ctx, o.inbox, func(reply chan<- bool) any { return isLeaving{reply} })
+	if err != nil || reply.Leaving {
 		return err
 	}
-	if reply.Leaving = before.leaving; reply.Leaving {
-		return nil
-	}
 	reply.Grant, err = o.config.Balances.Reserve(ctx, balances.Request{
 		Team: args.Team, Amount: args.Amount, Until: o.config.Now().Add(args.Wait), Patient: args.Patient, Foreign: true,
 	})
 	if err != nil || reply.Grant.Outcome != balances.Granted {
 		return err
 	}
-	after, err := task.Ask(ctx, o.inbox, func(reply chan<- kept) any { return keep{args, true, reply} })
-	if err != nil || after.verdict != allowance.Kept {
+	verdict, err := task.Ask(ctx, o.inbox, func(reply chan<- allowance.Verdict) any { return keep{args, reply} })
+	if err != nil || verdict != allowance.Kept {
 		o.config.Balances.Settle(args.Team, args.Amount, 0)
 	}
-	if after.verdict == allowance.Abandoned {
+	if verdict == allowance.Abandoned {
 		reply.Grant.Outcome = balances.Away
 	}
 	return err
@@ -106,13 +100,6 @@
 	return h.owners.inbox.Send(ctx, settled(settlements))
 }
 
-func (o *Owners) keep(m keep, now time.Time) kept {
-	if !m.reserved {
-		return kept{leaving: o.leaving}
-	}
-	return kept{verdict: o.held.Keep(m.args.ID, m.args.Team, m.args.Amount, now)}
-}
-
 func (o *Owners) settled(settlements settled, now time.Time) {
 	for _, s := range settlements {
 		team, amount, found := o.held.Settle(s.ID, now)
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -341,14 +341,22 @@
 	m.done(returned)
 }
 
+// row returns the host's row.
+func (p *Peers) row(leaving bool) (rowstore.Row, error) {
+	value, err := json.Marshal(peer{Address: p.config.Address, Zone: p.config.Zone, Leaving: leaving})
+	if err != nil {
+		return rowstore.Row{}, fmt.Errorf("encode the host's row: %w", err)
+	}
+	return rowstore.Row{Table: Table, Key: string(p.config.Host), Value: value}, nil
+}
+
 // register writes the host's row until it is acknowledged.
 func (p *Peers) register(ctx context.Context) {
-	value, err := json.Marshal(peer{Address: p.config.Address, Zone: p.config.Zone})
+	row, err := p.row(false)
 	if err != nil {
 		p.config.Log.Error("host entry not encoded", zap.String("event", "register_failed"), zap.Error(err))
 		return
 	}
-	row := rowstore.Row{Table: Table, Key: string(p.config.Host), Value: value}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 		_, err := p.config.Store.Commit(callCtx, rowstore.Commit{Puts: []rowstore.Row{row}})
@@ -364,11 +372,10 @@
 
 // Leave says in the host's row that it leaves.
 func (p *Peers) Leave(ctx context.Context) error {
-	value, err := json.Marshal(peer{Address: p.config.Address, Zone: p.config.Zone, Leaving: true})
+	row, err := p.row(true)
 	if err != nil {
-		return fmt.Errorf("encode the host's row: %w", err)
+		return err
 	}
-	row := rowstore.Row{Table: Table, Key: string(p.config.Host), Value: value}
 	_, err = p.config.Store.Commit(ctx, rowstore.Commit{Puts: []rowstore.Row{row}})
 	return err
 }
