Log the prompt's parts and the events of each attempt that was lost

The log could not tell whether repeats of one request or new requests with a part in common end upstreams: it named neither the parts of the prompt nor how many events each attempt had delivered. Decisions are unchanged.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,6 +63,16 @@
 	return r.Prompt.Input + r.Prompt.MaxOutput
 }
 
+// SharedParts returns the parts that other requests may have in common: all but
+// the last, which is specific to the request. A prompt with a single
+// part shares none.
+func (p *Prompt) SharedParts() []PromptPart {
+	if len(p.Parts) <= 1 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // AffinityPart returns the id of the last part that other requests may have in
 // common, and the number of tokens up to and including it.
 func (p *Prompt) AffinityPart() (string, core.Tokens) {
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -85,8 +85,10 @@
 	newConnection bool
 	ending        relay.Ending
 	status        int
-	duration      time.Duration
-	err           error
+	// events is the number of whole events that the attempt delivered.
+	events   int
+	duration time.Duration
+	err      error
 }
 
 func (r *requestRun) serve(ctx context.Context) error {
@@ -127,6 +129,7 @@
 			}
 			return r.concludeUnsent(ctx, err)
 		}
+		eventsBefore := r.progress.Events
 		r.lastOutcome = relay.Apply(ctx, relay.Task{
 			Sent: sent, Answer: r.answer, Stream: r.matched.Route.Retry.Stream(), Progress: &r.progress,
 			SilenceLimit: r.silenceLimit(), Now: r.pipeline.Now,
@@ -134,7 +137,8 @@
 		upstream := sent.Placed.Upstream.ID
 		r.attempts = append(r.attempts, attemptRecord{
 			upstream: upstream, cost: sent.Placed.Cost, affinity: sent.Placed.Affinity, newConnection: sent.Fresh,
-			ending: r.lastOutcome.Ending, status: r.lastOutcome.Status, duration: r.pipeline.Now().Sub(startedAt), err: r.lastOutcome.Err,
+			ending: r.lastOutcome.Ending, status: r.lastOutcome.Status, events: r.progress.Events - eventsBefore,
+			duration: r.pipeline.Now().Sub(startedAt), err: r.lastOutcome.Err,
 		})
 		done, err := r.next(upstream)
 		if done {
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -55,6 +56,9 @@
 		fields = append(fields, zap.Int64("first_event_ms", summary.FirstEvent.Milliseconds()),
 			zap.Int("events", r.progress.Events), zap.Int64("longest_pause_ms", r.progress.LongestPause.Milliseconds()))
 	}
+	if parts := r.sharedParts(); parts != "" && r.lostAttempt() {
+		fields = append(fields, zap.String("prompt_parts", parts))
+	}
 	r.logOutcome(outcome, refusal, fields)
 	r.pipeline.Recorder.Done(ctx, summary)
 }
@@ -74,6 +78,30 @@
 	}
 }
 
+// maxLoggedParts limits the prompt parts named in a log line.
+const maxLoggedParts = 8
+
+// sharedParts formats the ids of the prompt parts that other requests may have
+// in common.
+func (r *requestRun) sharedParts() string {
+	if r.request.Prompt == nil {
+		return ""
+	}
+	var ids []string
+	for _, part := range r.request.Prompt.SharedParts() {
+		if len(ids) == maxLoggedParts {
+			break
+		}
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
+// lostAttempt reports whether an attempt ended without a whole answer.
+func (r *requestRun) lostAttempt() bool {
+	return slices.ContainsFunc(r.attempts, func(a attemptRecord) bool { return a.ending == relay.Broke || a.ending == relay.Silent })
+}
+
 // describeAttempts formats the attempts on one line.
 func (r *requestRun) describeAttempts() string {
 	var out strings.Builder
@@ -85,6 +113,9 @@
 		if attempt.status != 0 {
 			fmt.Fprintf(&out, " %d", attempt.status)
 		}
+		if attempt.events > 0 {
+			fmt.Fprintf(&out, " after %d events", attempt.events)
+		}
 		fmt.Fprintf(&out, " in %s, cost %.0f", attempt.duration.Round(time.Millisecond), attempt.cost)
 		if attempt.affinity {
 			out.WriteString(", home")
