Hold back prompt parts that crash upstreams, on all hosts

Callers' requests with one prompt part crashed each upstream that began to answer them; the requests beside them broke too. Cause: a break counted against the upstream's health only, and each host kept what it saw to itself, so the next request with the part went to the next upstream.

A registry in internal/decide/quarantine derives from crashes and answers which part explains the crashes; the director owns it, the peers exchange crashes and answers, the new filter screen refuses requests with a held part before they reserve tokens. A connection that ends early is a crash only if the upstream then refuses a connection.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -135,6 +135,16 @@
 	return socket, nil
 }
 
+// Probe connects to an upstream and closes the connection without sending
+// anything. Its error tells why no connection could be established.
+func Probe(ctx context.Context, address string) error {
+	socket, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return socket.Close()
+}
+
 func newConnection(pool *Pool, upstream core.UpstreamID, socket net.Conn, decode DecodeHead) *Connection {
 	return &Connection{
 		upstream: upstream, socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), decode: decode, pool: pool,
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -149,6 +149,9 @@
 const (
 	// Started means that the answer started.
 	Started Signal = iota + 1
+	// Progressed means that the upstream answers the request, beyond the first
+	// event.
+	Progressed
 	// Succeeded means that the answer is complete.
 	Succeeded
 	// Full means that the upstream or its connections had no capacity left.
@@ -161,21 +164,23 @@
 	Failed
 	// Broke means that the connection broke or the answer was not valid.
 	Broke
+	// ClosedEarly means that the connection ended before the upstream answered.
+	ClosedEarly
 	// Silent means that the upstream sent nothing for too long.
 	Silent
 	// Abandoned means that the caller disconnected or the time was up.
 	Abandoned
 )
 
-// Observe records a signal of an attempt. Any signal but Started ends the
-// attempt.
+// Observe records a signal of an attempt. Any signal but Started and
+// Progressed ends the attempt.
 func (b *LoadBalancer) Observe(id core.UpstreamID, number uint64, signal Signal, now time.Time) {
 	u := b.upstreams[id]
 	if u == nil {
 		return
 	}
 	if sent, found := u.attempts[number]; found {
-		if signal == Started {
+		if signal == Started || signal == Progressed {
 			sent.started = true
 		} else {
 			delete(u.attempts, number)
--- /dev/null
+++ b/internal/decide/quarantine/quarantine.go
@@ -0,0 +1,269 @@
+// Package quarantine decides which prompt parts crash upstreams, from the
+// crashes that the hosts of the fleet observed, and holds back requests with
+// such parts for a limited time.
+//
+// A part is held once it was in flight, without an answer, in several crashes of
+// different upstreams, and no request with it was answered since. Any answer
+// clears a part. All state is derived from crashes and answers, so that hosts
+// that know the same ones agree, in whatever order they learned of them.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+)
+
+const (
+	// crashesToHold is the number of crashes after which a part is held. Two can
+	// be a coincidence for a part that is rarely used.
+	crashesToHold = 3
+	// upstreamsToHold is the number of different upstreams that must have
+	// crashed: an upstream that crashes by itself breaks the requests for which
+	// it is the affinity upstream again and again.
+	upstreamsToHold = 2
+	// sameCrashWindow is the time within which reports about an upstream are
+	// about one crash. An upstream takes seconds to restart.
+	sameCrashWindow = 2 * time.Second
+	// simultaneousWindow is the time within which crashes of several upstreams
+	// count as one, because a common cause such as the loss of a rack is likelier
+	// than several requests.
+	simultaneousWindow = 300 * time.Millisecond
+	// holdAfterCrash is how long a part is held after its latest crash. The time
+	// doubles with each crash beyond crashesToHold, up to maxHold.
+	holdAfterCrash = 30 * time.Second
+	maxHold        = 4 * time.Minute
+	// crashTTL is how long a crash is remembered. It exceeds maxHold, so that a
+	// part whose hold has ended is tried by one request at a time.
+	crashTTL = 10 * time.Minute
+	// trialSpacing is the time between the trials of two hosts, and of one host.
+	// A trial ends within a second, and its result reaches most hosts in another.
+	trialSpacing = 2 * time.Second
+	// maxCrashes and maxAnswers bound what a host remembers.
+	maxCrashes = 512
+	maxAnswers = 8192
+	// answerTTL is how long an answer is remembered while no crash involves its
+	// part.
+	answerTTL = 30 * time.Second
+	// maxHeld bounds the parts that are held at the same time.
+	maxHeld = 16
+	// maxPartBytes bounds the id of a part; longer ones are ignored.
+	maxPartBytes = 64
+)
+
+// Hold describes a part that is held.
+type Hold struct {
+	Part string
+	// Until is when the first request with the part may be tried again.
+	Until time.Time
+	// Crashes and Upstreams count what the decision is based on.
+	Crashes   int
+	Upstreams int
+}
+
+// Holds is the set of held parts, by id. It is immutable.
+type Holds map[string]Hold
+
+// Find returns the hold of the first held part of a prompt that other requests
+// may share. The last part of a prompt is its own and is never held.
+func (h Holds) Find(prompt *gateway.Prompt) (Hold, bool) {
+	if len(h) == 0 || prompt == nil {
+		return Hold{}, false
+	}
+	for _, part := range prompt.SharedParts() {
+		if hold, found := h[part.ID]; found {
+			return hold, true
+		}
+	}
+	return Hold{}, false
+}
+
+// crash is a crash of an upstream while a request with the part was in flight
+// there without an answer.
+type crash struct {
+	part     string
+	depth    int
+	upstream core.UpstreamID
+	at       time.Time
+	// origin is the host that observed the crash.
+	origin core.HostID
+	// sends is how many more times the crash is sent to a peer.
+	sends int
+}
+
+// answerTime is when a request with a part was answered last.
+type answerTime struct {
+	at    time.Time
+	sends int
+}
+
+// Registry is what one host knows of crashes and answers. Its callers pass in the
+// current time.
+type Registry struct {
+	self    core.HostID
+	crashes []crash
+	answers map[string]answerTime
+	holds   Holds
+	// trials is when this host last let a request with a held part through.
+	trials map[string]time.Time
+	// nextFull is when a peer that holds other parts is next sent all crashes of
+	// this host's held parts.
+	nextFull time.Time
+}
+
+// New returns the registry of a host.
+func New(self core.HostID) *Registry {
+	return &Registry{self: self, answers: make(map[string]answerTime), trials: make(map[string]time.Time)}
+}
+
+// Holds returns the parts that are held.
+func (r *Registry) Holds() Holds { return r.holds }
+
+// RecordCrash records that an upstream crashed while a request with the prompt was
+// in flight there without an answer.
+func (r *Registry) RecordCrash(prompt *gateway.Prompt, upstream core.UpstreamID, at, now time.Time) {
+	changed := false
+	for depth, part := range prompt.SharedParts() {
+		changed = r.addCrash(crash{part: part.ID, depth: depth, upstream: upstream, at: at, origin: r.self, sends: rumorSends}, now) || changed
+	}
+	if changed {
+		r.decide()
+	}
+}
+
+// RecordAnswer records that a request with the prompt was answered, which clears
+// its parts.
+func (r *Registry) RecordAnswer(prompt *gateway.Prompt, now time.Time) {
+	cleared := false
+	for _, part := range prompt.SharedParts() {
+		cleared = r.addAnswer(part.ID, now, now) || cleared
+	}
+	if cleared {
+		r.decide()
+	}
+}
+
+// AllowTrial reports whether a request with a held part may be sent, as a trial
+// whether the part still crashes upstreams, and records the trial. rank is the
+// position of this host in an order of all hosts that depends on the part.
+// Hosts try one after the other, so that a part that still crashes upstreams ends
+// few of them.
+func (r *Registry) AllowTrial(part string, rank int, now time.Time) bool {
+	hold, found := r.holds[part]
+	if !found {
+		return true
+	}
+	if now.Before(hold.Until.Add(time.Duration(rank)*trialSpacing)) || now.Sub(r.trials[part]) < trialSpacing {
+		return false
+	}
+	r.trials[part] = now
+	return true
+}
+
+// Expire forgets what is too old. It reports whether the held parts changed.
+func (r *Registry) Expire(now time.Time) bool {
+	before := len(r.crashes)
+	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > crashTTL })
+	for part, answer := range r.answers {
+		if now.Sub(answer.at) > answerTTL && !r.suspected(part) {
+			delete(r.answers, part)
+		}
+	}
+	return before != len(r.crashes) && r.decide()
+}
+
+// addCrash stores a crash. It returns false if it is known, cleared by a later
+// answer, or invalid.
+func (r *Registry) addCrash(c crash, now time.Time) bool {
+	if c.part == "" || len(c.part) > maxPartBytes || now.Sub(c.at) > crashTTL {
+		return false
+	}
+	if answer, found := r.answers[c.part]; found && !c.at.After(answer.at) {
+		// Hosts that have not heard of the answer learn of it.
+		r.answers[c.part] = answerTime{answer.at, rumorSends}
+		return false
+	}
+	for _, known := range r.crashes {
+		if known.part == c.part && known.origin == c.origin && sameCrash(known, c) {
+			return false
+		}
+	}
+	if len(r.crashes) >= maxCrashes {
+		r.dropOldest()
+	}
+	r.crashes = append(r.crashes, c)
+	return true
+}
+
+// dropOldest forgets the oldest crash whose part is not held, or the oldest of all.
+func (r *Registry) dropOldest() {
+	oldest := -1
+	for i, c := range r.crashes {
+		_, held := r.holds[c.part]
+		if !held && (oldest < 0 || c.at.Before(r.crashes[oldest].at)) {
+			oldest = i
+		}
+	}
+	r.crashes = slices.Delete(r.crashes, max(oldest, 0), max(oldest, 0)+1)
+}
+
+// addAnswer stores the time of an answer and forgets the crashes that it clears.
+// It returns true if there were any.
+func (r *Registry) addAnswer(part string, at, now time.Time) bool {
+	if known, found := r.answers[part]; found && !at.After(known.at) {
+		return false
+	}
+	if len(r.answers) >= maxAnswers {
+		r.dropAnswers(now)
+	}
+	before := len(r.crashes)
+	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.part == part && !c.at.After(at) })
+	cleared := before != len(r.crashes)
+	answer := answerTime{at: at}
+	if cleared {
+		answer.sends = rumorSends
+	}
+	r.answers[part] = answer
+	return cleared
+}
+
+// dropAnswers makes room for answers: it forgets those that are too old, or all of
+// parts that no crash involves.
+func (r *Registry) dropAnswers(now time.Time) {
+	for part, answer := range r.answers {
+		if now.Sub(answer.at) > answerTTL {
+			delete(r.answers, part)
+		}
+	}
+	if len(r.answers) < maxAnswers {
+		return
+	}
+	for part := range r.answers {
+		if !r.suspected(part) {
+			delete(r.answers, part)
+		}
+	}
+}
+
+func (r *Registry) suspected(part string) bool {
+	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.part == part })
+}
+
+// sameCrash reports whether two records are about the same crash of an upstream.
+func sameCrash(a, b crash) bool {
+	return a.upstream == b.upstream && a.at.Sub(b.at).Abs() < sameCrashWindow
+}
+
+// Digest identifies the set of held parts, so that hosts notice cheaply that
+// theirs differ.
+func (h Holds) Digest() uint64 {
+	var digest uint64
+	for part := range h {
+		digest ^= xxhash.Sum64String(part)
+	}
+	return digest
+}
--- /dev/null
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -0,0 +1,315 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// promptOf returns a prompt with shared parts and one of its own.
+func promptOf(shared ...string) *gateway.Prompt {
+	prompt := &gateway.Prompt{}
+	for _, id := range append(shared, "own") {
+		prompt.Parts = append(prompt.Parts, gateway.PromptPart{ID: id, Tokens: 1})
+	}
+	return prompt
+}
+
+func crashOf(r *Registry, second float64, upstream string, shared ...string) {
+	r.RecordCrash(promptOf(shared...), core.UpstreamID(upstream), at(second), at(second))
+}
+
+// Guards against holding parts for what is no crash by a request: few crashes, one
+// upstream that keeps crashing, many upstreams lost at once, and crashes before an
+// answer.
+func TestWhatDoesNotHoldAPart(t *testing.T) {
+	Convey("Given a host", t, func() {
+		r := New("h")
+		Convey("two crashes do not suffice", func() {
+			crashOf(r, 1, "u1", "a")
+			crashOf(r, 5, "u2", "a")
+			So(r.Holds(), ShouldBeEmpty)
+		})
+		Convey("one upstream that crashes again and again is to blame itself", func() {
+			for i := range 6 {
+				crashOf(r, float64(5*i), "u1", "a")
+			}
+			So(r.Holds(), ShouldBeEmpty)
+		})
+		Convey("upstreams that are lost together count as one crash", func() {
+			for i := range 6 {
+				crashOf(r, 1+0.04*float64(i), fmt.Sprint("u", i), "a")
+			}
+			So(r.Holds(), ShouldBeEmpty)
+		})
+		Convey("an answer clears the crashes before it", func() {
+			crashOf(r, 1, "u1", "a")
+			crashOf(r, 2, "u2", "a")
+			r.RecordAnswer(promptOf("a"), at(2.5))
+			crashOf(r, 3, "u3", "a")
+			So(r.Holds(), ShouldBeEmpty)
+		})
+		Convey("a prompt's last part is its own and is never held", func() {
+			for i := range 4 {
+				crashOf(r, float64(i), fmt.Sprint("u", i))
+			}
+			So(r.Holds(), ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against refusing sound requests that share parts with those that crash
+// upstreams.
+func TestOnlyTheResponsiblePartIsHeld(t *testing.T) {
+	Convey("Given crashes on requests with parts in common", t, func() {
+		r := New("h")
+		Convey("the deepest part is held of those that were in all of them", func() {
+			for i := range 3 {
+				crashOf(r, float64(i), fmt.Sprint("u", i), "a", "b", "deadly")
+				crashOf(r, float64(i), fmt.Sprint("u", i), "a", "beside")
+			}
+			So(r.Holds().HeldParts(), ShouldResemble, []string{"deadly"})
+			_, found := r.Holds().Find(promptOf("a", "b"))
+			So(found, ShouldBeFalse)
+			hold, found := r.Holds().Find(promptOf("x", "deadly"))
+			So(found, ShouldBeTrue)
+			So(hold.Until, ShouldEqual, at(2).Add(holdAfterCrash))
+		})
+		Convey("a part that was answered before is held last", func() {
+			r.RecordAnswer(promptOf("x", "y", "deepest"), at(0))
+			for i := range 3 {
+				crashOf(r, float64(i)+1, fmt.Sprint("u", i), "deadly", "deepest")
+			}
+			So(r.Holds().HeldParts(), ShouldResemble, []string{"deadly"})
+		})
+		Convey("a first part is held if the parts after it differ", func() {
+			for i := range 3 {
+				crashOf(r, float64(i), fmt.Sprint("u", i), "deadly", fmt.Sprint("b", i))
+			}
+			So(r.Holds().HeldParts(), ShouldResemble, []string{"deadly"})
+		})
+	})
+}
+
+// Guards against a hold that outlasts its cause, and against hosts that all try a
+// held part at once.
+func TestAHeldPartIsTriedByOneHostAfterTheOther(t *testing.T) {
+	Convey("Given a held part", t, func() {
+		r := New("h")
+		for i := range 3 {
+			crashOf(r, float64(i), fmt.Sprint("u", i), "deadly")
+		}
+		until := r.Holds()["deadly"].Until
+		So(r.AllowTrial("deadly", 0, until.Add(-time.Millisecond)), ShouldBeFalse)
+		So(r.AllowTrial("deadly", 2, until.Add(trialSpacing)), ShouldBeFalse)
+		So(r.AllowTrial("deadly", 1, until.Add(trialSpacing)), ShouldBeTrue)
+		So(r.AllowTrial("deadly", 1, until.Add(trialSpacing+time.Second)), ShouldBeFalse)
+		Convey("a trial that crashes an upstream holds the part for twice as long", func() {
+			crashOf(r, 33, "u9", "deadly")
+			So(r.Holds()["deadly"].Until, ShouldEqual, at(33).Add(2*holdAfterCrash))
+		})
+		Convey("a trial that is answered releases it", func() {
+			r.RecordAnswer(promptOf("deadly"), at(33))
+			So(r.Holds(), ShouldBeEmpty)
+		})
+		Convey("it is forgotten if nobody asks for it", func() {
+			So(r.Expire(at(2).Add(crashTTL+time.Second)), ShouldBeTrue)
+			So(r.Holds(), ShouldBeEmpty)
+			So(r.crashes, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against one host whose reports are wrong: it must not have a part held
+// everywhere, nor fill the memory of others.
+func TestAWrongReportHasBoundedEffect(t *testing.T) {
+	Convey("Given reports of one other host", t, func() {
+		r := New("h")
+		report := func(age time.Duration, upstream string, part string) Report {
+			return Report{Crashes: []CrashReport{{Part: part, Upstream: core.UpstreamID(upstream), Age: age, Origin: "wrong"}}}
+		}
+		Convey("its crashes alone hold no part", func() {
+			for i := range 20 {
+				r.Merge(report(time.Duration(i)*5*time.Second, fmt.Sprint("u", i), "a"), at(200))
+			}
+			So(r.Holds(), ShouldBeEmpty)
+			Convey("but count together with a crash of this host", func() {
+				crashOf(r, 210, "u30", "a")
+				So(r.Holds().HeldParts(), ShouldResemble, []string{"a"})
+			})
+		})
+		Convey("impossible ages, ids that are too long and reports that are too long are cut", func() {
+			r.Merge(report(-time.Second, "u", "a"), at(200))
+			r.Merge(report(crashTTL+1, "u", "a"), at(200))
+			r.Merge(report(0, "u", string(make([]byte, maxPartBytes+1))), at(200))
+			So(r.crashes, ShouldBeEmpty)
+			var long Report
+			for i := range 10 * maxReportEntries {
+				long.Crashes = append(long.Crashes, CrashReport{Part: fmt.Sprint(i), Upstream: "u", Origin: "wrong"})
+				long.Answers = append(long.Answers, AnswerReport{Part: fmt.Sprint("x", i)})
+			}
+			r.Merge(long, at(200))
+			So(len(r.crashes), ShouldEqual, maxReportEntries)
+			So(len(r.answers), ShouldEqual, 0)
+		})
+		Convey("what a host remembers is bounded", func() {
+			for i := range 2 * maxCrashes {
+				crashOf(r, float64(i)/1000, fmt.Sprint("u", i), fmt.Sprint("p", i))
+			}
+			So(len(r.crashes), ShouldEqual, maxCrashes)
+			for i := range 2 * maxAnswers {
+				r.RecordAnswer(promptOf(fmt.Sprint("q", i)), at(10))
+			}
+			So(len(r.answers), ShouldBeLessThanOrEqualTo, maxAnswers)
+		})
+	})
+}
+
+// fleet is the registries of hosts that exchange reports with random peers.
+type fleet struct {
+	hosts  []*Registry
+	random *rand.Rand
+	now    time.Time
+	// most is the largest number of entries in a report.
+	most int
+}
+
+func newFleet(hosts int, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: start}
+	for i := range hosts {
+		f.hosts = append(f.hosts, New(core.HostID(fmt.Sprint("h", i))))
+	}
+	return f
+}
+
+// round lets each host exchange reports with three others, as the peers task does
+// every 0.4 s.
+func (f *fleet) round() {
+	f.now = f.now.Add(400 * time.Millisecond)
+	for _, caller := range f.hosts {
+		for range 3 {
+			called := f.hosts[f.random.IntN(len(f.hosts))]
+			if called == caller {
+				continue
+			}
+			request := caller.Report(nil, f.now)
+			called.Merge(request, f.now)
+			reply := called.Report(&request.Digest, f.now)
+			caller.Merge(reply, f.now)
+			f.most = max(f.most, len(request.Crashes), len(reply.Crashes), len(request.Answers), len(reply.Answers))
+		}
+	}
+}
+
+func (f *fleet) holding(part string) int {
+	count := 0
+	for _, host := range f.hosts {
+		if _, held := host.Holds()[part]; held {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against hosts that learn too late of crashes which others observed, from
+// a small site to the design size, and against reports that grow with the fleet.
+func TestAllHostsHoldAPartWithinSeconds(t *testing.T) {
+	for _, size := range []int{3, 9, 91, 330} {
+		Convey(fmt.Sprintf("Given %d hosts, each crash observed by another host", size), t, func() {
+			f := newFleet(size, uint64(size))
+			for i := range crashesToHold {
+				observer := f.hosts[(7*i)%size]
+				observer.RecordCrash(promptOf("a", fmt.Sprint("b", i), "deadly"), core.UpstreamID(fmt.Sprint("u", i)), f.now, f.now)
+				f.hosts[(5*i+1)%size].RecordCrash(promptOf("a", "beside"), core.UpstreamID(fmt.Sprint("u", i)), f.now, f.now)
+				f.hosts[(3*i+2)%size].RecordAnswer(promptOf("a"), f.now.Add(time.Millisecond))
+				f.round()
+			}
+			for range 5 { // 2 s; the platform allows 3 s
+				f.round()
+			}
+			So(f.holding("deadly"), ShouldEqual, size)
+			So(f.holding("a"), ShouldEqual, 0)
+			So(f.most, ShouldBeLessThanOrEqualTo, maxReportEntries)
+			Convey("a host that restarts or returns learns of it from one exchange", func() {
+				f.hosts[0] = New("h0")
+				f.now = f.now.Add(20 * time.Second)
+				request := f.hosts[0].Report(nil, f.now)
+				f.hosts[0].Merge(f.hosts[1].Report(&request.Digest, f.now), f.now)
+				_, held := f.hosts[0].Holds()["deadly"]
+				So(held, ShouldBeTrue)
+			})
+			Convey("an answer at one host releases it everywhere", func() {
+				f.hosts[size/2].RecordAnswer(promptOf("deadly"), f.now)
+				for range 8 {
+					f.round()
+				}
+				So(f.holding("deadly"), ShouldEqual, 0)
+			})
+			Convey("once all know, nothing more is sent", func() {
+				for range 20 {
+					f.round()
+				}
+				f.most = 0
+				f.round()
+				So(f.most, ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+// Guards against hosts that disagree because they learned of the same crashes and
+// answers in another order.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			answer bool
+			crash  CrashReport
+		}
+		now := at(100)
+		entries := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) entry {
+			return entry{
+				answer: rapid.IntRange(0, 5).Draw(t, "kind") == 0,
+				crash: CrashReport{
+					Part: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "part"), Depth: 0,
+					Upstream: core.UpstreamID(rapid.SampledFrom([]string{"u1", "u2", "u3", "u4"}).Draw(t, "upstream")),
+					Age:      time.Duration(rapid.IntRange(0, 8).Draw(t, "age")) * 4 * time.Second,
+					Origin:   core.HostID(rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "origin")),
+				},
+			}
+		}), 0, 30).Draw(t, "entries")
+		shuffled := rapid.Permutation(entries).Draw(t, "order")
+		holdsAfter := func(list []entry) Holds {
+			r := New("self")
+			for _, e := range list {
+				if e.answer {
+					r.RecordAnswer(promptOf(e.crash.Part), now.Add(-e.crash.Age))
+				} else {
+					r.Merge(Report{Crashes: []CrashReport{e.crash}}, now)
+				}
+			}
+			return r.Holds()
+		}
+		first, second := holdsAfter(entries), holdsAfter(shuffled)
+		if len(first) != len(second) || first.Digest() != second.Digest() {
+			t.Fatalf("holds differ: %v and %v", first, second)
+		}
+		for part, hold := range first {
+			if hold.Until != second[part].Until {
+				t.Fatalf("part %s is held until %v and %v", part, hold.Until, second[part].Until)
+			}
+		}
+	})
+}
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// Upstream returns an upstream of the list, and false if it is not listed.
+func (r *Roster) Upstream(id core.UpstreamID) (gateway.Upstream, bool) {
+	known, found := r.entries[id]
+	if !found {
+		return gateway.Upstream{}, false
+	}
+	return known.upstream, true
+}
+
 // Change describes a change of an entry.
 type Change struct {
 	Upstream gateway.Upstream
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -130,7 +130,7 @@
 	})
 	e.readiness = newReadiness(options.Log)
 	e.director = director.New(director.Config{
-		Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
+		Host: s.Host, Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
 		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
@@ -138,7 +138,7 @@
 			e.balances.Configure(config)
 			e.readiness.markConfigured()
 		},
-		Forget: pool.Drain,
+		Forget: pool.Drain, Dial: connpool.Probe,
 	})
 	client := peerrpc.NewClient(peerrpc.ClientConfig{})
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log})
@@ -147,7 +147,11 @@
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
 		ReturnTokens: e.balances.Return,
 		HostsChanged: func(hosts int, members []allowance.Member) {
-			e.director.SetHosts(hosts)
+			active := make([]core.HostID, len(members))
+			for i, member := range members {
+				active[i] = member.Host
+			}
+			e.director.SetHosts(hosts, active)
 			e.owners.SetMembers(members)
 		},
 	})
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -18,6 +18,7 @@
 	Draining           RefusalKind = "draining"
 	SlowRequest        RefusalKind = "slow_request"
 	TimeoutNotRun      RefusalKind = "timeout_not_run"
+	Quarantined        RefusalKind = "quarantined"
 
 	// These kinds are final: the request is not allowed.
 	NoRoute        RefusalKind = "no_route"
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/connpool"
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
@@ -22,7 +24,7 @@
 // Director chooses upstreams for attempts and records what attempts observe.
 type Director interface {
 	Place(ctx context.Context, query director.PlacementRequest) (director.Placed, error)
-	Observe(upstream core.UpstreamID, attempt uint64, signal placement.Signal, load *gateway.Load)
+	Observe(observation director.Observation)
 }
 
 // Connections provides connections to upstreams.
@@ -57,9 +59,10 @@
 	Placed director.Placed
 	Events <-chan connpool.Event
 	// Fresh is true if the connection was established for this attempt.
-	Fresh  bool
-	end    context.CancelFunc
-	filter *Filter
+	Fresh   bool
+	request *gateway.Request
+	end     context.CancelFunc
+	filter  *Filter
 }
 
 // Errors of attempts that were not sent.
@@ -71,6 +74,19 @@
 	ErrRetryBudgetExhausted = errors.New("the retry budget of the service is used up")
 )
 
+// HeldError is the error of an attempt that was not sent because a part of its
+// prompt is held.
+type HeldError struct {
+	Hold quarantine.Hold
+	// RetryAfter is how long the part is held at least.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("prompt part %s is quarantined after %d crashes of %d upstreams", e.Hold.Part, e.Hold.Crashes, e.Hold.Upstreams)
+}
+
 // UnreachableError is the error of an attempt for which no connection could be
 // acquired; nothing was sent.
 type UnreachableError struct {
@@ -98,6 +114,8 @@
 	switch {
 	case err != nil:
 		return nil, err
+	case placed.Held:
+		return nil, &HeldError{Hold: placed.Hold, RetryAfter: placed.RetryAfter}
 	case placed.RetryBudgetExhausted:
 		return nil, ErrRetryBudgetExhausted
 	case !placed.Found:
@@ -114,7 +132,7 @@
 		} else if ctx.Err() != nil {
 			signal = placement.Abandoned
 		}
-		f.Director.Observe(upstream.ID, placed.Attempt, signal, nil)
+		f.Director.Observe(director.Observation{Upstream: upstream.ID, Attempt: placed.Attempt, Signal: signal})
 		return nil, &UnreachableError{Upstream: upstream.ID, Cause: err}
 	}
 	dispatch := gateway.Dispatch{
@@ -129,12 +147,14 @@
 		ID: matched.Request.ID, Method: matched.Request.Method, Payload: f.Encode(matched.Request, dispatch),
 		Events: events, Context: attemptCtx,
 	})
-	return &Sent{Placed: placed, Events: events, Fresh: fresh, end: end, filter: f}, nil
+	return &Sent{Placed: placed, Events: events, Fresh: fresh, request: matched.Request, end: end, filter: f}, nil
 }
 
 // Observe records a signal of the attempt.
 func (s *Sent) Observe(signal placement.Signal, load *gateway.Load) {
-	s.filter.Director.Observe(s.Placed.Upstream.ID, s.Placed.Attempt, signal, load)
+	s.filter.Director.Observe(director.Observation{
+		Upstream: s.Placed.Upstream.ID, Attempt: s.Placed.Attempt, Signal: signal, Load: load, Prompt: s.request.Prompt,
+	})
 }
 
 // End ends the attempt. If the answer is not complete, the connection to the
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -1,8 +1,8 @@
 // Package opaque composes the filters for requests that are forwarded unchanged:
 //
-//	match → reserve → attempt → relay → settle
-//	           ▲       │
-//	           └ retry ┘
+//	match → screen → reserve → attempt → relay → settle
+//	                    ▲       │
+//	                    └ retry ┘
 //
 // A request is handled in the goroutine that owns the caller's connection;
 // filters communicate with the host's tasks by messages.
@@ -22,6 +22,7 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/relay"
 	"github.com/peridotreel/peridotreel/internal/opaque/reserve"
+	"github.com/peridotreel/peridotreel/internal/opaque/screen"
 )
 
 // Summary describes a finished request for metrics.
@@ -102,6 +103,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, matched.Deadline)
 	defer cancel()
+	if err = screen.Apply(matched, r.pipeline.Now()); err != nil {
+		return err
+	}
 	r.reserved, err = r.pipeline.Reserve.Apply(ctx, matched)
 	if err != nil {
 		return r.capRetryAfter(err)
@@ -224,6 +228,10 @@
 	if r.retryState.MayHaveRun() {
 		return r.conclude()
 	}
+	var held *attempt.HeldError
+	if errors.As(cause, &held) {
+		return screen.Refuse(held.Hold, held.RetryAfter)
+	}
 	kind := gateway.NoUpstream
 	if len(r.attempts) > 0 {
 		kind = gateway.Overloaded
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -58,6 +59,8 @@
 	Status int
 	// Answer is set on Failed.
 	Answer *BufferedAnswer
+	// ClosedEarly is true if the connection ended before the upstream answered.
+	ClosedEarly bool
 }
 
 // Progress describes how much of a streamed answer was delivered to the caller,
@@ -104,8 +107,17 @@
 	timerStart time.Time
 	// streaming is true once the answer is forwarded as it arrives.
 	streaming bool
+	// events is the number of whole events that this attempt delivered.
+	events int
 }
 
+// answeringEvents is the number of events from which an upstream is known to
+// answer a request: one that crashes on it may still send the first.
+const answeringEvents = 2
+
+// answering reports whether the upstream is known to answer the request.
+func (r *attemptRelay) answering() bool { return r.events >= answeringEvents }
+
 func (r *attemptRelay) run(ctx context.Context) Outcome {
 	var silence <-chan time.Time
 	var timer *time.Timer
@@ -153,6 +165,7 @@
 
 func (r *attemptRelay) outcome(ending Ending, err error) Outcome {
 	outcome := Outcome{Ending: ending, Err: err, Arrived: true}
+	outcome.ClosedEarly = ending == Broke && errors.Is(err, connpool.ErrClosed) && !r.answering()
 	if r.head != nil {
 		outcome.Status = r.head.Status
 	}
@@ -218,6 +231,10 @@
 	}
 	r.Progress.lastEvent = now
 	r.Progress.Events += count
+	wasAnswering := r.answering()
+	if r.events += count; r.answering() && !wasAnswering {
+		r.Sent.Observe(placement.Progressed, nil)
+	}
 	return Outcome{}, false
 }
 
@@ -230,7 +247,7 @@
 	case r.head == nil:
 		return r.outcome(Broke, connpool.ErrClosed)
 	case r.streaming:
-		return r.endStream()
+		return r.endStream(end)
 	case r.head.NotRun || r.head.WrongInstance:
 		return Outcome{Ending: NotRun, Arrived: true, Status: r.head.Status}
 	}
@@ -245,9 +262,13 @@
 	return outcome
 }
 
-func (r *attemptRelay) endStream() Outcome {
+func (r *attemptRelay) endStream(end *connpool.End) Outcome {
 	if r.Progress.Splitter.HasPartial() {
-		return r.outcome(Broke, errors.New("the stream ended with an incomplete event"))
+		err := errors.New("the stream ended with an incomplete event")
+		if !end.Framed {
+			err = fmt.Errorf("%w: %w", connpool.ErrClosed, err)
+		}
+		return r.outcome(Broke, err)
 	}
 	if err := r.Answer.End(); err != nil {
 		return r.outcome(CallerGone, err)
@@ -263,6 +284,9 @@
 
 func (r *attemptRelay) observe(outcome Outcome) {
 	signal := signalByEnding[outcome.Ending]
+	if outcome.ClosedEarly {
+		signal = placement.ClosedEarly
+	}
 	var load *gateway.Load
 	if r.head != nil {
 		load = r.head.Load
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/decide/roster"
 	"github.com/peridotreel/peridotreel/internal/gateway"
@@ -23,6 +24,7 @@
 
 // Config holds the settings and callbacks of a Director.
 type Config struct {
+	Host core.HostID
 	Zone core.ZoneName
 	// DecodeConfig and DecodeUpstream decode the values of rows.
 	DecodeConfig   func(raw []byte) (*gateway.Config, error)
@@ -42,6 +44,9 @@
 	Changed func(*gateway.Config)
 	// Forget is called with the upstreams that must get no new work.
 	Forget func([]core.UpstreamID)
+	// Dial connects to the address of an upstream and closes the connection. It
+	// tells whether an upstream that closed a connection has crashed.
+	Dial func(ctx context.Context, address string) error
 }
 
 // Director is the task. Run must be called once; other methods send messages to
@@ -63,9 +68,14 @@
 	balancer      *placement.LoadBalancer
 	retryBudgets  map[core.ServiceName]*retrybudget.Budget
 	hosts         int
-	lastAttempt   uint64
-	shutdownAt    time.Time
-	expiry        *time.Timer
+	quarantine    *quarantine.Registry
+	// crashChecks are the checks in progress whether an upstream has crashed.
+	crashChecks map[core.UpstreamID]*crashCheck
+	// members are the hosts of the fleet, in no particular order.
+	members     []string
+	lastAttempt uint64
+	shutdownAt  time.Time
+	expiry      *time.Timer
 }
 
 // New returns a director.
@@ -74,6 +84,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
+		quarantine:   quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 	}
 }
 
@@ -86,6 +97,8 @@
 	// ShutdownAt is the latest time at which the process exits, zero if it is not
 	// shutting down.
 	ShutdownAt time.Time
+	// Holds are the prompt parts that crash upstreams.
+	Holds quarantine.Holds
 }
 
 type setShutdown struct{ at time.Time }
@@ -97,11 +110,16 @@
 	reply   chan<- Placed
 }
 
-type observation struct {
-	upstream core.UpstreamID
-	attempt  uint64
-	signal   placement.Signal
-	load     *gateway.Load
+// Observation is what an attempt observed about its upstream.
+type Observation struct {
+	Upstream core.UpstreamID
+	// Attempt is the number of the attempt, from Placed.
+	Attempt uint64
+	Signal  placement.Signal
+	// Load is the load report that came with the signal, nil if there was none.
+	Load *gateway.Load
+	// Prompt is the prompt of the request, nil if it has none.
+	Prompt *gateway.Prompt
 }
 
 type offeredConfig struct {
@@ -111,13 +129,17 @@
 	source  string
 }
 
-type exchangeLoads struct {
-	host  core.HostID
-	loads []placement.PeerLoad
+type exchangeState struct {
+	peer  *PeerState
 	reply chan<- LocalState
 }
 
-type hostCount int
+type receivedState struct{ peer PeerState }
+
+type hostList struct {
+	count   int
+	members []core.HostID
+}
 
 type offeredUpstreams struct {
 	rows    []rowstore.Row
@@ -130,6 +152,13 @@
 // reaches the store must not also fetch these large tables from peers.
 const peerFallbackAfter = 1100 * time.Millisecond
 
+// PeerState is what a peer tells this host about upstreams.
+type PeerState struct {
+	Host       core.HostID
+	Loads      []placement.PeerLoad
+	Quarantine quarantine.Report
+}
+
 // LocalState is what this host sends to its peers, and what it needs from them.
 type LocalState struct {
 	Config *gateway.Config
@@ -138,6 +167,7 @@
 	UpstreamRows []rowstore.Row
 	ListVersion  int64
 	Loads        []placement.PeerLoad
+	Quarantine   quarantine.Report
 	// LacksConfig and LacksUpstreams are true if the host has no recent answer of
 	// the store about the configuration or the upstream list.
 	LacksConfig    bool
@@ -164,6 +194,11 @@
 	// RetryBudgetExhausted is true if the service's retry budget allows no further
 	// retry.
 	RetryBudgetExhausted bool
+	// Held is true if a part of the prompt is held, as described by Hold. The hold
+	// lasts for RetryAfter at least.
+	Held       bool
+	Hold       quarantine.Hold
+	RetryAfter time.Duration
 	// MaxConnections limits this host's connections to the upstream.
 	MaxConnections int
 }
@@ -187,10 +222,9 @@
 	return task.Ask(ctx, d.inbox, func(reply chan<- Placed) any { return placeAttempt{request, reply} })
 }
 
-// Observe records a signal of an attempt and the load report that came with it,
-// if any.
-func (d *Director) Observe(upstream core.UpstreamID, attempt uint64, signal placement.Signal, load *gateway.Load) {
-	_ = d.inbox.Send(context.Background(), observation{upstream, attempt, signal, load})
+// Observe records what an attempt observed.
+func (d *Director) Observe(observation Observation) {
+	_ = d.inbox.Send(context.Background(), observation)
 }
 
 // Update passes on rows that a follower read.
@@ -219,14 +253,21 @@
 // SetShutdown sets the latest time at which the process exits.
 func (d *Director) SetShutdown(at time.Time) { _ = d.inbox.Send(context.Background(), setShutdown{at}) }
 
-// SetHosts sets the number of hosts that share the retry budgets and
-// connections.
-func (d *Director) SetHosts(count int) { _ = d.inbox.Send(context.Background(), hostCount(count)) }
+// SetHosts sets the number of hosts that share the retry budgets and connections,
+// and those of them that are not leaving.
+func (d *Director) SetHosts(count int, members []core.HostID) {
+	_ = d.inbox.Send(context.Background(), hostList{count, members})
+}
+
+// Exchange stores what a peer tells, if peer is not nil, and returns what this
+// host sends to its peers.
+func (d *Director) Exchange(ctx context.Context, peer *PeerState) (LocalState, error) {
+	return task.Ask(ctx, d.inbox, func(reply chan<- LocalState) any { return exchangeState{peer, reply} })
+}
 
-// Exchange stores a peer's loads and returns what this host sends to its peers.
-// The loads are ignored if host is empty.
-func (d *Director) Exchange(ctx context.Context, host core.HostID, loads []placement.PeerLoad) (LocalState, error) {
-	return task.Ask(ctx, d.inbox, func(reply chan<- LocalState) any { return exchangeLoads{host, loads, reply} })
+// Receive stores what a peer tells.
+func (d *Director) Receive(peer PeerState) {
+	_ = d.inbox.Send(context.Background(), receivedState{peer})
 }
 
 // Run handles messages until ctx ends.
@@ -234,32 +275,39 @@
 	defer d.inbox.Close()
 	d.expiry = time.NewTimer(time.Hour)
 	defer d.expiry.Stop()
+	forget := time.NewTicker(quarantineExpiryInterval)
+	defer forget.Stop()
 	for {
 		select {
 		case message := <-d.inbox.Messages():
-			d.handle(message)
+			d.handle(ctx, message)
 		case <-d.expiry.C:
 			d.expireLapsed()
+		case <-forget.C:
+			d.expireQuarantine()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (d *Director) handle(message any) {
+func (d *Director) handle(ctx context.Context, message any) {
 	now := d.config.Now()
 	switch m := message.(type) {
 	case getConfig:
-		m.reply <- ConfigState{Config: d.activeConfig, Age: now.Sub(d.configConfirmed), ShutdownAt: d.shutdownAt}
+		m.reply <- ConfigState{Config: d.activeConfig, Age: now.Sub(d.configConfirmed), ShutdownAt: d.shutdownAt, Holds: d.quarantine.Holds()}
 	case setShutdown:
 		d.shutdownAt = m.at
 	case placeAttempt:
 		m.reply <- d.place(m.request, now)
-	case observation:
-		if m.load != nil {
-			d.balancer.ObserveLoad(m.upstream, *m.load, now)
+	case Observation:
+		if m.Load != nil {
+			d.balancer.ObserveLoad(m.Upstream, *m.Load, now)
 		}
-		d.balancer.Observe(m.upstream, m.attempt, m.signal, now)
+		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
+		d.observePrompt(ctx, m, now)
+	case crashChecked:
+		d.finishCrashCheck(m, now)
 	case follower.Update:
 		d.applyUpdate(m)
 	case follower.Health:
@@ -271,13 +319,35 @@
 		d.confirmConfig(m.version, now.Add(-m.age))
 	case offeredUpstreams:
 		d.applyPeerUpstreams(m, now)
-	case hostCount:
-		d.hosts = max(int(m), 1)
-	case exchangeLoads:
-		if m.host != "" {
-			d.balancer.SetPeerLoads(m.host, m.loads, now)
+	case hostList:
+		d.setHosts(m)
+	case receivedState:
+		d.receive(m.peer, now)
+	case exchangeState:
+		var digest *uint64
+		if m.peer != nil {
+			d.receive(*m.peer, now)
+			digest = &m.peer.Quarantine.Digest
 		}
-		m.reply <- d.localState(now)
+		state := d.localState(now)
+		state.Quarantine = d.quarantine.Report(digest, now)
+		m.reply <- state
+	}
+}
+
+func (d *Director) setHosts(list hostList) {
+	d.hosts = max(list.count, 1)
+	d.members = d.members[:0]
+	for _, member := range list.members {
+		d.members = append(d.members, string(member))
+	}
+}
+
+func (d *Director) receive(peer PeerState, now time.Time) {
+	d.balancer.SetPeerLoads(peer.Host, peer.Loads, now)
+	before := d.quarantine.Holds()
+	if d.quarantine.Merge(peer.Quarantine, now) {
+		d.logHolds(before, "peer "+string(peer.Host))
 	}
 }
 
@@ -294,6 +364,9 @@
 	if request.First {
 		budget.RecordRequest(d.config.RetryBound, now)
 	}
+	if hold, retryAfter, held := d.held(request.Prompt, now); held {
+		return Placed{Held: true, Hold: hold, RetryAfter: retryAfter}
+	}
 	choice, found := d.balancer.Choose(request.Query, now)
 	if !found {
 		return Placed{}
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -15,6 +15,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/peerrpc"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
@@ -49,7 +50,8 @@
 
 // Director is the part of the director's interface that this task uses.
 type Director interface {
-	Exchange(ctx context.Context, host core.HostID, loads []placement.PeerLoad) (director.LocalState, error)
+	Exchange(ctx context.Context, peer *director.PeerState) (director.LocalState, error)
+	Receive(peer director.PeerState)
 	OfferConfig(version int64, config *gateway.Config, age time.Duration, source string)
 	OfferUpstreams(rows []rowstore.Row, version int64)
 }
@@ -117,6 +119,7 @@
 	ConfigVersion int64
 	ServerVersion int64
 	Loads         []placement.PeerLoad
+	Quarantine    quarantine.Report
 	// WantsConfig and WantsServers ask for the configuration and the rows of
 	// upstreams if they are newer than the versions above.
 	WantsConfig  bool
@@ -133,6 +136,7 @@
 	ServerVersion int64
 	Rows          []rowstore.Row
 	Loads         []placement.PeerLoad
+	Quarantine    quarantine.Report
 }
 
 // New returns the task.
@@ -156,11 +160,13 @@
 func (h *Handler) Exchange(args Args, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	known, err := h.peers.config.Director.Exchange(ctx, args.Host, args.Loads)
+	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine})
 	if err != nil {
 		return err
 	}
-	*reply = Reply{Host: h.peers.config.Host, ServerVersion: known.ListVersion, Loads: known.Loads, ConfigAge: known.ConfigAge}
+	*reply = Reply{
+		Host: h.peers.config.Host, ServerVersion: known.ListVersion, Loads: known.Loads, Quarantine: known.Quarantine, ConfigAge: known.ConfigAge,
+	}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
 		if args.WantsConfig && known.Config.Version > args.ConfigVersion {
@@ -300,7 +306,7 @@
 func (p *Peers) exchange(ctx context.Context, address string, withLists bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	local, err := p.config.Director.Exchange(ctx, "", nil)
+	local, err := p.config.Director.Exchange(ctx, nil)
 	if err != nil {
 		return
 	}
@@ -308,7 +314,7 @@
 		local.LacksConfig, local.LacksUpstreams = false, false
 	}
 	args := Args{
-		Host: p.config.Host, ServerVersion: local.ListVersion, Loads: local.Loads,
+		Host: p.config.Host, ServerVersion: local.ListVersion, Loads: local.Loads, Quarantine: local.Quarantine,
 		WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
 	}
 	if local.Config != nil {
@@ -332,7 +338,7 @@
 	if len(reply.Rows) > 0 {
 		p.config.Director.OfferUpstreams(reply.Rows, reply.ServerVersion)
 	}
-	_, _ = p.config.Director.Exchange(ctx, reply.Host, reply.Loads)
+	p.config.Director.Receive(director.PeerState{Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine})
 }
 
 func (p *Peers) callRecall(ctx context.Context, address string, m recallRequest) {
--- a/internal/tasks/peers/peers_test.go
+++ b/internal/tasks/peers/peers_test.go
@@ -7,8 +7,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/peridotreel/peridotreel/internal/core"
-	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
@@ -17,13 +15,15 @@
 // fixedDirector is a director that knows a configuration and upstreams.
 type fixedDirector struct{}
 
-func (fixedDirector) Exchange(context.Context, core.HostID, []placement.PeerLoad) (director.LocalState, error) {
+func (fixedDirector) Exchange(context.Context, *director.PeerState) (director.LocalState, error) {
 	return director.LocalState{
 		Config: &gateway.Config{Version: 7, Raw: []byte("raw")}, ConfigAge: time.Second,
 		UpstreamRows: []rowstore.Row{{Key: "server-1"}}, ListVersion: 9,
 	}, nil
 }
 
+func (fixedDirector) Receive(director.PeerState) {}
+
 func (fixedDirector) OfferConfig(int64, *gateway.Config, time.Duration, string) {}
 
 func (fixedDirector) OfferUpstreams([]rowstore.Row, int64) {}
