Do not repeat a request that may have crashed upstreams before

A request that may be resumed and that crashed its upstream was sent to another upstream, which it crashed too. A host now repeats it only if none of its prompt parts was in flight, and not answered since, at the crash of another upstream. Crashes count as simultaneous within 0.15 s instead of 0.3 s: repeats had ended nine upstreams in 0.8 s and counted as two.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -31,8 +31,9 @@
 	sameCrashWindow = 2 * time.Second
 	// simultaneousWindow is the time within which crashes of several upstreams
 	// count as one, because a common cause such as the loss of a rack is likelier
-	// than several requests.
-	simultaneousWindow = 300 * time.Millisecond
+	// than several requests. Hosts notice a loss up to a tenth of a second late when
+	// their processor is stopped.
+	simultaneousWindow = 150 * time.Millisecond
 	// holdAfterCrash is how long a part is held after its latest crash. The time
 	// doubles with each crash beyond crashesToHold, up to maxHold.
 	holdAfterCrash = 30 * time.Second
@@ -147,6 +148,20 @@
 	}
 }
 
+// Suspects reports whether a part of the prompt was in flight, without an answer
+// since, at a crash of an upstream other than those given.
+func (r *Registry) Suspects(prompt *gateway.Prompt, except []core.UpstreamID) bool {
+	if prompt == nil {
+		return false
+	}
+	for _, part := range prompt.SharedParts() {
+		if slices.ContainsFunc(r.crashes, func(c crash) bool { return c.part == part.ID && !slices.Contains(except, c.upstream) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // AllowTrial reports whether a request with a held part may be sent, as a trial
 // whether the part still crashes upstreams, and records the trial. rank is the
 // position of this host in an order of all hosts that depends on the part.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -71,6 +71,20 @@
 	})
 }
 
+// Guards against repeating a request that may have crashed upstreams before, and
+// against not repeating one whose parts were answered.
+func TestSuspects(t *testing.T) {
+	Convey("Given a crash with a part in flight", t, func() {
+		r := New("h")
+		crashOf(r, 1, "u1", "a", "b")
+		So(r.Suspects(promptOf("x", "b"), nil), ShouldBeTrue)
+		So(r.Suspects(promptOf("x", "b"), []core.UpstreamID{"u1"}), ShouldBeFalse)
+		So(r.Suspects(promptOf("x"), nil), ShouldBeFalse)
+		r.RecordAnswer(promptOf("a", "b"), at(2))
+		So(r.Suspects(promptOf("x", "b"), nil), ShouldBeFalse)
+	})
+}
+
 // Guards against refusing sound requests that share parts with those that crash
 // upstreams.
 func TestOnlyTheResponsiblePartIsHeld(t *testing.T) {
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -50,6 +50,9 @@
 	// an attempt may have reached an upstream.
 	First bool
 	Retry bool
+	// ClosedEarly is true if the connection of the latest attempt ended before the
+	// upstream answered.
+	ClosedEarly bool
 	// ResumeAfter is the id of the last event delivered to the caller.
 	ResumeAfter string
 }
@@ -72,6 +75,9 @@
 	// ErrRetryBudgetExhausted means that the service's retry budget allows no
 	// further retry.
 	ErrRetryBudgetExhausted = errors.New("the retry budget of the service is used up")
+	// ErrSuspected means that the request is not repeated, because it may have
+	// crashed its upstream: a part of its prompt was in flight at another crash.
+	ErrSuspected = errors.New("a part of the prompt was in flight at several crashes of upstreams")
 )
 
 // HeldError is the error of an attempt that was not sent because a part of its
@@ -109,13 +115,15 @@
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
 			Prompt: matched.Request.Prompt, Objective: matched.Route.Objective, Excluded: plan.Excluded,
 		},
-		First: plan.First, Retry: plan.Retry,
+		First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 	})
 	switch {
 	case err != nil:
 		return nil, err
 	case placed.Held:
 		return nil, &HeldError{Hold: placed.Hold, RetryAfter: placed.RetryAfter}
+	case placed.Suspected:
+		return nil, ErrSuspected
 	case placed.RetryBudgetExhausted:
 		return nil, ErrRetryBudgetExhausted
 	case !placed.Found:
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -171,6 +171,7 @@
 	}
 	r.plan.Excluded = append(r.plan.Excluded, upstream)
 	r.plan.Retry = r.retryState.Arrivals() > 0
+	r.plan.ClosedEarly = r.lastOutcome.ClosedEarly
 	if id := r.progress.Splitter.LastID(); id != "" {
 		r.plan.ResumeAfter = id
 	}
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -182,6 +182,9 @@
 	Retry bool
 	// First is true for the first placement of a request.
 	First bool
+	// ClosedEarly is true if the connection of the latest attempt ended before the
+	// upstream answered.
+	ClosedEarly bool
 }
 
 // Placed is the answer to a PlacementRequest.
@@ -199,6 +202,9 @@
 	Held       bool
 	Hold       quarantine.Hold
 	RetryAfter time.Duration
+	// Suspected is true if the request is not repeated because it may have crashed
+	// upstreams.
+	Suspected bool
 	// MaxConnections limits this host's connections to the upstream.
 	MaxConnections int
 }
@@ -367,6 +373,9 @@
 	if hold, retryAfter, held := d.held(request.Prompt, now); held {
 		return Placed{Held: true, Hold: hold, RetryAfter: retryAfter}
 	}
+	if request.ClosedEarly && d.quarantine.Suspects(request.Prompt, request.Excluded) {
+		return Placed{Suspected: true}
+	}
 	choice, found := d.balancer.Choose(request.Query, now)
 	if !found {
 		return Placed{}
