Bound what a host reads of an answer without end

An upstream that sent header fields, or bytes without a line end, for ever was read without limit until the request's time was up; a failure, or a body without end, was kept in memory up to 16 MB a request. A host has some 100 MB. Cause: only whole answers were checked for size, after the fact.

Heads end at 64 kB. Failures, and the buffered part of an event, end at 256 kB. A longer success is forwarded as it arrives, so that no size is refused; it is then not retried. A discarded answer to another request ends the connection at its limit.

TestAnswersWithoutEnd failed before in four cases (504 instead of 502 once the time was up for the endless heads and lines; 19 MB read of a 500 where the bound is 16 MB) and passes. TestAnswersWithoutLengthOrChunks and TestStreamsWithoutLengthOrChunksThatEndEarly cover answers that end with their connection; their cases passed before too.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -46,6 +46,9 @@
 	idleMargin = 700 * time.Millisecond
 	// maxStrayBytes bounds the discarded body of an answer to another request.
 	maxStrayBytes = 1 << 20
+	// maxHeadBytes bounds the head of an answer. Heads that the platform's servers
+	// send have less than 1 kB.
+	maxHeadBytes = 64 << 10
 	// maxInterimResponses bounds the interim (1xx) and stray answers read before
 	// the final one.
 	maxInterimResponses = 5
@@ -55,6 +58,8 @@
 var (
 	// ErrMalformedResponse means that the upstream sent bytes that are not a valid answer.
 	ErrMalformedResponse = errors.New("the upstream sent an invalid HTTP response; its connection was closed")
+	// ErrHeadTooLong means that the head of an answer exceeds the size limit.
+	ErrHeadTooLong = errors.New("the head of the upstream's answer exceeds the size limit of this host")
 	// ErrClosed means that the connection ended before the answer was complete.
 	ErrClosed = errors.New("the upstream's connection ended before the answer was complete")
 )
@@ -94,6 +99,7 @@
 type Connection struct {
 	upstream core.UpstreamID
 	socket   net.Conn
+	received *limitedReader
 	reader   *bufio.Reader
 	decode   DecodeHead
 	pool     *Pool
@@ -108,6 +114,31 @@
 	idleLimit time.Duration
 }
 
+// limitedReader fails once more than remaining bytes have been read, if limited.
+type limitedReader struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// limit lets the next bytes be read and fails after them.
+func (r *limitedReader) limit(bytes int) { r.limited, r.remaining = true, bytes }
+
+func (r *limitedReader) unlimit() { r.limited = false }
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.source.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := r.source.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
 type outcome struct {
 	exchange *Exchange
 	end      End
@@ -146,8 +177,9 @@
 }
 
 func newConnection(pool *Pool, upstream core.UpstreamID, socket net.Conn, decode DecodeHead) *Connection {
+	received := &limitedReader{source: socket}
 	return &Connection{
-		upstream: upstream, socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), decode: decode, pool: pool,
+		upstream: upstream, socket: socket, received: received, reader: bufio.NewReaderSize(received, readBuffer), decode: decode, pool: pool,
 		inbox: make(chan *Exchange, 1), dispatched: make(chan *Exchange, 1), results: make(chan outcome, 1),
 		stop: make(chan struct{}), idleLimit: maxIdle,
 	}
@@ -266,7 +298,9 @@
 	for range maxInterimResponses {
 		// The body needs no close: the connection is closed unless the body was
 		// read to its end.
+		c.received.limit(maxHeadBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: exchange.Method}) //nolint:bodyclose
+		c.received.unlimit()
 		if err != nil {
 			var netErr net.Error
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
@@ -280,9 +314,13 @@
 		head := c.decode(response)
 		if head.ID != "" && head.ID != exchange.ID {
 			stray = true
-			if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
+			discarded, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
+			if err != nil {
 				return End{Err: fmt.Errorf("%w: %w", ErrClosed, err)}, false
 			}
+			if discarded == maxStrayBytes {
+				return End{Err: fmt.Errorf("%w: an answer to another request exceeds %d bytes", ErrMalformedResponse, maxStrayBytes)}, false
+			}
 			continue
 		}
 		c.updateIdleLimit(response.Header)
--- a/internal/decide/events/events.go
+++ b/internal/decide/events/events.go
@@ -6,8 +6,9 @@
 	"slices"
 )
 
-// maxPartialBytes limits the buffered part of an incomplete event.
-const maxPartialBytes = 1 << 20
+// maxPartialBytes limits the buffered part of an incomplete event. An event has a
+// few hundred bytes.
+const maxPartialBytes = 256 << 10
 
 // Splitter buffers bytes and returns whole events. The zero value is ready to
 // use.
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -164,7 +164,8 @@
 	decision := r.retryState.RecordFailed(retrypolicy.Attempt{
 		NotRun:  r.lastOutcome.Ending == relay.NotRun,
 		Arrived: r.lastOutcome.Arrived,
-		Final:   r.lastOutcome.Ending == relay.TimeUp || r.lastOutcome.Ending == relay.CallerGone || r.rejectedRequest(),
+		Final: r.lastOutcome.Ending == relay.TimeUp || r.lastOutcome.Ending == relay.CallerGone ||
+			r.rejectedRequest() || (r.answer.Begun() && !r.matched.Route.Retry.Stream()),
 	})
 	if decision == retrypolicy.Stop {
 		return true, r.conclude()
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -16,8 +16,10 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/attempt"
 )
 
-// maxBodyBytes limits the body of a buffered answer.
-const maxBodyBytes = 16 << 20
+// maxBufferedBytes limits the part of an answer that is buffered, since hosts have
+// some 100 MB for all requests. A longer success is forwarded as it arrives and can
+// no longer be retried; a longer failure is not an answer of the platform's.
+const maxBufferedBytes = 256 << 10
 
 // Ending is the way in which an attempt ended.
 type Ending string
@@ -107,6 +109,9 @@
 	timerStart time.Time
 	// streaming is true once the answer is forwarded as it arrives.
 	streaming bool
+	// unbuffered is true once an answer that is no stream is forwarded as it
+	// arrives.
+	unbuffered bool
 	// events is the number of whole events that this attempt delivered.
 	events int
 }
@@ -181,15 +186,37 @@
 		return r.handleEnd(event.End), true
 	case r.streaming:
 		return r.forward(event.Data)
+	case r.unbuffered:
+		return r.write(event.Data)
 	default:
 		r.body = append(r.body, event.Data...)
-		if len(r.body) > maxBodyBytes {
-			return r.outcome(Broke, errors.New("the answer exceeds the size limit of this host")), true
+		if len(r.body) > maxBufferedBytes {
+			return r.stopBuffering()
 		}
 		return Outcome{}, false
 	}
 }
 
+// stopBuffering starts to forward an answer that is too long to be buffered.
+func (r *attemptRelay) stopBuffering() (Outcome, bool) {
+	if !r.head.Success() {
+		return r.outcome(Broke, errors.New("the failure answer exceeds the size limit of this host")), true
+	}
+	if err := r.Answer.Begin(r.head.Status, r.head.Fields); err != nil {
+		return r.outcome(CallerGone, err), true
+	}
+	body := r.body
+	r.body, r.unbuffered = nil, true
+	return r.write(body)
+}
+
+func (r *attemptRelay) write(data []byte) (Outcome, bool) {
+	if err := r.Answer.Write(data); err != nil {
+		return r.outcome(CallerGone, err), true
+	}
+	return Outcome{}, false
+}
+
 func (r *attemptRelay) handleHead(head *gateway.AnswerHead) (Outcome, bool) {
 	r.head = head
 	r.Sent.Observe(placement.Started, head.Load)
@@ -248,6 +275,8 @@
 		return r.outcome(Broke, connpool.ErrClosed)
 	case r.streaming:
 		return r.endStream(end)
+	case r.unbuffered:
+		return r.endAnswer()
 	case r.head.NotRun || r.head.WrongInstance:
 		return Outcome{Ending: NotRun, Arrived: true, Status: r.head.Status}
 	}
@@ -270,6 +299,10 @@
 		}
 		return r.outcome(Broke, err)
 	}
+	return r.endAnswer()
+}
+
+func (r *attemptRelay) endAnswer() Outcome {
 	if err := r.Answer.End(); err != nil {
 		return r.outcome(CallerGone, err)
 	}
