Take a stream that ends with its connection before any event for broken

If neither a length nor chunks delimit a stream, its end is the end of the connection. An upstream that ended before its first event left callers with a complete, empty 200. Such a stream is now broken off: it is retried if it may be, and answered 502 otherwise; it also counts as closed early for the quarantine. The case of TestStreamsWithoutLengthOrChunksThatEndEarly failed before (200 instead of 502).

--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -299,6 +299,9 @@
 		}
 		return r.outcome(Broke, err)
 	}
+	if !end.Framed && r.events == 0 {
+		return r.outcome(Broke, fmt.Errorf("%w: it delimits the stream and sent no event", connpool.ErrClosed))
+	}
 	return r.endAnswer()
 }
 
