Need more crashes if none was observed from the upstream's zone

Beyond such a partition each upstream closes its connections and refuses new ones, as after a crash. A part is now held after 3 crashes only if a host in the zone of one of the upstreams saw it crash, and after 5 otherwise.

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -65,8 +65,12 @@
 	}
 	var suspects []suspect
 	for part, records := range byPart {
-		counted, upstreams := r.count(records)
-		if counted < crashesToHold || upstreams < upstreamsToHold {
+		counted, upstreams, sameZone := r.count(records)
+		needed := crossZoneCrashesToHold
+		if sameZone {
+			needed = crashesToHold
+		}
+		if counted < needed || upstreams < upstreamsToHold {
 			continue
 		}
 		_, answered := r.answers[part]
@@ -90,11 +94,14 @@
 }
 
 // count sorts the records of one part by time and returns how many separate
-// crashes they are about, and of how many different upstreams. Of what one other host reports, fewer
+// crashes they are about, of how many different upstreams, and whether one was
+// observed from the upstream's zone. Of what one other host reports, fewer
 // than crashesToHold count, so that a host that is wrong can't have a part held
 // everywhere.
-func (r *Registry) count(records []crash) (crashes, upstreams int) {
-	slices.SortFunc(records, func(a, b crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin)) })
+func (r *Registry) count(records []crash) (crashes, upstreams int, sameZone bool) {
+	slices.SortFunc(records, func(a, b crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin), cmp.Compare(a.upstream, b.upstream))
+	})
 	var counted []crash
 	crashed := make(map[core.UpstreamID]bool)
 	byOrigin := make(map[core.HostID]int)
@@ -110,9 +117,10 @@
 		}
 		byOrigin[c.origin]++
 		crashed[c.upstream] = true
+		sameZone = sameZone || c.sameZone
 		counted = append(counted, c)
 	}
-	return len(counted), len(crashed)
+	return len(counted), len(crashed), sameZone
 }
 
 // holdTime is how long a part is held after its latest crash.
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -22,6 +22,10 @@
 	// crashesToHold is the number of crashes after which a part is held. Two can
 	// be a coincidence for a part that is rarely used.
 	crashesToHold = 3
+	// crossZoneCrashesToHold replaces crashesToHold if no crash was observed from
+	// the upstream's own zone: a partition that resets connections looks like the
+	// crash of all upstreams beyond it.
+	crossZoneCrashesToHold = 5
 	// upstreamsToHold is the number of different upstreams that must have
 	// crashed: an upstream that crashes by itself breaks the requests for which
 	// it is the affinity upstream again and again.
@@ -83,6 +87,14 @@
 	return Hold{}, false
 }
 
+// Crash is a crash of an upstream that this host observed.
+type Crash struct {
+	Upstream core.UpstreamID
+	At       time.Time
+	// SameZone is true if the host is in the upstream's zone.
+	SameZone bool
+}
+
 // crash is a crash of an upstream while a request with the part was in flight
 // there without an answer.
 type crash struct {
@@ -90,8 +102,10 @@
 	depth    int
 	upstream core.UpstreamID
 	at       time.Time
-	// origin is the host that observed the crash.
-	origin core.HostID
+	// origin is the host that observed the crash; sameZone is true if it is in the
+	// upstream's zone.
+	origin   core.HostID
+	sameZone bool
 	// sends is how many more times the crash is sent to a peer.
 	sends int
 }
@@ -126,10 +140,12 @@
 
 // RecordCrash records that an upstream crashed while a request with the prompt was
 // in flight there without an answer.
-func (r *Registry) RecordCrash(prompt *gateway.Prompt, upstream core.UpstreamID, at, now time.Time) {
+func (r *Registry) RecordCrash(prompt *gateway.Prompt, observed Crash, now time.Time) {
 	changed := false
 	for depth, part := range prompt.SharedParts() {
-		changed = r.addCrash(crash{part: part.ID, depth: depth, upstream: upstream, at: at, origin: r.self, sends: rumorSends}, now) || changed
+		changed = r.addCrash(crash{
+			part: part.ID, depth: depth, upstream: observed.Upstream, at: observed.At, origin: r.self, sameZone: observed.SameZone, sends: rumorSends,
+		}, now) || changed
 	}
 	if changed {
 		r.decide()
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -29,7 +29,7 @@
 }
 
 func crashOf(r *Registry, second float64, upstream string, shared ...string) {
-	r.RecordCrash(promptOf(shared...), core.UpstreamID(upstream), at(second), at(second))
+	r.RecordCrash(promptOf(shared...), Crash{Upstream: core.UpstreamID(upstream), At: at(second), SameZone: true}, at(second))
 }
 
 // Guards against holding parts for what is no crash by a request: few crashes, one
@@ -62,6 +62,14 @@
 			crashOf(r, 3, "u3", "a")
 			So(r.Holds(), ShouldBeEmpty)
 		})
+		Convey("upstreams of other zones may be behind a partition, up to a point", func() {
+			for i := range crossZoneCrashesToHold - 1 {
+				r.RecordCrash(promptOf("a"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: at(float64(i))}, at(float64(i)))
+			}
+			So(r.Holds(), ShouldBeEmpty)
+			r.RecordCrash(promptOf("a"), Crash{Upstream: "u9", At: at(9)}, at(9))
+			So(r.Holds().HeldParts(), ShouldResemble, []string{"a"})
+		})
 		Convey("a prompt's last part is its own and is never held", func() {
 			for i := range 4 {
 				crashOf(r, float64(i), fmt.Sprint("u", i))
@@ -246,8 +254,9 @@
 			f := newFleet(size, uint64(size))
 			for i := range crashesToHold {
 				observer := f.hosts[(7*i)%size]
-				observer.RecordCrash(promptOf("a", fmt.Sprint("b", i), "deadly"), core.UpstreamID(fmt.Sprint("u", i)), f.now, f.now)
-				f.hosts[(5*i+1)%size].RecordCrash(promptOf("a", "beside"), core.UpstreamID(fmt.Sprint("u", i)), f.now, f.now)
+				crashed := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: f.now, SameZone: i == 0}
+				observer.RecordCrash(promptOf("a", fmt.Sprint("b", i), "deadly"), crashed, f.now)
+				f.hosts[(5*i+1)%size].RecordCrash(promptOf("a", "beside"), crashed, f.now)
 				f.hosts[(3*i+2)%size].RecordAnswer(promptOf("a"), f.now.Add(time.Millisecond))
 				f.round()
 			}
@@ -294,13 +303,16 @@
 		}
 		now := at(100)
 		entries := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) entry {
+			upstream := rapid.SampledFrom([]string{"u1", "u2", "u3", "u4"}).Draw(t, "upstream")
+			origin := rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "origin")
 			return entry{
 				answer: rapid.IntRange(0, 5).Draw(t, "kind") == 0,
 				crash: CrashReport{
 					Part: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "part"), Depth: 0,
-					Upstream: core.UpstreamID(rapid.SampledFrom([]string{"u1", "u2", "u3", "u4"}).Draw(t, "upstream")),
+					Upstream: core.UpstreamID(upstream),
 					Age:      time.Duration(rapid.IntRange(0, 8).Draw(t, "age")) * 4 * time.Second,
-					Origin:   core.HostID(rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "origin")),
+					SameZone: upstream[1] == origin[1],
+					Origin:   core.HostID(origin),
 				},
 			}
 		}), 0, 30).Draw(t, "entries")
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -30,6 +30,8 @@
 	Age time.Duration
 	// Origin is the host that observed the crash.
 	Origin core.HostID
+	// SameZone is true if that host is in the upstream's zone.
+	SameZone bool
 }
 
 // AnswerReport tells a peer that a part was answered.
@@ -87,7 +89,7 @@
 }
 
 func (c crash) report(now time.Time) CrashReport {
-	return CrashReport{Part: c.part, Depth: c.depth, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin}
+	return CrashReport{Part: c.part, Depth: c.depth, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
 }
 
 // Merge adds what a peer reports. It reports whether the held parts changed.
@@ -104,7 +106,7 @@
 			continue
 		}
 		changed = r.addCrash(crash{
-			part: c.Part, depth: c.Depth, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sends: rumorSends,
+			part: c.Part, depth: c.Depth, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sends: rumorSends,
 		}, now) || changed
 	}
 	return changed && r.decide()
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -31,8 +31,8 @@
 // crashCheck is a check whether an upstream has crashed, with the prompts of this
 // host's requests whose connections it closed before answering.
 type crashCheck struct {
-	startedAt time.Time
-	prompts   []*gateway.Prompt
+	crash   quarantine.Crash
+	prompts []*gateway.Prompt
 }
 
 type crashChecked struct {
@@ -67,7 +67,9 @@
 	if !listed || upstream.Leaving {
 		return
 	}
-	d.crashChecks[m.Upstream] = &crashCheck{startedAt: now, prompts: []*gateway.Prompt{m.Prompt}}
+	d.crashChecks[m.Upstream] = &crashCheck{
+		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, prompts: []*gateway.Prompt{m.Prompt},
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 		defer cancel()
@@ -85,7 +87,7 @@
 	before := d.quarantine.Holds()
 	var parts []string
 	for _, prompt := range check.prompts {
-		d.quarantine.RecordCrash(prompt, m.upstream, check.startedAt, now)
+		d.quarantine.RecordCrash(prompt, check.crash, now)
 		for _, part := range prompt.SharedParts() {
 			if !slices.Contains(parts, part.ID) {
 				parts = append(parts, part.ID)
