Log the request limits that upstreams name

An upstream's answers may name how many requests a second it takes from all hosts together. Nothing showed these limits. The adapter decodes them and the director logs when an upstream names its first limit, changes it by over 20% or stops naming one. Placement does not use them yet.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -49,6 +49,9 @@
 	Encoded bool
 	// Load is nil if the answer does not report a load.
 	Load *Load
+	// RequestLimit is the number of requests a second that the upstream takes from
+	// all hosts together, nil if it names none.
+	RequestLimit *float64
 }
 
 // Success reports whether the status is 2xx.
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -158,10 +158,11 @@
 	return &Sent{Placed: placed, Events: events, Fresh: fresh, request: matched.Request, end: end, filter: f}, nil
 }
 
-// Observe records a signal of the attempt.
-func (s *Sent) Observe(signal placement.Signal, load *gateway.Load) {
+// Observe records a signal of the attempt. head is the head of the answer if it
+// tells the director something, nil otherwise.
+func (s *Sent) Observe(signal placement.Signal, head *gateway.AnswerHead) {
 	s.filter.Director.Observe(director.Observation{
-		Upstream: s.Placed.Upstream.ID, Attempt: s.Placed.Attempt, Signal: signal, Load: load, Prompt: s.request.Prompt,
+		Upstream: s.Placed.Upstream.ID, Attempt: s.Placed.Attempt, Signal: signal, Head: head, Prompt: s.request.Prompt,
 	})
 }
 
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -219,7 +219,7 @@
 
 func (r *attemptRelay) handleHead(head *gateway.AnswerHead) (Outcome, bool) {
 	r.head = head
-	r.Sent.Observe(placement.Started, head.Load)
+	r.Sent.Observe(placement.Started, head)
 	if !head.Success() {
 		return Outcome{}, false
 	}
@@ -323,10 +323,6 @@
 	if outcome.ClosedEarly {
 		signal = placement.ClosedEarly
 	}
-	var load *gateway.Load
-	if r.head != nil {
-		load = r.head.Load
-	}
 	if outcome.Ending == NotRun {
 		signal = placement.Full
 		if r.head != nil && r.head.WrongInstance {
@@ -343,7 +339,7 @@
 		signal = placement.Abandoned
 	}
 	if outcome.Ending == NotRun {
-		r.Sent.Observe(signal, load)
+		r.Sent.Observe(signal, r.head)
 		return
 	}
 	r.Sent.Observe(signal, nil)
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -68,6 +68,8 @@
 	balancer      *placement.LoadBalancer
 	retryBudgets  map[core.ServiceName]*retrybudget.Budget
 	hosts         int
+	// requestLimits are the limits that upstreams named in their latest answers.
+	requestLimits map[core.UpstreamID]float64
 	quarantine    *quarantine.Registry
 	// crashChecks are the checks in progress whether an upstream has crashed.
 	crashChecks map[core.UpstreamID]*crashCheck
@@ -83,8 +85,9 @@
 	return &Director{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
-		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		quarantine:   quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		retryBudgets:  make(map[core.ServiceName]*retrybudget.Budget),
+		requestLimits: make(map[core.UpstreamID]float64),
+		quarantine:    quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 	}
 }
 
@@ -116,8 +119,9 @@
 	// Attempt is the number of the attempt, from Placed.
 	Attempt uint64
 	Signal  placement.Signal
-	// Load is the load report that came with the signal, nil if there was none.
-	Load *gateway.Load
+	// Head is the head of the upstream's answer, nil if the signal does not come
+	// with one.
+	Head *gateway.AnswerHead
 	// Prompt is the prompt of the request, nil if it has none.
 	Prompt *gateway.Prompt
 }
@@ -307,8 +311,8 @@
 	case placeAttempt:
 		m.reply <- d.place(m.request, now)
 	case Observation:
-		if m.Load != nil {
-			d.balancer.ObserveLoad(m.Upstream, *m.Load, now)
+		if m.Head != nil {
+			d.observeHead(m.Upstream, m.Head, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
 		d.observePrompt(ctx, m, now)
