Refuse a stream that would start after its caller has left

Such a request is known to be lost when it arrives, so it is now refused at once: if the load alone of the best upstream (queued prompt tokens, running requests, its oldest unanswered attempt) is expected to take more than a third of the caller's patience. The delay sent is the expected wait. Streams that have begun are resumed in any case.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -81,6 +81,9 @@
 	InCooldown bool
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
+	// Wait estimates how long the request would wait for its first event, 0 for
+	// plain services.
+	Wait time.Duration
 }
 
 // Choose returns the upstream with the lowest cost, or false if none is left.
@@ -99,6 +102,7 @@
 		best.Upstream, best.Cost, best.Affinity = u.upstream, cost, u == affinity
 		best.InCooldown = now.Before(u.cooldownUntil)
 	}
+	best.Wait = b.estimateWait(b.upstreams[best.Upstream.ID], query, now)
 	return best, true
 }
 
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -114,3 +114,45 @@
 		So(balancer.caches.cachedTokens("u0", prompt, now), ShouldEqual, 0)
 	})
 }
+
+// Guards against requests that wait at an engine until their callers leave, and
+// against refusals while an engine is free.
+func TestTheExpectedWaitFollowsTheLoad(t *testing.T) {
+	Convey("Given an engine", t, func() {
+		balancer := balancerWith("a")
+		query := Query{
+			Service: "s", Engine: &gateway.Engine{Slots: 4, Capacity: 100_000},
+			Prompt: &gateway.Prompt{Input: 6000, Parts: []gateway.PromptPart{{ID: "shared", Tokens: 3000}, {ID: "own", Tokens: 3000}}},
+		}
+		wait := func(at time.Time) time.Duration {
+			choice, found := balancer.Choose(query, at)
+			So(found, ShouldBeTrue)
+			return choice.Wait
+		}
+		limit := MaxWait(500*time.Millisecond, 500*time.Millisecond, 12*time.Second)
+		So(limit, ShouldAlmostEqual, 4*time.Second/3, time.Millisecond)
+		So(MaxWait(500*time.Millisecond, 500*time.Millisecond, 600*time.Millisecond), ShouldAlmostEqual, 200*time.Millisecond, time.Millisecond)
+		So(wait(now), ShouldEqual, 0)
+		for i := range 20 {
+			balancer.Begin("u0", uint64(i), query.Prompt, now)
+		}
+		So(wait(now), ShouldBeGreaterThan, limit)
+		Convey("an engine that was freed has no wait", func() {
+			for i := range 20 {
+				balancer.Observe("u0", uint64(i), Succeeded, now)
+			}
+			So(wait(now), ShouldEqual, 0)
+		})
+		Convey("an engine that answers nobody has one", func() {
+			for i := range 19 {
+				balancer.Observe("u0", uint64(i), Succeeded, now)
+			}
+			So(wait(now), ShouldBeLessThan, limit)
+			So(wait(now.Add(3*time.Second)), ShouldBeGreaterThan, limit)
+		})
+		Convey("a plain service has none", func() {
+			query.Prompt, query.Engine = nil, nil
+			So(wait(now.Add(3*time.Second)), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -105,6 +105,27 @@
 	return "the request limits that the upstreams name are used up"
 }
 
+// SaturatedError is the error of an attempt that was not sent because the caller
+// would leave before an upstream starts on the request.
+type SaturatedError struct {
+	// Wait is the estimated wait for the first event.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *SaturatedError) Error() string {
+	return fmt.Sprintf("the upstreams are saturated for some %s", e.Wait.Round(time.Millisecond))
+}
+
+// maxWait returns the longest wait for an upstream with which a request is sent,
+// 0 for any.
+func maxWait(route *gateway.Route, left time.Duration) time.Duration {
+	if !route.Retry.Stream() {
+		return 0
+	}
+	return placement.MaxWait(route.Objective, route.MaxPause, left)
+}
+
 // UnreachableError is the error of an attempt for which no connection could be
 // acquired; nothing was sent.
 type UnreachableError struct {
@@ -128,6 +149,7 @@
 			Prompt: matched.Request.Prompt, Objective: matched.Route.Objective, Excluded: plan.Excluded,
 		},
 		First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
+		MaxWait: maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
 	})
 	switch {
 	case err != nil:
@@ -140,6 +162,8 @@
 		return nil, ErrRetryBudgetExhausted
 	case placed.Limited:
 		return nil, &LimitedError{RetryAfter: placed.RetryAfter}
+	case placed.Saturated:
+		return nil, &SaturatedError{Wait: placed.RetryAfter}
 	case !placed.Found:
 		return nil, ErrNoUpstream
 	}
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -239,6 +239,11 @@
 		return r.capRetryAfter(gateway.Refuse(gateway.Limited, max(limited.RetryAfter, overloadedRetryAfter),
 			"the upstreams of service %s name request limits that are used up; retry later", r.matched.Service.Name))
 	}
+	var saturated *attempt.SaturatedError
+	if errors.As(cause, &saturated) {
+		return r.capRetryAfter(gateway.Refuse(gateway.Overloaded, saturated.Wait,
+			"the upstreams of service %s are saturated for some %s; retry later", r.matched.Service.Name, saturated.Wait.Round(time.Millisecond)))
+	}
 	kind := gateway.NoUpstream
 	if len(r.attempts) > 0 {
 		kind = gateway.Overloaded
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -190,6 +190,9 @@
 	// ClosedEarly is true if the connection of the latest attempt ended before the
 	// upstream answered.
 	ClosedEarly bool
+	// MaxWait is the longest expected wait with which a request is sent for the
+	// first time, 0 for any. A stream that has begun is resumed in any case.
+	MaxWait time.Duration
 }
 
 // Placed is the answer to a PlacementRequest.
@@ -208,8 +211,11 @@
 	// Limited is true if upstreams are left, but the limits that they name allow
 	// this host no request now.
 	Limited bool
-	// RetryAfter is when a request may be sent at the earliest if Held or Limited,
-	// 0 if that is not known.
+	// Saturated is true if the request would wait longer than MaxWait at the best
+	// upstream.
+	Saturated bool
+	// RetryAfter is when a request may be sent at the earliest if Held, Limited or
+	// Saturated, 0 if that is not known.
 	RetryAfter time.Duration
 	// Suspected is true if the request is not repeated because it may have crashed
 	// upstreams.
@@ -396,6 +402,9 @@
 		wait, limited := d.limitedFor(request.Query, now)
 		return Placed{Limited: limited, RetryAfter: wait}
 	}
+	if request.MaxWait > 0 && !request.Retry && choice.Wait > request.MaxWait {
+		return Placed{Saturated: true, RetryAfter: choice.Wait}
+	}
 	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
 		return Placed{RetryBudgetExhausted: true}
 	}
