Give a placement one outcome, and log why a request is not repeated

Placed had six flags, of which at most one could be set, and the pipeline looked for one error type for each. It now has one outcome; the attempt filter turns it into one error with the kind of the refusal. Placement moves to a file of its own. A request that may be retried and is not now logs the reason (not_repeated): a suspected prompt part or the retry budget.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -77,7 +77,7 @@
 	{"request", []string{"request", "route", "service", "team", "time_ms", "prompt_parts"}},
 	{"configuration", []string{"config_version", "config_age_ms"}},
 	{"balance", []string{"balance", "reserved", "spent", "available", "unallocated", "elsewhere", "unsure", "prepaid", "store_away", "ledger_version", "owner"}},
-	{"attempts", []string{"attempts"}},
+	{"attempts", []string{"attempts", "not_repeated"}},
 	{"answer", []string{"outcome", "status", "reason", "total_ms", "first_event_ms", "events", "longest_pause_ms"}},
 }
 
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -11,9 +11,9 @@
 	"github.com/peridotreel/peridotreel/internal/connpool"
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
-	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
+	"github.com/peridotreel/peridotreel/internal/opaque/screen"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
 )
 
@@ -68,53 +68,36 @@
 	filter  *Filter
 }
 
-// Errors of attempts that were not sent.
-var (
-	// ErrNoUpstream means that no upstream is left to try.
-	ErrNoUpstream = errors.New("no upstream is left to try")
-	// ErrRetryBudgetExhausted means that the service's retry budget allows no
-	// further retry.
-	ErrRetryBudgetExhausted = errors.New("the retry budget of the service is used up")
-	// ErrSuspected means that the request is not repeated, because it may have
-	// crashed its upstream: a part of its prompt was in flight at another crash.
-	ErrSuspected = errors.New("a part of the prompt was in flight at several crashes of upstreams")
-)
-
-// HeldError is the error of an attempt that was not sent because a part of its
-// prompt is held.
-type HeldError struct {
-	Hold quarantine.Hold
-	// RetryAfter is how long the part is held at least.
-	RetryAfter time.Duration
-}
-
-// Error implements error.
-func (e *HeldError) Error() string {
-	return fmt.Sprintf("prompt part %s is quarantined after %d crashes of %d upstreams", e.Hold.Part, e.Hold.Crashes, e.Hold.Upstreams)
-}
-
-// LimitedError is the error of an attempt that was not sent because the request
-// limits that the upstreams name allow this host no request now.
-type LimitedError struct {
-	// RetryAfter is when this host may send the next request, 0 if it is not known.
+// NotSentError is the error of an attempt for which no upstream was chosen.
+type NotSentError struct {
+	// Kind is the refusal of a request that has not run.
+	Kind gateway.RefusalKind
+	// RetryAfter is when a request may be sent at the earliest, 0 if that is not
+	// known.
 	RetryAfter time.Duration
+	Reason     string
 }
 
 // Error implements error.
-func (e *LimitedError) Error() string {
-	return "the request limits that the upstreams name are used up"
-}
-
-// SaturatedError is the error of an attempt that was not sent because the caller
-// would leave before an upstream starts on the request.
-type SaturatedError struct {
-	// Wait is the estimated wait for the first event.
-	Wait time.Duration
-}
-
-// Error implements error.
-func (e *SaturatedError) Error() string {
-	return fmt.Sprintf("the upstreams are saturated for some %s", e.Wait.Round(time.Millisecond))
+func (e *NotSentError) Error() string { return e.Reason }
+
+// notSent returns the error for a placement that found no upstream.
+func notSent(placed director.Placed) *NotSentError {
+	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, Reason: "no upstream is left to try"}
+	switch placed.Outcome {
+	case director.Held:
+		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold)
+	case director.Suspected:
+		err.Kind, err.Reason = gateway.UpstreamBroke, "a part of the prompt was in flight at several crashes of upstreams"
+	case director.Limited:
+		err.Kind, err.Reason = gateway.Limited, "the request limits that the upstreams name are used up"
+	case director.Saturated:
+		err.Kind, err.Reason = gateway.Overloaded, fmt.Sprintf("the upstreams are saturated for some %s", placed.RetryAfter.Round(time.Millisecond))
+	case director.RetryBudgetExhausted:
+		err.Reason = "the retry budget of the service is used up"
+	case director.Found, director.NoUpstream:
+	}
+	return err
 }
 
 // maxWait returns the longest wait for an upstream with which a request is sent,
@@ -151,21 +134,11 @@
 		First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 		MaxWait: maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, err
-	case placed.Held:
-		return nil, &HeldError{Hold: placed.Hold, RetryAfter: placed.RetryAfter}
-	case placed.Suspected:
-		return nil, ErrSuspected
-	case placed.RetryBudgetExhausted:
-		return nil, ErrRetryBudgetExhausted
-	case placed.Limited:
-		return nil, &LimitedError{RetryAfter: placed.RetryAfter}
-	case placed.Saturated:
-		return nil, &SaturatedError{Wait: placed.RetryAfter}
-	case !placed.Found:
-		return nil, ErrNoUpstream
+	}
+	if placed.Outcome != director.Found {
+		return nil, notSent(placed)
 	}
 	upstream := placed.Upstream
 	connection, fresh, err := f.Connections.Acquire(ctx, connpool.Target{
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -76,6 +76,8 @@
 	failureAnswer *relay.BufferedAnswer
 	lastOutcome   relay.Outcome
 	attempts      []attemptRecord
+	// notRepeated is why a request that may be retried was not.
+	notRepeated error
 }
 
 // attemptRecord describes one attempt for the log.
@@ -228,27 +230,22 @@
 		return r.conclude()
 	}
 	if r.retryState.MayHaveRun() {
+		r.notRepeated = cause
 		return r.conclude()
 	}
-	var held *attempt.HeldError
-	if errors.As(cause, &held) {
-		return screen.Refuse(held.Hold, held.RetryAfter)
+	refusal := gateway.Refuse(gateway.NoUpstream, overloadedRetryAfter,
+		"no upstream of service %s took the request: %v; retry later", r.matched.Service.Name, cause)
+	var notSent *attempt.NotSentError
+	if errors.As(cause, &notSent) {
+		refusal.Kind, refusal.RetryAfter = notSent.Kind, max(notSent.RetryAfter, overloadedRetryAfter)
 	}
-	var limited *attempt.LimitedError
-	if errors.As(cause, &limited) {
-		return r.capRetryAfter(gateway.Refuse(gateway.Limited, max(limited.RetryAfter, overloadedRetryAfter),
-			"the upstreams of service %s name request limits that are used up; retry later", r.matched.Service.Name))
+	if refusal.Kind == gateway.NoUpstream && len(r.attempts) > 0 {
+		refusal.Kind = gateway.Overloaded
 	}
-	var saturated *attempt.SaturatedError
-	if errors.As(cause, &saturated) {
-		return r.capRetryAfter(gateway.Refuse(gateway.Overloaded, saturated.Wait,
-			"the upstreams of service %s are saturated for some %s; retry later", r.matched.Service.Name, saturated.Wait.Round(time.Millisecond)))
+	if refusal.Kind == gateway.Quarantined {
+		return refusal
 	}
-	kind := gateway.NoUpstream
-	if len(r.attempts) > 0 {
-		kind = gateway.Overloaded
-	}
-	return r.capRetryAfter(gateway.Refuse(kind, overloadedRetryAfter, "no upstream of service %s took the request: %v; retry later", r.matched.Service.Name, cause))
+	return r.capRetryAfter(refusal)
 }
 
 // conclude ends a request after its last attempt, with an upstream's failure
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -51,6 +51,9 @@
 	if len(r.attempts) > 0 {
 		fields = append(fields, zap.String("attempts", r.describeAttempts()))
 	}
+	if r.notRepeated != nil {
+		fields = append(fields, zap.String("not_repeated", r.notRepeated.Error()))
+	}
 	if !r.progress.FirstEvent.IsZero() {
 		summary.FirstEvent = r.progress.FirstEvent.Sub(r.request.Arrived)
 		fields = append(fields, zap.Int64("first_event_ms", summary.FirstEvent.Milliseconds()),
--- a/internal/opaque/screen/screen.go
+++ b/internal/opaque/screen/screen.go
@@ -3,6 +3,7 @@
 package screen
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
@@ -11,19 +12,18 @@
 )
 
 // Apply returns a *gateway.Refusal if a part of the request's prompt is held. A
-// part whose hold has ended passes; the director decides which host tries it.
+// part whose hold has ended passes; the director decides which host tries it. The
+// delay is not limited to what callers respect: no earlier retry would be served.
 func Apply(matched *match.Matched, now time.Time) error {
 	hold, found := matched.ConfigState.Holds.Find(matched.Request.Prompt)
 	if !found || !now.Before(hold.Until) {
 		return nil
 	}
-	return Refuse(hold, hold.Until.Sub(now))
+	return gateway.Refuse(gateway.Quarantined, hold.Until.Sub(now), "%s", Reason(hold))
 }
 
-// Refuse returns the refusal of a request with a held part. Its delay is not
-// limited to what callers respect: no earlier retry would be served.
-func Refuse(hold quarantine.Hold, retryAfter time.Duration) error {
-	return gateway.Refuse(gateway.Quarantined, retryAfter,
-		"prompt part %s is quarantined: %d upstreams crashed on requests with it, in %d crashes; change the prompt, or retry later",
+// Reason tells the caller why a request with a held part is refused.
+func Reason(hold quarantine.Hold) string {
+	return fmt.Sprintf("prompt part %s is quarantined: %d upstreams crashed on requests with it, in %d crashes; change the prompt, or retry later",
 		hold.Part, hold.Upstreams, hold.Crashes)
 }
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -179,51 +179,6 @@
 	LacksUpstreams bool
 }
 
-// PlacementRequest is a request for the upstream of an attempt.
-type PlacementRequest struct {
-	placement.Query
-	// Retry is true if an earlier attempt of the request may have reached an
-	// upstream.
-	Retry bool
-	// First is true for the first placement of a request.
-	First bool
-	// ClosedEarly is true if the connection of the latest attempt ended before the
-	// upstream answered.
-	ClosedEarly bool
-	// MaxWait is the longest expected wait with which a request is sent for the
-	// first time, 0 for any. A stream that has begun is resumed in any case.
-	MaxWait time.Duration
-}
-
-// Placed is the answer to a PlacementRequest.
-type Placed struct {
-	placement.Choice
-	// Attempt is the number of the attempt, to be passed to Observe.
-	Attempt uint64
-	// Found is false if no upstream is left.
-	Found bool
-	// RetryBudgetExhausted is true if the service's retry budget allows no further
-	// retry.
-	RetryBudgetExhausted bool
-	// Held is true if a part of the prompt is held, as described by Hold.
-	Held bool
-	Hold quarantine.Hold
-	// Limited is true if upstreams are left, but the limits that they name allow
-	// this host no request now.
-	Limited bool
-	// Saturated is true if the request would wait longer than MaxWait at the best
-	// upstream.
-	Saturated bool
-	// RetryAfter is when a request may be sent at the earliest if Held, Limited or
-	// Saturated, 0 if that is not known.
-	RetryAfter time.Duration
-	// Suspected is true if the request is not repeated because it may have crashed
-	// upstreams.
-	Suspected bool
-	// MaxConnections limits this host's connections to the upstream.
-	MaxConnections int
-}
-
 // Current returns the active configuration.
 func (d *Director) Current(ctx context.Context) (ConfigState, error) {
 	return task.Ask(ctx, d.inbox, func(reply chan<- ConfigState) any { return getConfig{reply} })
@@ -238,11 +193,6 @@
 	return state.Config.Limits
 }
 
-// Place chooses the upstream for an attempt and adds the attempt to its load.
-func (d *Director) Place(ctx context.Context, request PlacementRequest) (Placed, error) {
-	return task.Ask(ctx, d.inbox, func(reply chan<- Placed) any { return placeAttempt{request, reply} })
-}
-
 // Observe records what an attempt observed.
 func (d *Director) Observe(observation Observation) {
 	_ = d.inbox.Send(context.Background(), observation)
@@ -384,57 +334,3 @@
 		LacksConfig: d.activeConfig == nil || now.Sub(d.configConfirmed) > peerFallbackAfter, LacksUpstreams: now.Sub(d.listConfirmed) > peerFallbackAfter,
 	}
 }
-
-func (d *Director) place(request PlacementRequest, now time.Time) Placed {
-	budget := d.retryBudget(request.Service)
-	if request.First {
-		budget.RecordRequest(d.config.RetryBound, now)
-	}
-	if hold, retryAfter, held := d.held(request.Prompt, now); held {
-		return Placed{Held: true, Hold: hold, RetryAfter: retryAfter}
-	}
-	if request.ClosedEarly && d.quarantine.Suspects(request.Prompt, request.Excluded) {
-		return Placed{Suspected: true}
-	}
-	request.Usable = func(id core.UpstreamID) bool { return d.limits.Wait(id, now) == 0 }
-	choice, found := d.balancer.Choose(request.Query, now)
-	if !found {
-		wait, limited := d.limitedFor(request.Query, now)
-		return Placed{Limited: limited, RetryAfter: wait}
-	}
-	if request.MaxWait > 0 && !request.Retry && choice.Wait > request.MaxWait {
-		return Placed{Saturated: true, RetryAfter: choice.Wait}
-	}
-	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
-		return Placed{RetryBudgetExhausted: true}
-	}
-	d.lastAttempt++
-	placed := Placed{Choice: choice, Attempt: d.lastAttempt, Found: true, MaxConnections: d.maxConnections(request.Service)}
-	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
-	d.limits.Sent(choice.Upstream.ID, now)
-	return placed
-}
-
-// connectionReserveFraction is the fraction of an upstream's connections that
-// the hosts leave unused, for probes and for hosts that are not counted yet.
-const connectionReserveFraction = 0.15
-
-// minConnections is what each host may use regardless of the number of hosts.
-const minConnections = 2
-
-func (d *Director) maxConnections(name core.ServiceName) int {
-	limit := 0
-	if d.activeConfig != nil {
-		limit = d.activeConfig.Services[name].MaxConnections
-	}
-	return max(int(float64(limit)*(1-connectionReserveFraction))/d.hosts, minConnections)
-}
-
-func (d *Director) retryBudget(name core.ServiceName) *retrybudget.Budget {
-	budget, found := d.retryBudgets[name]
-	if !found {
-		budget = &retrybudget.Budget{}
-		d.retryBudgets[name] = budget
-	}
-	return budget
-}
--- /dev/null
+++ b/internal/tasks/director/place.go
@@ -0,0 +1,131 @@
+package director
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
+	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+// PlacementRequest is a request for the upstream of an attempt.
+type PlacementRequest struct {
+	placement.Query
+	// Retry is true if an earlier attempt of the request may have reached an
+	// upstream.
+	Retry bool
+	// First is true for the first placement of a request.
+	First bool
+	// ClosedEarly is true if the connection of the latest attempt ended before the
+	// upstream answered.
+	ClosedEarly bool
+	// MaxWait is the longest expected wait with which a request is sent for the
+	// first time, 0 for any. A stream that has begun is resumed in any case.
+	MaxWait time.Duration
+}
+
+// PlacementOutcome tells whether an attempt may be sent, and why not.
+type PlacementOutcome uint8
+
+// The outcomes.
+const (
+	// Found means that the attempt may be sent to the chosen upstream.
+	Found PlacementOutcome = iota + 1
+	// NoUpstream means that no upstream is left.
+	NoUpstream
+	// RetryBudgetExhausted means that the service's retry budget allows no further
+	// retry.
+	RetryBudgetExhausted
+	// Held means that a part of the prompt is quarantined, as described by
+	// Placed.Hold.
+	Held
+	// Suspected means that the request is not repeated, because it may have crashed
+	// its upstream: a part of its prompt was in flight at another crash.
+	Suspected
+	// Limited means that upstreams are left, but the request limits that they name
+	// allow this host no request now.
+	Limited
+	// Saturated means that the request would wait longer than its MaxWait at the
+	// best upstream.
+	Saturated
+)
+
+// Placed is the answer to a PlacementRequest.
+type Placed struct {
+	Outcome PlacementOutcome
+	// Choice is set if Outcome is Found.
+	placement.Choice
+	// Attempt is the number of the attempt, to be passed to Observe.
+	Attempt uint64
+	// MaxConnections limits this host's connections to the upstream.
+	MaxConnections int
+	// Hold is set if Outcome is Held.
+	Hold quarantine.Hold
+	// RetryAfter is when a request may be sent at the earliest if Outcome is Held,
+	// Limited or Saturated, 0 if that is not known.
+	RetryAfter time.Duration
+}
+
+// Place chooses the upstream for an attempt and adds the attempt to its load.
+func (d *Director) Place(ctx context.Context, request PlacementRequest) (Placed, error) {
+	return task.Ask(ctx, d.inbox, func(reply chan<- Placed) any { return placeAttempt{request, reply} })
+}
+
+// place chooses the upstream for an attempt, or tells why it is not sent.
+func (d *Director) place(request PlacementRequest, now time.Time) Placed {
+	budget := d.retryBudget(request.Service)
+	if request.First {
+		budget.RecordRequest(d.config.RetryBound, now)
+	}
+	if hold, retryAfter, held := d.held(request.Prompt, now); held {
+		return Placed{Outcome: Held, Hold: hold, RetryAfter: retryAfter}
+	}
+	if request.ClosedEarly && d.quarantine.Suspects(request.Prompt, request.Excluded) {
+		return Placed{Outcome: Suspected}
+	}
+	request.Usable = func(id core.UpstreamID) bool { return d.limits.Wait(id, now) == 0 }
+	choice, found := d.balancer.Choose(request.Query, now)
+	if !found {
+		if wait, limited := d.limitedFor(request.Query, now); limited {
+			return Placed{Outcome: Limited, RetryAfter: wait}
+		}
+		return Placed{Outcome: NoUpstream}
+	}
+	if request.MaxWait > 0 && !request.Retry && choice.Wait > request.MaxWait {
+		return Placed{Outcome: Saturated, RetryAfter: choice.Wait}
+	}
+	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
+		return Placed{Outcome: RetryBudgetExhausted}
+	}
+	d.lastAttempt++
+	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
+	d.limits.Sent(choice.Upstream.ID, now)
+	return Placed{Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service)}
+}
+
+// connectionReserveFraction is the fraction of an upstream's connections that
+// the hosts leave unused, for probes and for hosts that are not counted yet.
+const connectionReserveFraction = 0.15
+
+// minConnections is what each host may use regardless of the number of hosts.
+const minConnections = 2
+
+func (d *Director) maxConnections(name core.ServiceName) int {
+	limit := 0
+	if d.activeConfig != nil {
+		limit = d.activeConfig.Services[name].MaxConnections
+	}
+	return max(int(float64(limit)*(1-connectionReserveFraction))/d.hosts, minConnections)
+}
+
+func (d *Director) retryBudget(name core.ServiceName) *retrybudget.Budget {
+	budget, found := d.retryBudgets[name]
+	if !found {
+		budget = &retrybudget.Budget{}
+		d.retryBudgets[name] = budget
+	}
+	return budget
+}
