Reset the connection of an HTTP/1.0 caller whose stream breaks off

The answers to such a caller end with the connection, so a stream that broke off looked complete. The connection is now reset. The test failed before (the end of the stream was read without an error). Found while looking for the cause of streams that end inside an event at other places.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -95,6 +95,10 @@
 func (a *answer) refuse(err error, requestID string) {
 	if a.Begun() {
 		a.failed = true
+		if a.http10 {
+			// The end of the connection would mark the answer as complete.
+			a.connection.resetOnClose()
+		}
 		return
 	}
 	var refusal *gateway.Refusal
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -172,6 +172,13 @@
 	return answer.reusable()
 }
 
+// resetOnClose lets the connection be reset when it is closed.
+func (c *connection) resetOnClose() {
+	if tcp, ok := c.socket.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (c *connection) draining() bool {
 	select {
 	case <-c.server.draining:
