Refuse saturated streams at half of the patience, with twice the wait as delay

With a third of the patience and the plain wait, refused callers returned into the same queue and were refused again.

--- a/internal/decide/placement/wait.go
+++ b/internal/decide/placement/wait.go
@@ -12,7 +12,7 @@
 	// maxWaitFraction is the part of the caller's patience that a request may be
 	// expected to wait. The rest is for what the estimate misses, such as requests
 	// that other hosts send at the same moment.
-	maxWaitFraction = 1.0 / 3
+	maxWaitFraction = 0.5
 )
 
 // MaxWait returns the longest expected wait for the first event with which a
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/connpool"
@@ -92,7 +91,7 @@
 	case director.Limited:
 		err.Kind, err.Reason = gateway.Limited, "the request limits that the upstreams name are used up"
 	case director.Saturated:
-		err.Kind, err.Reason = gateway.Overloaded, fmt.Sprintf("the upstreams are saturated for some %s", placed.RetryAfter.Round(time.Millisecond))
+		err.Kind, err.Reason = gateway.Overloaded, "the upstreams are saturated: the caller would leave before one starts on the request"
 	case director.RetryBudgetExhausted:
 		err.Reason = "the retry budget of the service is used up"
 	case director.Found, director.NoUpstream:
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -74,6 +74,11 @@
 	return task.Ask(ctx, d.inbox, func(reply chan<- Placed) any { return placeAttempt{request, reply} })
 }
 
+// saturatedDelay is the delay sent while the upstreams are saturated, as a multiple
+// of the expected wait: requests that return as soon as the present queue is done
+// meet those that arrived meanwhile, and are refused again.
+const saturatedDelay = 2
+
 // place chooses the upstream for an attempt, or tells why it is not sent.
 func (d *Director) place(request PlacementRequest, now time.Time) Placed {
 	budget := d.retryBudget(request.Service)
@@ -95,7 +100,7 @@
 		return Placed{Outcome: NoUpstream}
 	}
 	if request.MaxWait > 0 && !request.Retry && choice.Wait > request.MaxWait {
-		return Placed{Outcome: Saturated, RetryAfter: choice.Wait}
+		return Placed{Outcome: Saturated, RetryAfter: saturatedDelay * choice.Wait}
 	}
 	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
 		return Placed{Outcome: RetryBudgetExhausted}
