Name the record of a crash and a part evidence

quarantine had a type Crash (what a host observed) beside a type crash (one part's record of it), which a first reader confuses. The record is called evidence; counts of sends to come are called sendsLeft.

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -26,7 +26,7 @@
 // and the crashes that it explains no longer count against others.
 func (r *Registry) decide() bool {
 	holds := make(Holds)
-	remaining := slices.Clone(r.crashes)
+	remaining := slices.Clone(r.evidence)
 	for len(holds) < maxHeld {
 		worst, found := r.worstSuspect(remaining)
 		if !found {
@@ -35,9 +35,9 @@
 		holds[worst.part] = Hold{
 			Part: worst.part, Until: worst.latest.Add(holdTime(worst.crashes)), Crashes: worst.crashes, Upstreams: worst.upstreams,
 		}
-		explained := slices.DeleteFunc(slices.Clone(remaining), func(c crash) bool { return c.part != worst.part })
-		remaining = slices.DeleteFunc(remaining, func(c crash) bool {
-			return slices.ContainsFunc(explained, func(e crash) bool { return sameCrash(c, e) })
+		explained := slices.DeleteFunc(slices.Clone(remaining), func(c evidence) bool { return c.part != worst.part })
+		remaining = slices.DeleteFunc(remaining, func(c evidence) bool {
+			return slices.ContainsFunc(explained, func(e evidence) bool { return sameCrash(c, e) })
 		})
 	}
 	changed := len(holds) != len(r.holds)
@@ -58,8 +58,8 @@
 // worstSuspect returns the part with the most crashes, if they suffice to hold it.
 // Of equals, it prefers a part that was never answered, then the deepest: holding
 // that one affects the fewest requests.
-func (r *Registry) worstSuspect(crashes []crash) (suspect, bool) {
-	byPart := make(map[string][]crash)
+func (r *Registry) worstSuspect(crashes []evidence) (suspect, bool) {
+	byPart := make(map[string][]evidence)
 	for _, c := range crashes {
 		byPart[c.part] = append(byPart[c.part], c)
 	}
@@ -98,18 +98,18 @@
 // observed from the upstream's zone. Of what one other host reports, fewer
 // than crashesToHold count, so that a host that is wrong can't have a part held
 // everywhere.
-func (r *Registry) count(records []crash) (crashes, upstreams int, sameZone bool) {
-	slices.SortFunc(records, func(a, b crash) int {
+func (r *Registry) count(records []evidence) (crashes, upstreams int, sameZone bool) {
+	slices.SortFunc(records, func(a, b evidence) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin), cmp.Compare(a.upstream, b.upstream))
 	})
-	var counted []crash
+	var counted []evidence
 	crashed := make(map[core.UpstreamID]bool)
 	byOrigin := make(map[core.HostID]int)
 	for _, c := range records {
 		if c.origin != r.self && byOrigin[c.origin] >= crashesToHold-1 {
 			continue
 		}
-		same := slices.ContainsFunc(counted, func(known crash) bool {
+		same := slices.ContainsFunc(counted, func(known evidence) bool {
 			return sameCrash(known, c) || c.at.Sub(known.at).Abs() < simultaneousWindow
 		})
 		if same {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -95,9 +95,9 @@
 	SameZone bool
 }
 
-// crash is a crash of an upstream while a request with the part was in flight
+// evidence is a crash of an upstream while a request with the part was in flight
 // there without an answer.
-type crash struct {
+type evidence struct {
 	part     string
 	depth    int
 	upstream core.UpstreamID
@@ -106,23 +106,23 @@
 	// upstream's zone.
 	origin   core.HostID
 	sameZone bool
-	// sends is how many more times the crash is sent to a peer.
-	sends int
+	// sendsLeft is how many more times the crash is sent to a peer.
+	sendsLeft int
 }
 
 // answerTime is when a request with a part was answered last.
 type answerTime struct {
-	at    time.Time
-	sends int
+	at        time.Time
+	sendsLeft int
 }
 
 // Registry is what one host knows of crashes and answers. Its callers pass in the
 // current time.
 type Registry struct {
-	self    core.HostID
-	crashes []crash
-	answers map[string]answerTime
-	holds   Holds
+	self     core.HostID
+	evidence []evidence
+	answers  map[string]answerTime
+	holds    Holds
 	// trials is when this host last let a request with a held part through.
 	trials map[string]time.Time
 	// nextFull is when a peer that holds other parts is next sent all crashes of
@@ -143,8 +143,8 @@
 func (r *Registry) RecordCrash(prompt *gateway.Prompt, observed Crash, now time.Time) {
 	changed := false
 	for depth, part := range prompt.SharedParts() {
-		changed = r.addCrash(crash{
-			part: part.ID, depth: depth, upstream: observed.Upstream, at: observed.At, origin: r.self, sameZone: observed.SameZone, sends: rumorSends,
+		changed = r.addCrash(evidence{
+			part: part.ID, depth: depth, upstream: observed.Upstream, at: observed.At, origin: r.self, sameZone: observed.SameZone, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	if changed {
@@ -171,7 +171,7 @@
 		return false
 	}
 	for _, part := range prompt.SharedParts() {
-		if slices.ContainsFunc(r.crashes, func(c crash) bool { return c.part == part.ID && !slices.Contains(except, c.upstream) }) {
+		if slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.part == part.ID && !slices.Contains(except, c.upstream) }) {
 			return true
 		}
 	}
@@ -197,19 +197,19 @@
 
 // Expire forgets what is too old. It reports whether the held parts changed.
 func (r *Registry) Expire(now time.Time) bool {
-	before := len(r.crashes)
-	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > crashTTL })
+	before := len(r.evidence)
+	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return now.Sub(c.at) > crashTTL })
 	for part, answer := range r.answers {
 		if now.Sub(answer.at) > answerTTL && !r.suspected(part) {
 			delete(r.answers, part)
 		}
 	}
-	return before != len(r.crashes) && r.decide()
+	return before != len(r.evidence) && r.decide()
 }
 
 // addCrash stores a crash. It returns false if it is known, cleared by a later
 // answer, or invalid.
-func (r *Registry) addCrash(c crash, now time.Time) bool {
+func (r *Registry) addCrash(c evidence, now time.Time) bool {
 	if c.part == "" || len(c.part) > maxPartBytes || now.Sub(c.at) > crashTTL {
 		return false
 	}
@@ -218,28 +218,28 @@
 		r.answers[c.part] = answerTime{answer.at, rumorSends}
 		return false
 	}
-	for _, known := range r.crashes {
+	for _, known := range r.evidence {
 		if known.part == c.part && known.origin == c.origin && sameCrash(known, c) {
 			return false
 		}
 	}
-	if len(r.crashes) >= maxCrashes {
+	if len(r.evidence) >= maxCrashes {
 		r.dropOldest()
 	}
-	r.crashes = append(r.crashes, c)
+	r.evidence = append(r.evidence, c)
 	return true
 }
 
 // dropOldest forgets the oldest crash whose part is not held, or the oldest of all.
 func (r *Registry) dropOldest() {
 	oldest := -1
-	for i, c := range r.crashes {
+	for i, c := range r.evidence {
 		_, held := r.holds[c.part]
-		if !held && (oldest < 0 || c.at.Before(r.crashes[oldest].at)) {
+		if !held && (oldest < 0 || c.at.Before(r.evidence[oldest].at)) {
 			oldest = i
 		}
 	}
-	r.crashes = slices.Delete(r.crashes, max(oldest, 0), max(oldest, 0)+1)
+	r.evidence = slices.Delete(r.evidence, max(oldest, 0), max(oldest, 0)+1)
 }
 
 // addAnswer stores the time of an answer and forgets the crashes that it clears.
@@ -251,12 +251,12 @@
 	if len(r.answers) >= maxAnswers {
 		r.dropAnswers(now)
 	}
-	before := len(r.crashes)
-	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.part == part && !c.at.After(at) })
-	cleared := before != len(r.crashes)
+	before := len(r.evidence)
+	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return c.part == part && !c.at.After(at) })
+	cleared := before != len(r.evidence)
 	answer := answerTime{at: at}
 	if cleared {
-		answer.sends = rumorSends
+		answer.sendsLeft = rumorSends
 	}
 	r.answers[part] = answer
 	return cleared
@@ -281,11 +281,11 @@
 }
 
 func (r *Registry) suspected(part string) bool {
-	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.part == part })
+	return slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.part == part })
 }
 
 // sameCrash reports whether two records are about the same crash of an upstream.
-func sameCrash(a, b crash) bool {
+func sameCrash(a, b evidence) bool {
 	return a.upstream == b.upstream && a.at.Sub(b.at).Abs() < sameCrashWindow
 }
 
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -150,7 +150,7 @@
 		Convey("it is forgotten if nobody asks for it", func() {
 			So(r.Expire(at(2).Add(crashTTL+time.Second)), ShouldBeTrue)
 			So(r.Holds(), ShouldBeEmpty)
-			So(r.crashes, ShouldBeEmpty)
+			So(r.evidence, ShouldBeEmpty)
 		})
 	})
 }
@@ -177,21 +177,21 @@
 			r.Merge(report(-time.Second, "u", "a"), at(200))
 			r.Merge(report(crashTTL+1, "u", "a"), at(200))
 			r.Merge(report(0, "u", string(make([]byte, maxPartBytes+1))), at(200))
-			So(r.crashes, ShouldBeEmpty)
+			So(r.evidence, ShouldBeEmpty)
 			var long Report
 			for i := range 10 * maxReportEntries {
 				long.Crashes = append(long.Crashes, CrashReport{Part: fmt.Sprint(i), Upstream: "u", Origin: "wrong"})
 				long.Answers = append(long.Answers, AnswerReport{Part: fmt.Sprint("x", i)})
 			}
 			r.Merge(long, at(200))
-			So(len(r.crashes), ShouldEqual, maxReportEntries)
+			So(len(r.evidence), ShouldEqual, maxReportEntries)
 			So(len(r.answers), ShouldEqual, 0)
 		})
 		Convey("what a host remembers is bounded", func() {
 			for i := range 2 * maxCrashes {
 				crashOf(r, float64(i)/1000, fmt.Sprint("u", i), fmt.Sprint("p", i))
 			}
-			So(len(r.crashes), ShouldEqual, maxCrashes)
+			So(len(r.evidence), ShouldEqual, maxCrashes)
 			for i := range 2 * maxAnswers {
 				r.RecordAnswer(promptOf(fmt.Sprint("q", i)), at(10))
 			}
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -59,16 +59,16 @@
 		r.nextFull = now.Add(fullInterval)
 		report.Crashes = r.heldCrashes(now)
 	}
-	for i := range r.crashes {
-		c := &r.crashes[i]
-		if c.sends > 0 && len(report.Crashes) < maxReportEntries {
-			c.sends--
+	for i := range r.evidence {
+		c := &r.evidence[i]
+		if c.sendsLeft > 0 && len(report.Crashes) < maxReportEntries {
+			c.sendsLeft--
 			report.Crashes = append(report.Crashes, c.report(now))
 		}
 	}
 	for part, answer := range r.answers {
-		if answer.sends > 0 && len(report.Answers) < maxReportEntries {
-			r.answers[part] = answerTime{answer.at, answer.sends - 1}
+		if answer.sendsLeft > 0 && len(report.Answers) < maxReportEntries {
+			r.answers[part] = answerTime{answer.at, answer.sendsLeft - 1}
 			report.Answers = append(report.Answers, AnswerReport{part, now.Sub(answer.at)})
 		}
 	}
@@ -78,8 +78,8 @@
 func (r *Registry) heldCrashes(now time.Time) []CrashReport {
 	var list []CrashReport
 	perPart := make(map[string]int)
-	for i := len(r.crashes) - 1; i >= 0 && len(list) < maxReportEntries; i-- {
-		c := r.crashes[i]
+	for i := len(r.evidence) - 1; i >= 0 && len(list) < maxReportEntries; i-- {
+		c := r.evidence[i]
 		if _, held := r.holds[c.part]; held && perPart[c.part] < maxFullPerPart {
 			perPart[c.part]++
 			list = append(list, c.report(now))
@@ -88,7 +88,7 @@
 	return list
 }
 
-func (c crash) report(now time.Time) CrashReport {
+func (c evidence) report(now time.Time) CrashReport {
 	return CrashReport{Part: c.part, Depth: c.depth, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
 }
 
@@ -105,8 +105,8 @@
 		if c.Age < 0 || c.Age > crashTTL || c.Origin == "" {
 			continue
 		}
-		changed = r.addCrash(crash{
-			part: c.Part, depth: c.Depth, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sends: rumorSends,
+		changed = r.addCrash(evidence{
+			part: c.Part, depth: c.Depth, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	return changed && r.decide()
--- a/internal/decide/requestlimit/report.go
+++ b/internal/decide/requestlimit/report.go
@@ -46,8 +46,8 @@
 		if len(entries) == maxReportEntries {
 			break
 		}
-		if known.sends > 0 {
-			known.sends--
+		if known.sendsLeft > 0 {
+			known.sendsLeft--
 			entries = append(entries, Entry{Upstream: id, PerSecond: known.perSecond, Age: now.Sub(known.namedAt)})
 		}
 	}
--- a/internal/decide/requestlimit/requestlimit.go
+++ b/internal/decide/requestlimit/requestlimit.go
@@ -61,10 +61,10 @@
 	// tokens are the requests that this host may send, as of filledAt.
 	tokens   float64
 	filledAt time.Time
-	// sends is how many more times the limit is told to a peer; toldAt is when
+	// sendsLeft is how many more times the limit is told to a peer; toldAt is when
 	// this host last began to tell it.
-	sends  int
-	toldAt time.Time
+	sendsLeft int
+	toldAt    time.Time
 }
 
 // Table is what one host knows of limits. Its callers pass in the current time.
@@ -134,9 +134,9 @@
 	}
 	switch {
 	case changed:
-		l.sends, l.toldAt = changeSends, at
+		l.sendsLeft, l.toldAt = changeSends, at
 	case at.Sub(l.toldAt) >= retellInterval:
-		l.sends, l.toldAt = renewalSends, at
+		l.sendsLeft, l.toldAt = renewalSends, at
 	}
 	l.perSecond, l.namedAt = perSecond, at
 	return change, changed
@@ -221,7 +221,7 @@
 	return max(time.Duration((1-known.tokens)/rate*float64(time.Second)), 1)
 }
 
-// Sent records a request that this host sends to an upstream.
+// Sent records a request that this host sendsLeft to an upstream.
 func (t *Table) Sent(id core.UpstreamID, now time.Time) {
 	if known, found := t.limits[id]; found && t.holds(known, now) {
 		t.fill(known, now)
