Keep the crashes behind holds in the store

Cause: the crashes lived on the hosts only, also those too few for a hold.

TestAHoldOutlivesAKillOfAllHosts fails without the task.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -153,8 +153,8 @@
 }
 
 // RecordAnswer records that a request with the prompt was answered, which clears
-// its parts.
-func (r *Registry) RecordAnswer(prompt *gateway.Prompt, now time.Time) {
+// its parts. It reports whether that cleared a crash.
+func (r *Registry) RecordAnswer(prompt *gateway.Prompt, now time.Time) bool {
 	cleared := false
 	for _, part := range prompt.SharedParts() {
 		cleared = r.addAnswer(part.ID, now, now) || cleared
@@ -162,6 +162,7 @@
 	if cleared {
 		r.decide()
 	}
+	return cleared
 }
 
 // Suspects reports whether a part of the prompt was in flight, without an answer
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
 	"github.com/peridotreel/peridotreel/internal/tasks/follower"
+	"github.com/peridotreel/peridotreel/internal/tasks/holds"
 	"github.com/peridotreel/peridotreel/internal/tasks/origins"
 	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 	"github.com/peridotreel/peridotreel/internal/tasks/peers"
@@ -95,6 +96,7 @@
 	balances  *balances.Balances
 	owners    *owners.Owners
 	origins   *origins.Origins
+	holds     *holds.Holds
 	peers     *peers.Peers
 	readiness *readiness
 	ready     *http.Server
@@ -143,12 +145,14 @@
 			e.readiness.markConfigured()
 		},
 		Forget: pool.Drain, Dial: connpool.Probe,
-		Listed: func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
+		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
+		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
 	client := peerrpc.NewClient(peerrpc.ClientConfig{})
 	e.origins = origins.New(origins.Config{
 		Host: s.Host, Store: options.Platform.Store, Caller: client, Log: options.Log, Now: options.Now,
 	})
+	e.holds = holds.New(holds.Config{Host: s.Host, Store: options.Platform.Store, Registry: e.director, Log: options.Log, Now: options.Now})
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log})
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
@@ -162,6 +166,7 @@
 			e.director.SetHosts(hosts, active)
 			e.owners.SetMembers(members)
 			e.origins.SetMembers(members)
+			e.holds.SetMembers(members)
 		},
 	})
 	e.owners = owners.New(owners.Config{
@@ -203,6 +208,7 @@
 	e.group.Start(e.owners)
 	e.group.Start(e.origins)
 	e.group.Start(e.director)
+	e.group.Start(e.holds)
 	e.group.Start(e.peers)
 	e.startFollower(follower.Follower{Table: e.options.Platform.ConfigTable, Update: e.updateConfig, Health: e.director.Health})
 	e.startFollower(follower.Follower{Table: e.options.Platform.UpstreamTable, MinInterval: upstreamsPollInterval, Update: e.director.Update, Health: e.director.Health})
@@ -215,6 +221,7 @@
 func (e *Edge) updateConfig(update follower.Update) {
 	e.balances.SetStoreEra(update.Revision.Era)
 	e.origins.SetStoreEra(update.Revision.Era)
+	e.holds.SetStoreEra(update.Revision.Era)
 	e.director.Update(update)
 }
 
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -48,6 +48,9 @@
 	// Listed is called with the software versions of the listed upstreams of each
 	// service when the list changes.
 	Listed func(map[core.ServiceName][]string)
+	// SuspicionsChanged is called when what is known of crashes of upstreams changes.
+	// repeated is true if a prompt part was in flight at crashes of several upstreams.
+	SuspicionsChanged func(repeated bool)
 	// Dial connects to the address of an upstream and closes the connection. It
 	// tells whether an upstream that closed a connection has crashed.
 	Dial func(ctx context.Context, address string) error
@@ -109,6 +112,11 @@
 	Holds quarantine.Holds
 }
 
+type savedCrashes struct {
+	crashes []quarantine.CrashReport
+	reply   chan<- []quarantine.CrashReport
+}
+
 type setShutdown struct{ at time.Time }
 
 type getConfig struct{ reply chan<- ConfigState }
@@ -243,6 +251,12 @@
 	return task.Ask(ctx, d.inbox, func(reply chan<- LocalState) any { return exchangeState{peer, reply} })
 }
 
+// MergeCrashes adds crashes that the store keeps, and returns those that it should
+// keep.
+func (d *Director) MergeCrashes(ctx context.Context, saved []quarantine.CrashReport) ([]quarantine.CrashReport, error) {
+	return task.Ask(ctx, d.inbox, func(reply chan<- []quarantine.CrashReport) any { return savedCrashes{saved, reply} })
+}
+
 // Receive stores what a peer tells.
 func (d *Director) Receive(peer PeerState) {
 	_ = d.inbox.Send(context.Background(), receivedState{peer})
@@ -287,6 +301,12 @@
 		d.observePrompt(ctx, m, now)
 	case crashChecked:
 		d.finishCrashCheck(m, now)
+	case savedCrashes:
+		before := d.quarantine.Holds()
+		if d.quarantine.MergeSaved(m.crashes, now) {
+			d.logHolds(before, "store")
+		}
+		m.reply <- d.quarantine.Suspicions(now)
 	case follower.Update:
 		d.applyUpdate(m)
 	case follower.Health:
@@ -330,6 +350,9 @@
 	if d.quarantine.Merge(peer.Quarantine, now) {
 		d.logHolds(before, "peer "+string(peer.Host))
 	}
+	if len(peer.Quarantine.Crashes) > 0 || len(peer.Quarantine.Answers) > 0 {
+		d.config.SuspicionsChanged(d.quarantine.Repeated())
+	}
 	for _, change := range d.limits.Merge(peer.Limits, d.zoneOf, now) {
 		d.logLimit(change, "peer "+string(peer.Host))
 	}
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -47,8 +47,10 @@
 	}
 	if m.Signal == placement.Progressed || m.Signal == placement.Succeeded {
 		before := d.quarantine.Holds()
-		d.quarantine.RecordAnswer(m.Prompt, now)
-		d.logHolds(before, "own answer")
+		if d.quarantine.RecordAnswer(m.Prompt, now) {
+			d.logHolds(before, "own answer")
+			d.config.SuspicionsChanged(false)
+		}
 	}
 	if m.Signal == placement.ClosedEarly {
 		d.startCrashCheck(ctx, m, now)
@@ -97,6 +99,7 @@
 	d.config.Log.Warn("upstream crashed before it answered", zap.String("event", "upstream_crashed"), zap.String("upstream", string(m.upstream)),
 		zap.Int("unanswered", len(check.prompts)), zap.Strings("prompt_parts", parts))
 	d.logHolds(before, "own crash")
+	d.config.SuspicionsChanged(d.quarantine.Repeated())
 }
 
 // held returns the hold of a part of the prompt and how long it lasts at least,
