Lower withheld parts further than what is wanted at the moment

A team whose traffic had just begun got its last percent 20 s late twice: the amount that was announced still counted on the traffic of before. What is announced now goes on from the fall so far.

--- a/internal/decide/allowance/withheld.go
+++ b/internal/decide/allowance/withheld.go
@@ -82,7 +82,8 @@
 	case float64(wanted) > withheldRaise*float64(w.Amount):
 		w.Amount = max(w.Amount, min(wanted, unallocated))
 	case float64(wanted)*withheldRaise < float64(w.Amount):
-		w = Withheld{Amount: w.Amount, Lowering: true, Next: wanted}
+		// What is wanted goes on falling while the announcement ages.
+		w = Withheld{Amount: w.Amount, Lowering: true, Next: max(2*wanted-w.Amount, 0)}
 	}
 	return w
 }
