Send and save records of streams at once after a quiet time

A record is now sent 5 ms after a quiet time, at most once an interval as before, and saved at most each 100 ms.

--- /dev/null
+++ b/internal/decide/origin/pace_test.go
@@ -0,0 +1,39 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against records of streams that wait for an interval of a large fleet at hosts
+// that begin few streams: a kill of all hosts then forgot the streams of the last half
+// second, and callers could not resume them.
+func TestARecordIsSentAtOnceAfterAQuietTime(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	start := time.Unix(1000, 0)
+	Convey("Given a host that begins a stream now and then", t, func() {
+		var pace Pace
+		for i := range 10 {
+			delay, queued := pace.Queue(interval, start.Add(time.Duration(i)*time.Second))
+			So(queued, ShouldBeTrue)
+			So(delay, ShouldEqual, gatherTime)
+			pace.Sent(start.Add(time.Duration(i)*time.Second + delay))
+		}
+	})
+	Convey("Given a host that begins a stream each millisecond", t, func() {
+		var pace Pace
+		sends, due := 0, time.Time{}
+		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
+			if !due.IsZero() && !now.Before(due) {
+				pace.Sent(now)
+				sends, due = sends+1, time.Time{}
+			}
+			if delay, queued := pace.Queue(interval, now); queued {
+				due = now.Add(delay)
+			}
+		}
+		So(sends, ShouldBeLessThanOrEqualTo, 41)
+	})
+}
--- a/internal/tasks/origins/origins.go
+++ b/internal/tasks/origins/origins.go
@@ -26,12 +26,15 @@
 	historyKey = "history"
 	// inboxCapacity has room for the messages of some hundred requests in flight.
 	inboxCapacity = 1024
-	// flushInterval is the time between two sends of records and between two writes of a
-	// bucket, and flushPerHost what is added for each host of the fleet: at 330 hosts,
-	// one send a second to each of some twenty registrars. Most streams last a second or
-	// two, so that a record is worth little if it is late.
+	// flushInterval is the minimum time between two sends of records, and flushPerHost
+	// what is added for each host of the fleet: at 330 hosts, one send a second to each
+	// of some twenty registrars. Most streams last a second or two, so that a record is
+	// worth little if it is late.
 	flushInterval = 50 * time.Millisecond
 	flushPerHost  = 3 * time.Millisecond
+	// saveInterval is the minimum time between two writes of a host's records to the
+	// store. Few hosts write, one for each bucket.
+	saveInterval = 100 * time.Millisecond
 	// maxQueued bounds the records that wait to be sent to one host.
 	maxQueued = 2000
 	// storeTimeout bounds a call to the store, retryDelay is the delay after a failed
@@ -73,8 +76,11 @@
 	resend bool
 	// unsaved are records that this host has to write to the store.
 	unsaved *origin.Unsaved
-	saved   bucketReads
-	era     int64
+	// sends and saves pace what flushTimer and saveTimer start.
+	sends, saves          origin.Pace
+	flushTimer, saveTimer *time.Timer
+	saved                 bucketReads
+	era                   int64
 }
 
 // service is what is known of one service's software.
@@ -167,23 +173,40 @@
 // Run handles messages until ctx ends.
 func (o *Origins) Run(ctx context.Context) {
 	defer o.inbox.Close()
-	flush := time.NewTimer(flushInterval)
-	defer flush.Stop()
+	o.flushTimer, o.saveTimer = time.NewTimer(time.Hour), time.NewTimer(time.Hour)
+	defer o.flushTimer.Stop()
+	defer o.saveTimer.Stop()
 	for {
 		select {
 		case message := <-o.inbox.Messages():
 			o.handle(ctx, message)
-		case <-flush.C:
+		case <-o.flushTimer.C:
+			o.sends.Sent(o.config.Now())
 			o.flush(ctx)
+		case <-o.saveTimer.C:
+			o.saves.Sent(o.config.Now())
 			o.save(ctx, o.config.Now())
-			flush.Reset(o.interval())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// interval returns the time between two sends, which grows with the fleet.
+// sendSoon arranges for a send of the queued records.
+func (o *Origins) sendSoon(now time.Time) {
+	if delay, queued := o.sends.Queue(o.interval(), now); queued {
+		o.flushTimer.Reset(delay)
+	}
+}
+
+// saveSoon arranges for a write of the records that this host has to save.
+func (o *Origins) saveSoon(now time.Time) {
+	if delay, queued := o.saves.Queue(saveInterval, now); queued {
+		o.saveTimer.Reset(delay)
+	}
+}
+
+// interval returns the minimum time between two sends, which grows with the fleet.
 func (o *Origins) interval() time.Duration {
 	return flushInterval + time.Duration(len(o.members))*flushPerHost
 }
@@ -193,8 +216,10 @@
 	switch m := message.(type) {
 	case setMembers:
 		o.members, o.resend = m, true
+		o.sendSoon(now)
 	case setListed:
 		o.updateListed(ctx, m)
+		o.saveSoon(now) // streams of several versions may be resumed from now on
 	case setEra:
 		o.noticeEra(ctx, int64(m))
 	case add:
@@ -202,9 +227,11 @@
 		registrars := origin.Registrars(m.record.Attempt, o.members)
 		if len(registrars) > 0 && registrars[0].Host == o.config.Host {
 			o.unsaved.Add(m.record, now)
+			o.saveSoon(now)
 		}
 		if m.send {
 			o.enqueue(m.record, registrars)
+			o.sendSoon(now)
 		}
 	case readSaved:
 		m.reply <- o.startRead(ctx, m.bucket, now)
--- a/internal/tasks/origins/saved.go
+++ b/internal/tasks/origins/saved.go
@@ -53,9 +53,8 @@
 		return
 	}
 	// A slot is written again once its records have expired, so that nothing grows.
-	interval := o.interval()
-	slots := int64(origin.Retention/interval) + 1
-	slot := strconv.FormatInt(now.UnixMilli()/interval.Milliseconds()%slots, 10)
+	const slots = int64(origin.Retention/saveInterval) + 1
+	slot := strconv.FormatInt(now.UnixMilli()/saveInterval.Milliseconds()%slots, 10)
 	for bucket, records := range o.unsaved.Take(maxSaved) {
 		value := make(savedRecords)
 		for _, record := range records {
