Heed what upstreams say in their answers about further requests

An upstream that said that it leaves (Server-Leaving) went on getting new work until its list entry changed, and one that turned a request away with 503 and Retry-After got the next one after 150 ms: neither field was read. TestAServerThatSaysItLeavesGetsNothingNew and TestAServerThatWantsNothingGetsNothing fail without the director's part.

internal/decide/notice keeps both for one start of an upstream; the director asks it before each placement.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 )
@@ -55,6 +56,11 @@
 	// RequestLimit is the number of requests a second that the upstream takes from
 	// all hosts together, nil if it names none.
 	RequestLimit *float64
+	// Leaving is true if the upstream says that it leaves.
+	Leaving bool
+	// Quiet is how long an upstream that turned the request away wants nothing from
+	// this host, 0 if it does not say.
+	Quiet time.Duration
 }
 
 // Success reports whether the status is 2xx.
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -91,7 +91,7 @@
 	case director.Suspected:
 		err.Kind, err.Reason = gateway.UpstreamBroke, "a part of the prompt was in flight at several crashes of upstreams"
 	case director.Limited:
-		err.Kind, err.Reason = gateway.Limited, "the request limits that the upstreams name are used up"
+		err.Kind, err.Reason = gateway.Limited, "the upstreams take no further request for now"
 	case director.Saturated:
 		err.Kind, err.Reason = gateway.Overloaded, "the upstreams are saturated: the caller would leave before one starts on the request"
 	case director.RetryBudgetExhausted:
@@ -174,7 +174,8 @@
 // tells the director something, nil otherwise.
 func (s *Sent) Observe(signal placement.Signal, head *gateway.AnswerHead) {
 	s.filter.Director.Observe(director.Observation{
-		Upstream: s.Placed.Upstream.ID, Attempt: s.Placed.Attempt, Signal: signal, Head: head, Prompt: s.request.Prompt,
+		Upstream: s.Placed.Upstream.ID, StartMillis: s.Placed.Upstream.StartMillis, Attempt: s.Placed.Attempt, Signal: signal, Head: head,
+		Prompt: s.request.Prompt,
 	})
 }
 
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
@@ -79,14 +80,17 @@
 	retryBudgets  map[core.ServiceName]*retrybudget.Budget
 	hosts         int
 	limits        *requestlimit.Table
+	notices       *notice.Notices
 	quarantine    *quarantine.Registry
 	// crashChecks are the checks in progress whether an upstream has crashed.
 	crashChecks map[core.UpstreamID]*crashCheck
 	// members are the hosts of the fleet, in no particular order.
 	members     []string
 	lastAttempt uint64
-	shutdownAt  time.Time
-	expiry      *time.Timer
+	// refused counts requests that were told when to return.
+	refused    uint64
+	shutdownAt time.Time
+	expiry     *time.Timer
 }
 
 // New returns a director.
@@ -95,7 +99,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 	}
 }
 
@@ -129,6 +133,8 @@
 // Observation is what an attempt observed about its upstream.
 type Observation struct {
 	Upstream core.UpstreamID
+	// StartMillis tells the starts of the upstream apart, from Placed.
+	StartMillis int64
 	// Attempt is the number of the attempt, from Placed.
 	Attempt uint64
 	Signal  placement.Signal
@@ -295,7 +301,7 @@
 		m.reply <- d.place(m.request, now)
 	case Observation:
 		if m.Head != nil {
-			d.observeHead(m.Upstream, m.Head, now)
+			d.observeHead(m, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
 		d.observePrompt(ctx, m, now)
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -10,7 +10,6 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
-	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
 // loggedLimitChange is the relative change of an upstream's limit from which the
@@ -18,19 +17,56 @@
 const loggedLimitChange = 0.2
 
 // observeHead records what the head of an answer tells about its upstream.
-func (d *Director) observeHead(upstream core.UpstreamID, head *gateway.AnswerHead, now time.Time) {
+func (d *Director) observeHead(m Observation, now time.Time) {
+	head := m.Head
 	if head.Load != nil {
-		d.balancer.ObserveLoad(upstream, *head.Load, now)
+		d.balancer.ObserveLoad(m.Upstream, *head.Load, now)
 	}
-	zone, listed := d.zoneOf(upstream)
-	if head.WrongInstance || !listed {
+	if head.WrongInstance {
 		return
 	}
-	if change, changed := d.limits.Named(upstream, zone, head.RequestLimit, now); changed {
+	d.observeNotice(m, now)
+	zone, listed := d.zoneOf(m.Upstream)
+	if !listed {
+		return
+	}
+	if change, changed := d.limits.Named(m.Upstream, zone, head.RequestLimit, now); changed {
 		d.logLimit(change, "own answer")
 	}
 }
 
+// observeNotice records whether the upstream says that it leaves, or that it wants
+// nothing for a time.
+func (d *Director) observeNotice(m Observation, now time.Time) {
+	if m.Head.Leaving && d.notices.Leaves(m.Upstream, m.StartMillis, now) {
+		d.config.Log.Info("upstream says that it leaves", zap.String("event", "upstream_leaving"),
+			zap.String("upstream", string(m.Upstream)), zap.String("source", "own answer"))
+		if upstream, listed := d.roster.Upstream(m.Upstream); listed && d.notices.Leaving(upstream) {
+			d.config.Forget([]core.UpstreamID{m.Upstream})
+		}
+	}
+	if m.Head.Quiet <= 0 {
+		if m.Signal == placement.Started && !m.Head.NotRun {
+			d.notices.Took(m.Upstream, now)
+		}
+		return
+	}
+	if d.notices.Quiet(m.Upstream, m.StartMillis, m.Head.Quiet, now) {
+		d.config.Log.Info("upstream wants no requests for a time", zap.String("event", "upstream_quiet"),
+			zap.String("upstream", string(m.Upstream)), zap.Int64("quiet_ms", m.Head.Quiet.Milliseconds()))
+	}
+}
+
+// wait returns how long an upstream is to get no request from this host, 0 if it may
+// get one now. It reports false if it gets none any more.
+func (d *Director) wait(id core.UpstreamID, now time.Time) (time.Duration, bool) {
+	upstream, listed := d.roster.Upstream(id)
+	if !listed || d.notices.Leaving(upstream) {
+		return 0, false
+	}
+	return max(d.limits.Wait(id, now), d.notices.Wait(upstream, now)), true
+}
+
 func (d *Director) zoneOf(id core.UpstreamID) (core.ZoneName, bool) {
 	upstream, listed := d.roster.Upstream(id)
 	return upstream.Zone, listed
@@ -47,9 +83,9 @@
 	}
 }
 
-// limitedFor reports whether upstreams are left for a query that only their
-// limits keep this host from using, and when the first of them may be used, 0 if
-// that is not known.
+// limitedFor reports whether upstreams are left for a query that only their limits, or
+// the time for which they want nothing, keep this host from using, and when the first
+// of them may be used, 0 if that is not known.
 func (d *Director) limitedFor(query placement.Query, now time.Time) (time.Duration, bool) {
 	limited := false
 	var earliest time.Duration
@@ -57,8 +93,15 @@
 		if upstream.Service != query.Service || upstream.Leaving || slices.Contains(query.Excluded, upstream.ID) {
 			continue
 		}
+		if query.Software != nil && upstream.Software != *query.Software {
+			continue
+		}
+		wait, usable := d.wait(upstream.ID, now)
+		if !usable {
+			continue
+		}
 		limited = true
-		if wait := d.limits.Wait(upstream.ID, now); wait > 0 && (earliest == 0 || wait < earliest) {
+		if wait > 0 && (earliest == 0 || wait < earliest) {
 			earliest = wait
 		}
 	}
@@ -66,6 +109,10 @@
 }
 
 func (d *Director) forgetLimits() {
+	d.notices.Forget(func(id core.UpstreamID) bool {
+		_, listed := d.roster.Upstream(id)
+		return listed
+	}, d.config.Now())
 	d.limits.Forget(func(id core.UpstreamID) bool {
 		_, listed := d.roster.Upstream(id)
 		return !listed
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
@@ -46,7 +47,7 @@
 	// its upstream: a part of its prompt was in flight at another crash.
 	Suspected
 	// Limited means that upstreams are left, but the request limits that they name
-	// allow this host no request now.
+	// allow this host no request now, or they want none for a time.
 	Limited
 	// Saturated means that the request would wait longer than its MaxWait at the
 	// best upstream.
@@ -91,11 +92,15 @@
 	if request.ClosedEarly && d.quarantine.Suspects(request.Prompt, request.Excluded) {
 		return Placed{Outcome: Suspected}
 	}
-	request.Usable = func(id core.UpstreamID) bool { return d.limits.Wait(id, now) == 0 }
+	request.Usable = func(id core.UpstreamID) bool {
+		wait, usable := d.wait(id, now)
+		return usable && wait == 0
+	}
 	choice, found := d.balancer.Choose(request.Query, now)
 	if !found {
 		if wait, limited := d.limitedFor(request.Query, now); limited {
-			return Placed{Outcome: Limited, RetryAfter: wait}
+			d.refused++
+			return Placed{Outcome: Limited, RetryAfter: notice.SpreadDelay(wait, d.refused)}
 		}
 		return Placed{Outcome: NoUpstream}
 	}
@@ -108,6 +113,7 @@
 	d.lastAttempt++
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
 	d.limits.Sent(choice.Upstream.ID, now)
+	d.notices.Sent(choice.Upstream.ID, now)
 	return Placed{Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service)}
 }
 
