Bound what one odd row of another writer can cost

A malformed ledger of one team counted as a failed call of the store and kept the tokens of all teams from being fetched, and one with negative amounts would have let more than the balance be granted. A malformed entry was logged again with each full read.

Each now costs its row and is logged once a version (new event ledger_malformed).

--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -110,9 +111,47 @@
 	if err := json.Unmarshal(raw, &ledger); err != nil {
 		return Ledger{}, fmt.Errorf("decode a balance ledger; no tokens are granted until it is repaired: %w", err)
 	}
+	if err := ledger.check(); err != nil {
+		return Ledger{}, fmt.Errorf("check a balance ledger; no tokens are granted until it is repaired: %w", err)
+	}
 	return ledger, nil
 }
 
+// maxTokens bounds each amount in a row, so that sums of a row's amounts do not
+// overflow.
+const maxTokens = core.Tokens(1) << 48
+
+func checkTokens(name string, amount core.Tokens) error {
+	if amount < 0 || amount > maxTokens {
+		return fmt.Errorf("%s is %d where 0 to %d are possible", name, amount, maxTokens)
+	}
+	return nil
+}
+
+func checkDemand(name string, demand float64) error {
+	if demand < 0 || demand > float64(maxTokens) {
+		return fmt.Errorf("%s is %g tokens a second", name, demand)
+	}
+	return nil
+}
+
+// check reports amounts that no host writes and that would let more than the balance
+// be granted.
+func (l Ledger) check() error {
+	err := errors.Join(checkTokens("settled", l.Settled), checkTokens("unsettled", l.Unsettled))
+	if l.Unsure < -maxTokens || l.Unsure > l.Settled || l.Lost < -maxTokens || l.Lost > maxTokens {
+		err = errors.Join(err, fmt.Errorf("unsure is %d of %d settled, lost %d", l.Unsure, l.Settled, l.Lost))
+	}
+	if l.Withheld != nil {
+		err = errors.Join(err, checkTokens("withheld", l.Withheld.Amount), checkTokens("withheld next", l.Withheld.Next))
+	}
+	for process, holding := range l.Holdings {
+		err = errors.Join(err, checkTokens("granted to "+process, holding.Granted), checkTokens("spent by "+process, holding.Spent),
+			checkDemand("demand of "+process, holding.Demand))
+	}
+	return err
+}
+
 // Encode encodes a ledger.
 func (l Ledger) Encode() ([]byte, error) {
 	raw, err := json.Marshal(l)
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -76,6 +77,13 @@
 	if err := json.Unmarshal(raw, &record); err != nil {
 		return PledgeRecord{}, fmt.Errorf("decode a record of pledges; the grants of that process count as spent: %w", err)
 	}
+	for team, pledge := range record.Pledges {
+		err := errors.Join(checkTokens("spent", pledge.Spent), checkTokens("burst", pledge.Burst), checkTokens("outage", pledge.Outage),
+			checkDemand("rate", pledge.Rate), checkDemand("demand", pledge.Demand))
+		if err != nil {
+			return PledgeRecord{}, fmt.Errorf("check the pledge of team %q; the grants of that process count as spent: %w", team, err)
+		}
+	}
 	return record, nil
 }
 
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -82,6 +82,8 @@
 	rowKey  string
 	prepaid core.Tokens
 	waiting []waiter
+	// malformed is the latest version of the ledger that could not be used.
+	malformed core.Revision
 	// busy is true while a call to the store is in progress.
 	busy bool
 	// retryAt is the earliest time of the next call after a failed one.
--- a/internal/tasks/balances/commit.go
+++ b/internal/tasks/balances/commit.go
@@ -30,7 +30,29 @@
 	reopened bool
 	// conflict is true if the row had another version than the commit expected.
 	conflict bool
-	err      error
+	// malformed is true if the store has a ledger that cannot be used; the other
+	// teams' ledgers are not affected.
+	malformed bool
+	err       error
+}
+
+// malformedRetryDelay is the time after which a malformed ledger is read again.
+const malformedRetryDelay = 5 * time.Second
+
+// handleMalformedLedger refuses the team's requests until its ledger is repaired. It
+// logs each version of the row once.
+func (b *Balances) handleMalformedLedger(ctx context.Context, a *account, m ledgerResult, now time.Time) {
+	if a.malformed != m.revision {
+		a.malformed = m.revision
+		b.config.Log.Error("a team's ledger is malformed; no tokens are granted until it is repaired", zap.String("event", "ledger_malformed"),
+			zap.String("team", string(a.name)), zap.String("ledger_version", m.revision.String()), zap.Error(m.err))
+	}
+	a.retryAt = now.Add(malformedRetryDelay)
+	b.grantWaiters(a)
+	b.refuseUnservable(a)
+	if m.read {
+		time.AfterFunc(malformedRetryDelay, func() { _ = b.inbox.Send(context.WithoutCancel(ctx), retryLedgerRead{a.name}) })
+	}
 }
 
 // startCommit starts the commit that the holder needs, if no call is in progress.
@@ -183,7 +205,7 @@
 		}
 		latest = era
 		r.ledger, r.err = allowance.DecodeLedger(row.Value)
-		r.revision, r.key, r.known = row.Revision, row.Key, r.err == nil
+		r.revision, r.key, r.known, r.malformed = row.Revision, row.Key, r.err == nil, r.err != nil
 	}
 }
 
@@ -249,9 +271,13 @@
 		a.holder.EndCommit(m.certain)
 		b.replyToReturn(a, m.err == nil && m.certain && !m.conflict)
 	}
-	if m.err == nil {
+	if m.err == nil || m.malformed {
 		b.storeAwayUntil = time.Time{}
 	}
+	if m.malformed {
+		b.handleMalformedLedger(ctx, a, m, now)
+		return
+	}
 	if m.err != nil {
 		a.retryAt = now.Add(retryDelay)
 		b.storeAwayUntil = now.Add(storeAwayTime)
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -62,7 +62,7 @@
 	if revision.Era > d.listRevision.Era && d.listRevision.Number > 0 {
 		d.roster.StoreReturned(now)
 	}
-	listed := make(map[core.UpstreamID]bool, len(rows))
+	listed, present := make(map[core.UpstreamID]bool, len(rows)), make(map[string]bool, len(rows))
 	var changes []roster.Change
 	record := func(change roster.Change, changed bool) {
 		if changed {
@@ -76,6 +76,7 @@
 			record(d.roster.Remove(id, row.Revision, now))
 			continue
 		}
+		present[row.Key] = true
 		upstream, err := d.config.DecodeUpstream(row.Key, row.Value)
 		if err != nil {
 			if known, found := d.rowsByID[row.Key]; !found || known.Revision != row.Revision {
@@ -92,7 +93,8 @@
 	}
 	if full {
 		for key := range d.rowsByID {
-			if !listed[core.UpstreamID(key)] {
+			// Malformed rows stay known, so that each version is logged once.
+			if !present[key] {
 				delete(d.rowsByID, key)
 			}
 		}
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,6 +91,8 @@
 	// backoffUntil is, by address, until when a peer is not called after a failure.
 	backoffUntil map[string]time.Time
 	unreachable  map[string]bool
+	// malformed is the latest version of each row that could not be used.
+	malformed map[string]core.Revision
 }
 
 type callFailed struct {
@@ -140,6 +145,7 @@
 	return &Peers{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), hosts: hosttable.New(),
 		backoffUntil: make(map[string]time.Time), unreachable: make(map[string]bool),
+		malformed: make(map[string]core.Revision),
 	}
 }
 
@@ -269,14 +275,32 @@
 	}
 }
 
+// decodeHostRow decodes the row of a host.
+func decodeHostRow(raw []byte) (hostRow, error) {
+	var value hostRow
+	if err := json.Unmarshal(raw, &value); err != nil {
+		return hostRow{}, err
+	}
+	if address, err := netip.ParseAddrPort(value.Address); err != nil || address.Port() == 0 {
+		return hostRow{}, fmt.Errorf("address %q names no host", value.Address)
+	}
+	if value.Zone == "" {
+		return hostRow{}, errors.New("the zone is empty")
+	}
+	return value, nil
+}
+
 func (p *Peers) decodeRows(rows []rowstore.Row) []hosttable.Row {
 	decoded := make([]hosttable.Row, 0, len(rows))
 	for _, row := range rows {
 		change := hosttable.Row{Host: core.HostID(row.Key), Deleted: row.Deleted}
 		if !row.Deleted {
-			var value hostRow
-			if err := json.Unmarshal(row.Value, &value); err != nil {
-				p.config.Log.Warn("ignored a malformed row of the hosts table", zap.String("event", "host_malformed"), zap.String("host", row.Key), zap.Error(err))
+			value, err := decodeHostRow(row.Value)
+			if err != nil {
+				if p.malformed[row.Key] != row.Revision {
+					p.malformed[row.Key] = row.Revision
+					p.config.Log.Warn("ignored a malformed row of the hosts table", zap.String("event", "host_malformed"), zap.String("host", row.Key), zap.Error(err))
+				}
 				continue
 			}
 			change.Entry = hosttable.Entry{Address: value.Address, Zone: core.ZoneName(value.Zone), Leaving: value.Leaving, Era: value.Era}
