Hold requests that crash upstreams by their last part

Its shared part was held after three crashes and released when a sound request with that part was answered; last parts were never held, by the assumption that no other request has them. Of the three crashes, all at one host, the others counted two. Last parts count now, and one host's word holds them.

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -97,7 +97,8 @@
 // crashes they are about, of how many different upstreams, and whether one was
 // observed from the upstream's zone. Of what one other host reports, fewer
 // than crashesToHold count, so that a host that is wrong can't have a part held
-// everywhere.
+// everywhere that other requests share. A request that is sent again comes at the same
+// host, so that its last part is held by that host's word.
 func (r *Registry) count(records []evidence) (crashes, upstreams int, sameZone bool) {
 	slices.SortFunc(records, func(a, b evidence) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin), cmp.Compare(a.upstream, b.upstream))
@@ -106,7 +107,7 @@
 	crashed := make(map[core.UpstreamID]bool)
 	byOrigin := make(map[core.HostID]int)
 	for _, c := range records {
-		if c.origin != r.self && byOrigin[c.origin] >= crashesToHold-1 {
+		if c.origin != r.self && !c.own && byOrigin[c.origin] >= crashesToHold-1 {
 			continue
 		}
 		same := slices.ContainsFunc(counted, func(known evidence) bool {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -73,13 +73,14 @@
 // Holds is the set of held parts, by id. It is immutable.
 type Holds map[string]Hold
 
-// Find returns the hold of the first held part of a prompt that other requests
-// may share. The last part of a prompt is its own and is never held.
+// Find returns the hold of the first held part of a prompt. The last part is that of
+// the request itself, or of its session: it is held if callers send a request again
+// that crashes each upstream.
 func (h Holds) Find(prompt *gateway.Prompt) (Hold, bool) {
 	if len(h) == 0 || prompt == nil {
 		return Hold{}, false
 	}
-	for _, part := range prompt.SharedParts() {
+	for _, part := range prompt.Parts {
 		if hold, found := h[part.ID]; found {
 			return hold, true
 		}
@@ -98,8 +99,10 @@
 // evidence is a crash of an upstream while a request with the part was in flight
 // there without an answer.
 type evidence struct {
-	part     string
-	depth    int
+	part  string
+	depth int
+	// own is true for the last part of a prompt.
+	own      bool
 	upstream core.UpstreamID
 	at       time.Time
 	// origin is the host that observed the crash; sameZone is true if it is in the
@@ -142,9 +145,10 @@
 // in flight there without an answer.
 func (r *Registry) RecordCrash(prompt *gateway.Prompt, observed Crash, now time.Time) {
 	changed := false
-	for depth, part := range prompt.SharedParts() {
+	for depth, part := range prompt.Parts {
 		changed = r.addCrash(evidence{
-			part: part.ID, depth: depth, upstream: observed.Upstream, at: observed.At, origin: r.self, sameZone: observed.SameZone, sendsLeft: rumorSends,
+			part: part.ID, depth: depth, upstream: observed.Upstream, at: observed.At, own: depth == len(prompt.Parts)-1,
+			origin: r.self, sameZone: observed.SameZone, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	if changed {
@@ -156,7 +160,10 @@
 // its parts. It reports whether that cleared a crash.
 func (r *Registry) RecordAnswer(prompt *gateway.Prompt, now time.Time) bool {
 	cleared := false
-	for _, part := range prompt.SharedParts() {
+	for i, part := range prompt.Parts {
+		if i == len(prompt.Parts)-1 && !r.suspected(part.ID) {
+			continue // most last parts are never seen again
+		}
 		cleared = r.addAnswer(part.ID, now, now) || cleared
 	}
 	if cleared {
@@ -171,7 +178,7 @@
 	if prompt == nil {
 		return false
 	}
-	for _, part := range prompt.SharedParts() {
+	for _, part := range prompt.Parts {
 		if slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.part == part.ID && !slices.Contains(except, c.upstream) }) {
 			return true
 		}
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -23,8 +23,10 @@
 
 // CrashReport tells a peer of a crash.
 type CrashReport struct {
-	Part     string
-	Depth    int
+	Part  string
+	Depth int
+	// Own is true for the last part of a prompt.
+	Own      bool
 	Upstream core.UpstreamID
 	// Age is the time since the crash.
 	Age time.Duration
@@ -89,7 +91,7 @@
 }
 
 func (c evidence) report(now time.Time) CrashReport {
-	return CrashReport{Part: c.part, Depth: c.depth, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
+	return CrashReport{Part: c.part, Depth: c.depth, Own: c.own, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
 }
 
 // Merge adds what a peer reports. It reports whether the held parts changed.
@@ -106,7 +108,7 @@
 			continue
 		}
 		changed = r.addCrash(evidence{
-			part: c.Part, depth: c.Depth, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sendsLeft: rumorSends,
+			part: c.Part, depth: c.Depth, own: c.Own, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	return changed && r.decide()
--- a/internal/decide/quarantine/saved.go
+++ b/internal/decide/quarantine/saved.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		changed = r.addCrash(evidence{
-			part: c.Part, depth: c.Depth, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone,
+			part: c.Part, depth: c.Depth, own: c.Own, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone,
 		}, now) || changed
 	}
 	return changed && r.decide()
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -58,13 +58,18 @@
 }
 
 // wait returns how long an upstream is to get no request from this host, 0 if it may
-// get one now. It reports false if it gets none any more.
+// get one now, and a negative time if that is not known. It reports false if it gets
+// none any more.
 func (d *Director) wait(id core.UpstreamID, now time.Time) (time.Duration, bool) {
 	upstream, listed := d.roster.Upstream(id)
 	if !listed || d.notices.Leaving(upstream) {
 		return 0, false
 	}
-	return max(d.limits.Wait(id, now), d.notices.Wait(upstream, now)), true
+	limited := d.limits.Wait(id, now)
+	if limited < 0 {
+		return limited, true
+	}
+	return max(limited, d.notices.Wait(upstream, now)), true
 }
 
 func (d *Director) zoneOf(id core.UpstreamID) (core.ZoneName, bool) {
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -42,7 +42,7 @@
 
 // observePrompt records what an attempt tells about the parts of its prompt.
 func (d *Director) observePrompt(ctx context.Context, m Observation, now time.Time) {
-	if m.Prompt == nil || len(m.Prompt.SharedParts()) == 0 {
+	if m.Prompt == nil || len(m.Prompt.Parts) == 0 {
 		return
 	}
 	if m.Signal == placement.Progressed || m.Signal == placement.Succeeded {
@@ -90,7 +90,7 @@
 	var parts []string
 	for _, prompt := range check.prompts {
 		d.quarantine.RecordCrash(prompt, check.crash, now)
-		for _, part := range prompt.SharedParts() {
+		for _, part := range prompt.Parts {
 			if !slices.Contains(parts, part.ID) {
 				parts = append(parts, part.ID)
 			}
--- a/internal/tasks/holds/row.go
+++ b/internal/tasks/holds/row.go
@@ -13,6 +13,7 @@
 type savedCrash struct {
 	Part     string          `json:"p"`
 	Depth    int             `json:"d"`
+	Own      bool            `json:"own,omitempty"`
 	Upstream core.UpstreamID `json:"u"`
 	// At is the time of the crash by the store's clock, in milliseconds.
 	At       int64       `json:"t"`
@@ -24,7 +25,7 @@
 func encodeRow(crashes []quarantine.CrashReport, clock time.Duration) ([]byte, error) {
 	saved := make([]savedCrash, len(crashes))
 	for i, c := range crashes {
-		saved[i] = savedCrash{c.Part, c.Depth, c.Upstream, (clock - c.Age).Milliseconds(), c.Origin, c.SameZone}
+		saved[i] = savedCrash{c.Part, c.Depth, c.Own, c.Upstream, (clock - c.Age).Milliseconds(), c.Origin, c.SameZone}
 	}
 	raw, err := json.Marshal(saved)
 	if err != nil {
@@ -43,7 +44,7 @@
 	crashes := make([]quarantine.CrashReport, len(saved))
 	for i, c := range saved {
 		age := max(clock-time.Duration(c.At)*time.Millisecond, 0)
-		crashes[i] = quarantine.CrashReport{Part: c.Part, Depth: c.Depth, Upstream: c.Upstream, Age: age, Origin: c.Origin, SameZone: c.SameZone}
+		crashes[i] = quarantine.CrashReport{Part: c.Part, Depth: c.Depth, Own: c.Own, Upstream: c.Upstream, Age: age, Origin: c.Origin, SameZone: c.SameZone}
 	}
 	return crashes, nil
 }
