Begin resumable streams only at versions that the store's history has

Two ways exist here. A host that stands still takes the history that it read before for a fresh one, as its clock does not count the time (TestAHostThatStoodStillReadsTheHistoryAgain failed); it now reads the history for each decision by it. And the history gets a version up to 0.2 s after the first host has listed it, while streams begin there at once, so that a stale host that reads it concludes that only the earlier version has served (TestStreamsBeginOnlyAtVersionsOfTheHistory for the decision). Such streams now begin only at versions that a host knows the history to have, or that it has listed for 5 s (1 s if it has read no history at all).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -151,6 +151,7 @@
 	client := peerrpc.NewClient(peerrpc.ClientConfig{})
 	e.origins = origins.New(origins.Config{
 		Host: s.Host, Store: options.Platform.Store, Caller: client, Log: options.Log, Now: options.Now,
+		Confirmed: e.director.ConfirmSoftware,
 	})
 	e.holds = holds.New(holds.Config{Host: s.Host, Store: options.Platform.Store, Registry: e.director, Log: options.Log, Now: options.Now})
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log})
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -133,6 +133,7 @@
 			Prompt: matched.Request.Prompt, Objective: matched.Route.Objective, Excluded: plan.Excluded, Software: plan.Software,
 		},
 		First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
+		BeginsResumable: matched.Route.Retry == gateway.StreamResumable && plan.Software == nil,
 		MaxWait: maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
 	})
 	if err != nil {
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -128,7 +128,9 @@
 			zap.String("address", change.Upstream.Address), zap.String("zone", string(change.Upstream.Zone)), zap.String("software", change.Upstream.Software),
 			zap.String("list_version", revision.String()))
 	}
-	d.config.Listed(d.listedSoftware())
+	listed := d.listedSoftware()
+	d.confirmed.Listed(listed, d.config.Now())
+	d.config.Listed(listed)
 	if retired := d.balancer.SetUpstreams(d.roster.Upstreams()); len(retired) > 0 {
 		d.config.Forget(retired)
 	}
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/notice"
+	"github.com/peridotreel/peridotreel/internal/decide/origin"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
@@ -81,7 +82,9 @@
 	hosts         int
 	limits        *requestlimit.Table
 	notices       *notice.Notices
-	quarantine    *quarantine.Registry
+	// confirmed tells at which software versions streams may begin that callers resume.
+	confirmed  *origin.Confirmed
+	quarantine *quarantine.Registry
 	// crashChecks are the checks in progress whether an upstream has crashed.
 	crashChecks map[core.UpstreamID]*crashCheck
 	// members are the hosts of the fleet, in no particular order.
@@ -99,7 +102,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 	}
 }
 
@@ -116,6 +119,11 @@
 	Holds quarantine.Holds
 }
 
+type confirmedSoftware struct {
+	service  core.ServiceName
+	versions []string
+}
+
 type savedCrashes struct {
 	crashes []quarantine.CrashReport
 	reply   chan<- []quarantine.CrashReport
@@ -263,6 +271,11 @@
 	return task.Ask(ctx, d.inbox, func(reply chan<- []quarantine.CrashReport) any { return savedCrashes{saved, reply} })
 }
 
+// ConfirmSoftware tells which versions the history of a service in the store has.
+func (d *Director) ConfirmSoftware(service core.ServiceName, versions []string) {
+	_ = d.inbox.Send(context.Background(), confirmedSoftware{service, versions})
+}
+
 // Receive stores what a peer tells.
 func (d *Director) Receive(peer PeerState) {
 	_ = d.inbox.Send(context.Background(), receivedState{peer})
@@ -307,6 +320,8 @@
 		d.observePrompt(ctx, m, now)
 	case crashChecked:
 		d.finishCrashCheck(m, now)
+	case confirmedSoftware:
+		d.confirmed.Confirm(m.service, m.versions)
 	case savedCrashes:
 		before := d.quarantine.Holds()
 		if d.quarantine.MergeSaved(m.crashes, now) {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -20,6 +20,9 @@
 	Retry bool
 	// First is true for the first placement of a request.
 	First bool
+	// BeginsResumable is true for an attempt that begins a stream which the caller may
+	// resume.
+	BeginsResumable bool
 	// ClosedEarly is true if the connection of the latest attempt ended before the
 	// upstream answered.
 	ClosedEarly bool
@@ -94,7 +97,7 @@
 	}
 	request.Usable = func(id core.UpstreamID) bool {
 		wait, usable := d.wait(id, now)
-		return usable && wait == 0
+		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now))
 	}
 	choice, found := d.balancer.Choose(request.Query, now)
 	if !found {
@@ -117,6 +120,12 @@
 	return Placed{Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service)}
 }
 
+// mayBegin reports whether a stream that callers may resume may begin at an upstream.
+func (d *Director) mayBegin(id core.UpstreamID, now time.Time) bool {
+	upstream, listed := d.roster.Upstream(id)
+	return listed && d.confirmed.MayBegin(upstream.Service, upstream.Software, now)
+}
+
 // connectionReserveFraction is the fraction of an upstream's connections that
 // the hosts leave unused, for probes and for hosts that are not counted yet.
 const connectionReserveFraction = 0.15
--- a/internal/tasks/origins/history.go
+++ b/internal/tasks/origins/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,5 +80,6 @@
 		return
 	}
 	known.history, known.clock, known.readAt = m.history, m.clock, now
+	o.config.Confirmed(m.service, slices.Collect(maps.Keys(m.history.Gone)))
 	o.writeIfChanged(ctx, m.service, known)
 }
--- a/internal/tasks/origins/lookup.go
+++ b/internal/tasks/origins/lookup.go
@@ -122,20 +122,16 @@
 	return "", false
 }
 
-// findOnly returns the only version at which a stream can have begun.
+// findOnly returns the only version at which a stream can have begun. It reads the
+// history first: how old an earlier read is cannot be told after the process has been
+// suspended, as its clock does not count that time.
 func (o *Origins) findOnly(ctx context.Context, service core.ServiceName, age time.Duration) (string, bool) {
-	ask := func() (onlyReply, error) {
-		return task.Ask(ctx, o.inbox, func(reply chan<- onlyReply) any { return only{service, age, reply} })
-	}
-	answer, err := ask()
-	if err == nil && answer.stale {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		result, _ := o.readHistory(readCtx, service)
-		if result.err != nil || o.inbox.Send(ctx, result) != nil {
-			return "", false
-		}
-		answer, err = ask()
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	result, _ := o.readHistory(readCtx, service)
+	if result.err != nil || o.inbox.Send(ctx, result) != nil {
+		return "", false
 	}
+	answer, err := task.Ask(ctx, o.inbox, func(reply chan<- onlyReply) any { return only{service, age, reply} })
 	return answer.software, err == nil && answer.sure
 }
--- a/internal/tasks/origins/origins.go
+++ b/internal/tasks/origins/origins.go
@@ -44,8 +44,6 @@
 	// writeSpread is the time over which hosts spread their writes of a change, so that
 	// most find it written.
 	writeSpread = 200 * time.Millisecond
-	// historyMaxAge is how long a history that was read is used.
-	historyMaxAge = time.Second
 	// lookupTimeout bounds the answers of registrars, and readTimeout the read of a
 	// history that a request waits for.
 	lookupTimeout = 200 * time.Millisecond
@@ -57,8 +55,10 @@
 	Host   core.HostID
 	Store  rowstore.Store
 	Caller peerrpc.Caller
-	Log    *zap.Logger
-	Now    func() time.Time
+	// Confirmed is called with the versions that a service's history in the store has.
+	Confirmed func(service core.ServiceName, versions []string)
+	Log       *zap.Logger
+	Now       func() time.Time
 }
 
 // Origins is the task.
@@ -127,8 +127,6 @@
 type onlyReply struct {
 	software string
 	sure     bool
-	// stale is true if the history must be read first.
-	stale bool
 }
 
 type historyDue struct{ service core.ServiceName }
@@ -241,7 +239,7 @@
 		software, known := o.records.Find(m.attempt)
 		m.reply <- found{software, known, origin.Registrars(m.attempt, o.members)}
 	case only:
-		m.reply <- o.only(m, now)
+		m.reply <- o.only(m)
 	case historyDue:
 		o.updateHistory(ctx, m.service)
 	case historyResult:
@@ -291,6 +289,10 @@
 
 // writeIfChanged writes a service's history if the list differs from it.
 func (o *Origins) writeIfChanged(ctx context.Context, name core.ServiceName, known *service) {
+	if known.readAt.IsZero() {
+		o.updateHistory(ctx, name) // no stream that callers may resume begins before
+		return
+	}
 	if _, changed := known.history.Observe(known.listed, known.clock); changed {
 		o.updateLater(ctx, name, rand.N(writeSpread))
 	}
@@ -312,14 +314,11 @@
 	}
 }
 
-func (o *Origins) only(m only, now time.Time) onlyReply {
+func (o *Origins) only(m only) onlyReply {
 	known, served := o.services[m.service]
 	if !served {
 		return onlyReply{}
 	}
-	if now.Sub(known.readAt) > historyMaxAge {
-		return onlyReply{stale: true}
-	}
 	software, sure := known.history.Only(known.listed, m.age, known.clock)
 	return onlyReply{software: software, sure: sure}
 }
