Count only whole events as progress of a stream

Here each byte restarted the silence limit, so that a stream which could go on at another upstream was held until the caller's deadline (TestStalledAndSlowStreams: "unexpected EOF" after 3 s; it now goes on at the other upstream after the limit of 1 s). Slow but sound streams, 0.3 s between events, were delivered whole before and are tested too.

--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -136,11 +136,14 @@
 	for {
 		select {
 		case event := <-r.Sent.Events:
+			events := r.events
 			outcome, ended := r.handleEvent(event)
 			if ended {
 				return outcome
 			}
-			if timer != nil {
+			// Parts of an event are no progress of a stream: an upstream that is stuck
+			// may send a byte now and then.
+			if timer != nil && (!r.streaming || event.Head != nil || r.events > events) {
 				timer.Reset(r.SilenceLimit)
 				r.timerStart = r.Now()
 			}
