Reject at once what a host cannot serve itself, and move its callers

Cause: callers reach hosts by a hash, and a host of 0.192 core that gets 240 requests a second holds what it cannot serve until deadlines pass, while its peers are idle.

A host now measures how late its timers fire.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/reserve"
 	"github.com/peridotreel/peridotreel/internal/opaque/resume"
+	"github.com/peridotreel/peridotreel/internal/opaque/shed"
 	"github.com/peridotreel/peridotreel/internal/peerrpc"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
 	"github.com/peridotreel/peridotreel/internal/settings"
@@ -37,6 +38,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/origins"
 	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 	"github.com/peridotreel/peridotreel/internal/tasks/peers"
+	"github.com/peridotreel/peridotreel/internal/tasks/selfload"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
 )
 
@@ -97,6 +99,7 @@
 	owners    *owners.Owners
 	origins   *origins.Origins
 	holds     *holds.Holds
+	load      *selfload.Monitor
 	peers     *peers.Peers
 	readiness *readiness
 	ready     *http.Server
@@ -134,7 +137,8 @@
 			e.peers.Recall(host, team, amount, done)
 		},
 	})
-	e.readiness = newReadiness(options.Log)
+	e.load = selfload.New(selfload.Config{Zone: s.Zone, Log: options.Log, Now: options.Now})
+	e.readiness = newReadiness(e.load.Away, options.Log)
 	e.director = director.New(director.Config{
 		Host: s.Host, Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
@@ -168,6 +172,7 @@
 			e.owners.SetMembers(members)
 			e.origins.SetMembers(members)
 			e.holds.SetMembers(members)
+			e.load.SetMembers(members)
 		},
 	})
 	e.owners = owners.New(owners.Config{
@@ -184,6 +189,7 @@
 	}
 	pipeline := &opaque.Pipeline{
 		Match:   &match.Filter{ConfigSource: e.director},
+		Shed:    &shed.Filter{Load: e.load},
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
 		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, Now: options.Now},
@@ -191,7 +197,7 @@
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
-		MaxConnections: max(s.Descriptors-reservedDescriptors, 100),
+		Away: e.load.Away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100),
 	})
 	e.start(pool, client, server)
 	return e, e.serveHTTP()
@@ -205,6 +211,7 @@
 	for _, t := range tasks {
 		e.group.Start(t)
 	}
+	e.group.Start(e.load)
 	e.group.Start(e.balances)
 	e.group.Start(e.owners)
 	e.group.Start(e.origins)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -28,10 +28,14 @@
 type readiness struct {
 	hasConfig atomic.Bool
 	draining  atomic.Bool
-	log       *zap.Logger
+	// away reports whether callers are to move to other hosts.
+	away func() bool
+	log  *zap.Logger
 }
 
-func newReadiness(log *zap.Logger) *readiness { return &readiness{log: log} }
+func newReadiness(away func() bool, log *zap.Logger) *readiness {
+	return &readiness{away: away, log: log}
+}
 
 // markConfigured marks the host as ready, since a configuration is known.
 func (r *readiness) markConfigured() {
@@ -41,7 +45,7 @@
 }
 
 func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
-	if r.hasConfig.Load() && !r.draining.Load() {
+	if r.hasConfig.Load() && !r.draining.Load() && !r.away() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -35,7 +35,7 @@
 
 // Send writes a whole answer.
 func (a *answer) Send(status int, fields []gateway.Field, body []byte) error {
-	a.closeAfter = a.closeAfter || a.connection.draining()
+	a.closeAfter = a.closeAfter || a.connection.closing()
 	out := a.head(status, fields)
 	bodiless := a.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 	if !bodiless {
@@ -51,7 +51,7 @@
 
 // Begin starts a streamed answer. Its head is written with the first part.
 func (a *answer) Begin(status int, fields []gateway.Field) error {
-	a.closeAfter = a.closeAfter || a.http10 || a.connection.draining()
+	a.closeAfter = a.closeAfter || a.http10 || a.connection.closing()
 	out := a.head(status, fields)
 	if !a.http10 {
 		out.WriteString("Transfer-Encoding: chunked\r\n")
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -159,7 +159,7 @@
 		return c.refuseUnreadable(err)
 	}
 	decoded, err := c.server.config.Codec.DecodeRequest(request, body, arrived)
-	answer := &answer{connection: c, method: request.Method, http10: request.ProtoMinor == 0, closeAfter: request.Close || c.draining()}
+	answer := &answer{connection: c, method: request.Method, http10: request.ProtoMinor == 0, closeAfter: request.Close || c.closing()}
 	if err != nil {
 		answer.refuse(err, "")
 		return answer.reusable()
@@ -188,6 +188,9 @@
 	}
 }
 
+// closing reports whether the next answer ends the connection.
+func (c *connection) closing() bool { return c.draining() || c.server.config.Away() }
+
 // refuseUnreadable answers a request that could not be read and ends the
 // connection, since where the next request begins is not known.
 func (c *connection) refuseUnreadable(err error) bool {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -49,6 +49,9 @@
 	Limits   LimitSource
 	Log      *zap.Logger
 	Now      func() time.Time
+	// Away reports whether callers are to move to other hosts: answers then end their
+	// connections. nil means that they are not.
+	Away func() bool
 	// MaxConnections limits the open connections; further ones are closed
 	// immediately.
 	MaxConnections int
@@ -72,6 +75,9 @@
 
 // NewServer returns a server.
 func NewServer(config Config) *Server {
+	if config.Away == nil {
+		config.Away = func() bool { return false }
+	}
 	return &Server{
 		config: config, inbox: task.NewInbox[any](inboxCapacity),
 		draining: make(chan struct{}), closingIdle: make(chan struct{}),
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -134,7 +134,7 @@
 		},
 		First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 		BeginsResumable: matched.Route.Retry == gateway.StreamResumable && plan.Software == nil,
-		MaxWait: maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
+		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -1,8 +1,8 @@
 // Package opaque composes the filters for requests that are forwarded unchanged:
 //
-//	match → screen → resume → reserve → attempt → relay → settle
-//	                                       ▲       │
-//	                                       └ retry ┘
+//	match → shed → screen → resume → reserve → attempt → relay → settle
+//	                                              ▲       │
+//	                                              └ retry ┘
 //
 // A request is handled in the goroutine that owns the caller's connection;
 // filters communicate with the host's tasks by messages.
@@ -24,6 +24,7 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/reserve"
 	"github.com/peridotreel/peridotreel/internal/opaque/resume"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
+	"github.com/peridotreel/peridotreel/internal/opaque/shed"
 )
 
 // Summary describes a finished request for metrics.
@@ -43,7 +44,9 @@
 
 // Pipeline is the composed sequence of filters. It implements front.Handler.
 type Pipeline struct {
-	Match    *match.Filter
+	Match *match.Filter
+	// Shed rejects what this host cannot serve in time itself.
+	Shed     *shed.Filter
 	Resume   *resume.Filter
 	Reserve  *reserve.Filter
 	Attempt  *attempt.Filter
@@ -115,6 +118,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, matched.Deadline)
 	defer cancel()
+	if err = r.pipeline.Shed.Apply(); err != nil {
+		return r.capRetryAfter(err)
+	}
 	if err = screen.Apply(matched, r.pipeline.Now()); err != nil {
 		return err
 	}
