Reject requests of overloaded hosts in large zones only

In zones of 3 hosts the requests that one host rejects reach hosts that are as busy. Rejections now need a zone of 8 hosts, like leaving the rotation.

--- a/internal/tasks/selfload/selfload.go
+++ b/internal/tasks/selfload/selfload.go
@@ -22,8 +22,9 @@
 	interval = 50 * time.Millisecond
 	// inboxCapacity has room for the changes of a table of hosts that is read in full.
 	inboxCapacity = 16
-	// minZoneHosts is the number of hosts that a zone must have for one to leave the
-	// balancer's rotation: its callers are then a small part of what each other gets.
+	// minZoneHosts is the number of hosts that a zone must have for one to reject requests
+	// or leave the balancer's rotation: they are then a small part of what each other
+	// gets. In smaller zones the load of one would overload the next.
 	minZoneHosts = 8
 )
 
@@ -111,7 +112,10 @@
 func (m *Monitor) endWindow() {
 	before := *m.published.Load()
 	m.state.EndWindow()
-	after := snapshot{share: m.state.Share(), away: m.state.Away() && m.zoneHosts >= minZoneHosts}
+	after := snapshot{share: m.state.Share(), away: m.state.Away()}
+	if m.zoneHosts < minZoneHosts {
+		after = snapshot{}
+	}
 	if after == before {
 		return
 	}
