--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -81,6 +81,20 @@
 			return
 		}
 	}
+	c.reportUnserved()
+}
+
+// reportUnserved closes the connection and logs whether a part of a request had been
+// read from it, which its caller then gets no answer to.
+func (c *connection) reportUnserved() {
+	if !c.peeking {
+		return
+	}
+	_ = c.socket.Close()
+	if err := <-c.peekResults; err == nil {
+		c.server.config.Log.Warn("connection closed although a request was read", zap.String("event", "request_unserved"),
+			zap.Int("bytes", c.reader.Buffered()), zap.Bool("draining", c.draining()))
+	}
 }
 
 // peekLoop waits for the next byte once per value on peekRequests. It cancels the
