Serve a request that was read as its connection was about to close

Callers got neither an answer nor a refusal to a whole request on a kept connection.

Cause: the goroutine that reads a connection ahead may have taken a request off the socket while the one that waits for it decides to close the connection: as the idle limit passes, and as idle connections close in a planned stop. Beside a change of the configuration the limit is asked of the task that applies it, so that the window is as long as that takes.

Change: the read is interrupted first, and its result decides.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -81,20 +81,6 @@
 			return
 		}
 	}
-	c.reportUnserved()
-}
-
-// reportUnserved closes the connection and logs whether a part of a request had been
-// read from it, which its caller then gets no answer to.
-func (c *connection) reportUnserved() {
-	if !c.peeking {
-		return
-	}
-	_ = c.socket.Close()
-	if err := <-c.peekResults; err == nil {
-		c.server.config.Log.Warn("connection closed although a request was read", zap.String("event", "request_unserved"),
-			zap.Int("bytes", c.reader.Buffered()), zap.Bool("draining", c.draining()))
-	}
 }
 
 // peekLoop waits for the next byte once per value on peekRequests. It cancels the
@@ -117,7 +103,7 @@
 }
 
 // awaitRequest waits for the first byte of a request. It reports false if the
-// connection must be closed instead.
+// connection must be closed instead, which it never is once a byte was read.
 func (c *connection) awaitRequest(ctx context.Context) bool {
 	c.startPeek()
 	since := c.server.config.Now()
@@ -133,12 +119,12 @@
 			// The limit may have changed while the connection was idle.
 			left := c.idleTimeout(ctx) - c.server.config.Now().Sub(since)
 			if left <= 0 {
-				return false
+				return c.interruptPeek()
 			}
 			idle.Reset(left)
 		case <-stopping:
 			if c.served {
-				return false
+				return c.interruptPeek()
 			}
 			// The balancer still sends connections to a draining host if it has
 			// no better one, so a new connection is allowed one request.
@@ -146,11 +132,20 @@
 			idle.Reset(newConnectionWait)
 			since = c.server.config.Now().Add(newConnectionWait - c.idleTimeout(ctx))
 		case <-ctx.Done():
-			return false
+			return c.interruptPeek()
 		}
 	}
 }
 
+// interruptPeek ends the wait for the first byte of a request. It reports whether the
+// peek goroutine has read one all the same.
+func (c *connection) interruptPeek() bool {
+	_ = c.socket.SetReadDeadline(time.Unix(1, 0)) // any time in the past
+	err := <-c.peekResults
+	c.peeking = false
+	return err == nil
+}
+
 func (c *connection) idleTimeout(ctx context.Context) time.Duration {
 	if limit := c.server.config.Limits.Limits(ctx).IdleTimeout; limit > 0 {
 		return limit
