Take only requests that a stopping host can finish

Late in the grace period of a planned stop, requests were taken and passed on, and cut without an answer at its end, also those that must not be repeated.

Cause: a stopping host judged by how long most requests take (4 s for streams, four times the objective for others), while they may last until their time is up.

Change: it rejects at once what may last longer than it does; the retry reaches another host.

--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -20,17 +20,12 @@
 	// the version that added it. While the store is reachable, the configuration
 	// is confirmed at least once a second.
 	staleConfigAge = 2500 * time.Millisecond
-	// typicalStreamTime is how long most streams take; a host that shuts down
-	// sooner accepts no new streams.
-	typicalStreamTime = 4 * time.Second
-	// completionObjectives is the multiple of the objective within which answers
-	// that are not streamed are complete.
-	completionObjectives = 4
-	// drainRetryAfter is the retry delay given by a host that shuts down too soon
-	// for a request.
-	drainRetryAfter = 50 * time.Millisecond
 )
 
+// DrainRetryAfter is the retry delay given by a host that shuts down too soon for a
+// request. It is short, as the retry reaches another host.
+const DrainRetryAfter = 50 * time.Millisecond
+
 // ConfigSource returns the active configuration.
 type ConfigSource interface {
 	Current(ctx context.Context) (director.ConfigState, error)
@@ -68,9 +63,6 @@
 		return nil, refuseUnknown(state, gateway.NoRoute, "no route for this host and path; check the address")
 	}
 	matched := &Matched{Request: request, ConfigState: state, Route: route, Deadline: request.Arrived.Add(route.Timeout)}
-	if shutsDownTooSoon(state, route, request.Arrived) {
-		return nil, gateway.Refuse(gateway.Draining, drainRetryAfter, "this host ends in %s; retry on another", state.ShutdownAt.Sub(request.Arrived).Round(time.Millisecond))
-	}
 	if config.NeedsKeys && !route.Public {
 		team, known := config.Keys[request.Key]
 		if !known || request.Key == "" {
@@ -91,21 +83,12 @@
 	if !request.Deadline.IsZero() && request.Deadline.Before(matched.Deadline) {
 		matched.Deadline = request.Deadline
 	}
-	return matched, nil
-}
-
-// shutsDownTooSoon reports whether the host is expected to exit before the
-// answer is complete.
-func shutsDownTooSoon(state director.ConfigState, route *gateway.Route, now time.Time) bool {
-	if state.ShutdownAt.IsZero() {
-		return false
-	}
-	needed := route.Objective * completionObjectives
-	if route.Retry.Stream() {
-		needed = typicalStreamTime
+	// A request that may take longer than the host has is better served by another.
+	if !state.ShutdownAt.IsZero() && matched.Deadline.After(state.ShutdownAt) {
+		return nil, gateway.Refuse(gateway.Draining, DrainRetryAfter, "this host stops in %s, before the request's time is up; send it again, which reaches another host",
+			state.ShutdownAt.Sub(request.Arrived).Round(time.Millisecond))
 	}
-	needed = min(needed, route.Timeout)
-	return state.ShutdownAt.Sub(now) < needed
+	return matched, nil
 }
 
 // refuseUnknown returns a permanent refusal, or a temporary one if the
