Answer unfinished requests before a stopping host ends

Cause: at the end of the grace period a host closed the connections of requests that were still under way. Their callers could not tell whether they were taken, and the log said that the caller had gone.

Change: the contexts of these requests end with a cause of their own; callers get 503 if the request has not run, else 502, and streams that have begun are cut. 0.2 s of the time after the last request is kept for it.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -16,9 +16,12 @@
 	// ready: two failed readiness checks at one per second, and the delay of a
 	// check.
 	balancerWait = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is kept for returning
-	// tokens and for the exit.
+	// exitMargin is the part of the grace period that is kept for the last answers,
+	// for returning tokens and for the exit.
 	exitMargin = 900 * time.Millisecond
+	// lastAnswersTimeout limits the time for answering requests that are unfinished
+	// when the time to serve is over.
+	lastAnswersTimeout = 200 * time.Millisecond
 	// returnTimeout limits the time for returning tokens to the store.
 	returnTimeout = 500 * time.Millisecond
 )
@@ -66,7 +69,8 @@
 	// If ctx ends first, CloseIdle reports it.
 	_ = task.Sleep(ctx, balancerWait)
 	if err := e.front.CloseIdle(ctx); err != nil {
-		e.options.Log.Warn("grace period ended before all requests finished; closing their connections", zap.String("event", "drain_incomplete"), zap.Error(err))
+		e.options.Log.Warn("grace period ended before all requests finished; ending them", zap.String("event", "drain_incomplete"), zap.Error(err))
+		e.endRequests()
 	}
 	e.returnTokens()
 	e.group.Stop()
@@ -76,6 +80,16 @@
 	}
 }
 
+// endRequests answers the requests that are unfinished.
+func (e *Edge) endRequests() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
+	defer cancel()
+	e.front.EndRequests()
+	if err := e.front.CloseIdle(ctx); err != nil {
+		e.options.Log.Warn("some callers did not take their last answer in time; closing their connections", zap.String("event", "callers_cut"), zap.Error(err))
+	}
+}
+
 // handOverBalances passes the ownership of this host's balances to the next
 // owners.
 func (e *Edge) handOverBalances() {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -72,6 +72,7 @@
 type beginDrain struct{}
 type acceptEnded struct{}
 type closeIdle struct{ reply chan<- struct{} }
+type endRequests struct{}
 
 // NewServer returns a server.
 func NewServer(config Config) *Server {
@@ -95,11 +96,17 @@
 	return err
 }
 
+// EndRequests ends the contexts of all requests with the cause gateway.ErrHostStopping,
+// so that their callers still get an answer, and closes the listener.
+func (s *Server) EndRequests() { s.inbox.TrySend(endRequests{}) }
+
 // Run accepts and serves connections until ctx ends, then closes the listener
 // and all connections.
 func (s *Server) Run(ctx context.Context) {
 	defer s.inbox.Close()
 	go s.accept(ctx)
+	requests, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	open := make(map[net.Conn]bool)
 	var idleReplies []chan<- struct{}
 	draining, closingIdle, accepting := false, false, true
@@ -120,7 +127,7 @@
 					break
 				}
 				open[m.socket] = true
-				go s.serve(ctx, m.socket)
+				go s.serve(requests, m.socket)
 			case connectionClosed:
 				delete(open, m.socket)
 			case acceptEnded:
@@ -136,6 +143,9 @@
 					close(s.closingIdle)
 				}
 				idleReplies = append(idleReplies, m.reply)
+			case endRequests:
+				end(gateway.ErrHostStopping)
+				_ = s.config.Listener.Close()
 			}
 		case <-ctx.Done():
 			return
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -41,6 +42,10 @@
 	CallerGone    RefusalKind = "caller_gone"
 )
 
+// ErrHostStopping is the cause of a request's context that ends because the host stops
+// before the request is finished.
+var ErrHostStopping = errors.New("this host stops before the request is finished")
+
 // Refusal is an error that ends a request without an upstream's answer.
 type Refusal struct {
 	Kind RefusalKind
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -188,7 +188,7 @@
 	decision := r.retryState.RecordFailed(retrypolicy.Attempt{
 		NotRun:  r.lastOutcome.Ending == relay.NotRun,
 		Arrived: r.lastOutcome.Arrived,
-		Final: r.lastOutcome.Ending == relay.TimeUp || r.lastOutcome.Ending == relay.CallerGone ||
+		Final: r.lastOutcome.Ending == relay.TimeUp || r.lastOutcome.Ending == relay.CallerGone || r.lastOutcome.Ending == relay.HostStopping ||
 			r.rejectedRequest() || (r.answer.Begun() && !r.matched.Route.Retry.Stream()),
 	})
 	if decision == retrypolicy.Stop {
@@ -261,10 +261,7 @@
 // concludeUnsent ends a request whose next attempt could not be sent.
 func (r *requestRun) concludeUnsent(ctx context.Context, cause error) error {
 	if ctx.Err() != nil {
-		r.lastOutcome.Ending = relay.CallerGone
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.lastOutcome.Ending = relay.TimeUp
-		}
+		r.lastOutcome.Ending, r.lastOutcome.Err = relay.Interrupted(ctx), context.Cause(ctx)
 		return r.conclude()
 	}
 	if r.retryState.MayHaveRun() {
@@ -304,6 +301,10 @@
 			return gateway.Refuse(gateway.CallerGone, 0, "the caller closed its connection")
 		}
 		return nil
+	case r.lastOutcome.Ending == relay.HostStopping && !r.retryState.MayHaveRun():
+		return r.capRetryAfter(gateway.Refuse(gateway.Draining, match.DrainRetryAfter, "this host stops; send the request again, which reaches another host"))
+	case r.lastOutcome.Ending == relay.HostStopping:
+		return gateway.Refuse(gateway.UpstreamBroke, 0, "this host stopped before the upstream answered; the request may have run")
 	case r.lastOutcome.Ending == relay.TimeUp && !r.retryState.MayHaveRun():
 		return gateway.Refuse(gateway.TimeoutNotRun, 0, "the time was up before an upstream took the request")
 	case r.lastOutcome.Ending == relay.TimeUp:
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -43,8 +43,22 @@
 	TimeUp Ending = "time_up"
 	// CallerGone means that the caller closed its connection.
 	CallerGone Ending = "caller_gone"
+	// HostStopping means that the host stops before the upstream answered.
+	HostStopping Ending = "host_stopping"
 )
 
+// Interrupted returns the ending of an attempt whose context has ended.
+func Interrupted(ctx context.Context) Ending {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return TimeUp
+	case errors.Is(context.Cause(ctx), gateway.ErrHostStopping):
+		return HostStopping
+	default:
+		return CallerGone
+	}
+}
+
 // BufferedAnswer is an answer that is buffered until it is complete.
 type BufferedAnswer struct {
 	Head gateway.AnswerHead
@@ -155,10 +169,7 @@
 			}
 			return r.outcome(Silent, errors.New("the upstream sent nothing within the silence limit"))
 		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				return r.outcome(TimeUp, ctx.Err())
-			}
-			return r.outcome(CallerGone, ctx.Err())
+			return r.outcome(Interrupted(ctx), context.Cause(ctx))
 		}
 	}
 }
@@ -323,7 +334,7 @@
 // signalByEnding maps endings to the signals that update the upstream's health.
 var signalByEnding = map[Ending]placement.Signal{
 	Delivered: placement.Succeeded, Failed: placement.Failed, Broke: placement.Broke,
-	Silent: placement.Silent, TimeUp: placement.Silent, CallerGone: placement.Abandoned,
+	Silent: placement.Silent, TimeUp: placement.Silent, CallerGone: placement.Abandoned, HostStopping: placement.Abandoned,
 }
 
 func (r *attemptRelay) observe(outcome Outcome) {
