Log a fingerprint of requests whose attempt was lost

Change: a fingerprint of team, method, host, target and body, logged beside the prompt's shared parts.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,9 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -58,6 +61,24 @@
 	Deadline time.Time
 }
 
+// fingerprintBytes is the length of a fingerprint's hash. It must not be possible to
+// make a request that has the fingerprint of another team's.
+const fingerprintBytes = 12
+
+// fingerprintPrefix tells fingerprints from the ids of prompt parts.
+const fingerprintPrefix = "request-"
+
+// Fingerprint returns an id that requests of a team have in common if their method,
+// host, target and body are equal. team is "" on public routes.
+func (r *Request) Fingerprint(team core.TeamName) string {
+	hash := sha256.New()
+	for _, text := range [][]byte{[]byte(team), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+		hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
+		hash.Write(text)
+	}
+	return fingerprintPrefix + hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
+}
+
 // MaxCost returns the maximum that the request can consume of its team's balance.
 func (r *Request) MaxCost() core.Tokens {
 	if r.Prompt == nil {
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/matching"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
@@ -39,6 +40,8 @@
 	Service     gateway.Service
 	// Team is nil on public routes.
 	Team *gateway.Team
+	// Fingerprint identifies equal requests of the team.
+	Fingerprint string
 	// Urgency ranges from 0, the most urgent, to 9.
 	Urgency int
 	// Deadline is the caller's deadline or the end of the route's timeout,
@@ -79,6 +82,7 @@
 		service = gateway.Service{Name: name}
 	}
 	matched.Service = service
+	matched.Fingerprint = request.Fingerprint(teamName(matched.Team))
 	matched.Urgency = matching.Urgency(matched.Team, route)
 	if !request.Deadline.IsZero() && request.Deadline.Before(matched.Deadline) {
 		matched.Deadline = request.Deadline
@@ -91,6 +95,13 @@
 	return matched, nil
 }
 
+func teamName(team *gateway.Team) core.TeamName {
+	if team == nil {
+		return ""
+	}
+	return team.Name
+}
+
 // refuseUnknown returns a permanent refusal, or a temporary one if the
 // configuration may be outdated.
 func refuseUnknown(state director.ConfigState, kind gateway.RefusalKind, message string) error {
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -62,8 +62,11 @@
 		fields = append(fields, zap.Int64("first_event_ms", summary.FirstEvent.Milliseconds()),
 			zap.Int("events", r.progress.Events), zap.Int64("longest_pause_ms", r.progress.LongestPause.Milliseconds()))
 	}
-	if parts := r.sharedParts(); parts != "" && r.lostAttempt() {
-		fields = append(fields, zap.String("prompt_parts", parts))
+	if r.lostAttempt() {
+		fields = append(fields, zap.String("fingerprint", r.matched.Fingerprint))
+		if parts := r.sharedParts(); parts != "" {
+			fields = append(fields, zap.String("prompt_parts", parts))
+		}
 	}
 	r.logOutcome(outcome, refusal, fields)
 	r.pipeline.Recorder.Done(ctx, summary)
