Hold requests that crash upstreams by a fingerprint

A request without a prompt that crashes each upstream which runs it reached one after the other, while its service had few or none left for all others.

Cause: the quarantine knew requests by the parts of their prompt only.

Change: it knows them by traits, which are the parts and a fingerprint of team, method, host, target and body. One host's word, and five crashes of a single upstream, hold a fingerprint, since no other request has it.

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -8,21 +8,21 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
-// suspect is a part with the crashes that speak against it.
+// suspect is a trait with the crashes that speak against it.
 type suspect struct {
-	part  string
+	trait string
 	depth int
-	// answered is true if a request with the part was answered before.
+	// answered is true if a request with the trait was answered before.
 	answered  bool
 	crashes   int
 	upstreams int
 	latest    time.Time
 }
 
-// decide derives the held parts from the crashes. It reports whether they changed.
+// decide derives the held traits from the crashes. It reports whether they changed.
 //
-// A request that crashes an upstream has innocent parts too, and breaks the
-// requests beside it. So the part that explains the most crashes is held first,
+// A request that crashes an upstream has innocent traits too, and breaks the
+// requests beside it. So the trait that explains the most crashes is held first,
 // and the crashes that it explains no longer count against others.
 func (r *Registry) decide() bool {
 	holds := make(Holds)
@@ -32,50 +32,46 @@
 		if !found {
 			break
 		}
-		holds[worst.part] = Hold{
-			Part: worst.part, Until: worst.latest.Add(holdTime(worst.crashes)), Crashes: worst.crashes, Upstreams: worst.upstreams,
+		holds[worst.trait] = Hold{
+			Trait: worst.trait, Until: worst.latest.Add(holdTime(worst.crashes)), Crashes: worst.crashes, Upstreams: worst.upstreams,
 		}
-		explained := slices.DeleteFunc(slices.Clone(remaining), func(c evidence) bool { return c.part != worst.part })
+		explained := slices.DeleteFunc(slices.Clone(remaining), func(c evidence) bool { return c.trait.ID != worst.trait })
 		remaining = slices.DeleteFunc(remaining, func(c evidence) bool {
 			return slices.ContainsFunc(explained, func(e evidence) bool { return sameCrash(c, e) })
 		})
 	}
 	changed := len(holds) != len(r.holds)
-	for part := range holds {
-		if _, held := r.holds[part]; !held {
+	for trait := range holds {
+		if _, held := r.holds[trait]; !held {
 			changed = true
 		}
 	}
-	for part := range r.trials {
-		if _, held := holds[part]; !held {
-			delete(r.trials, part)
+	for trait := range r.trials {
+		if _, held := holds[trait]; !held {
+			delete(r.trials, trait)
 		}
 	}
 	r.holds = holds
 	return changed
 }
 
-// worstSuspect returns the part with the most crashes, if they suffice to hold it.
-// Of equals, it prefers a part that was never answered, then the deepest: holding
+// worstSuspect returns the trait with the most crashes, if they suffice to hold it.
+// Of equals, it prefers one that was never answered, then the deepest: holding
 // that one affects the fewest requests.
 func (r *Registry) worstSuspect(crashes []evidence) (suspect, bool) {
-	byPart := make(map[string][]evidence)
+	byTrait := make(map[string][]evidence)
 	for _, c := range crashes {
-		byPart[c.part] = append(byPart[c.part], c)
+		byTrait[c.trait.ID] = append(byTrait[c.trait.ID], c)
 	}
 	var suspects []suspect
-	for part, records := range byPart {
+	for trait, records := range byTrait {
 		counted, upstreams, sameZone := r.count(records)
-		needed := crossZoneCrashesToHold
-		if sameZone {
-			needed = crashesToHold
-		}
-		if counted < needed || upstreams < upstreamsToHold {
+		if !suffices(records[0].trait, counted, upstreams, sameZone) {
 			continue
 		}
-		_, answered := r.answers[part]
+		_, answered := r.answers[trait]
 		suspects = append(suspects, suspect{
-			part: part, depth: records[0].depth, answered: answered, crashes: counted, upstreams: upstreams, latest: records[len(records)-1].at,
+			trait: trait, depth: records[0].trait.Depth, answered: answered, crashes: counted, upstreams: upstreams, latest: records[len(records)-1].at,
 		})
 	}
 	if len(suspects) == 0 {
@@ -89,16 +85,33 @@
 	}
 	return slices.MinFunc(suspects, func(a, b suspect) int {
 		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(rank(a), rank(b)),
-			cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+			cmp.Compare(b.depth, a.depth), cmp.Compare(a.trait, b.trait))
 	}), true
 }
 
-// count sorts the records of one part by time and returns how many separate
+// suffices reports whether a trait is held after a number of separate crashes of a
+// number of upstreams. sameZone is true if one of them was seen from its own zone.
+//
+// Requests that share a part may all be sent to the upstream that crashes by itself. One
+// that is sent again and never answered is not in flight at each of its crashes by
+// chance, so that a service with a single upstream is protected too.
+func suffices(trait Trait, crashes, upstreams int, sameZone bool) bool {
+	if crashes >= crossZoneCrashesToHold && trait.Own {
+		return true
+	}
+	needed := crossZoneCrashesToHold
+	if sameZone {
+		needed = crashesToHold
+	}
+	return crashes >= needed && upstreams >= upstreamsToHold
+}
+
+// count sorts the records of one trait by time and returns how many separate
 // crashes they are about, of how many different upstreams, and whether one was
 // observed from the upstream's zone. Of what one other host reports, fewer
-// than crashesToHold count, so that a host that is wrong can't have a part held
-// everywhere that other requests share. A request that is sent again comes at the same
-// host, so that its last part is held by that host's word.
+// than crashesToHold count, so that a host that is wrong can't have a trait held
+// everywhere that other requests share. A request that is sent again may come at the
+// same host, so that its own traits are held by that host's word.
 func (r *Registry) count(records []evidence) (crashes, upstreams int, sameZone bool) {
 	slices.SortFunc(records, func(a, b evidence) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin), cmp.Compare(a.upstream, b.upstream))
@@ -107,7 +120,7 @@
 	crashed := make(map[core.UpstreamID]bool)
 	byOrigin := make(map[core.HostID]int)
 	for _, c := range records {
-		if c.origin != r.self && !c.own && byOrigin[c.origin] >= crashesToHold-1 {
+		if c.origin != r.self && !c.trait.Own && byOrigin[c.origin] >= crashesToHold-1 {
 			continue
 		}
 		same := slices.ContainsFunc(counted, func(known evidence) bool {
@@ -124,7 +137,7 @@
 	return len(counted), len(crashed), sameZone
 }
 
-// holdTime is how long a part is held after its latest crash.
+// holdTime is how long a trait is held after its latest crash.
 func holdTime(crashes int) time.Duration {
 	held := holdAfterCrash
 	for range crashes - crashesToHold {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,11 +1,12 @@
-// Package quarantine decides which prompt parts crash upstreams, from the
-// crashes that the hosts of the fleet observed, and holds back requests with
-// such parts for a limited time.
+// Package quarantine decides which requests crash upstreams, from the crashes that
+// the hosts of the fleet observed, and holds them back for a limited time.
 //
-// A part is held once it was in flight, without an answer, in several crashes of
-// different upstreams, and no request with it was answered since. Any answer
-// clears a part. All state is derived from crashes and answers, so that hosts
-// that know the same ones agree, in whatever order they learned of them.
+// It knows requests by their traits: the parts of their prompt, and what is equal in
+// a request that is sent again. A trait is held once it was in flight, without an
+// answer, in several crashes of different upstreams, and no request with it was
+// answered since. Any answer clears a trait. All state is derived from crashes and
+// answers, so that hosts that know the same ones agree, in whatever order they
+// learned of them.
 package quarantine
 
 import (
@@ -19,8 +20,8 @@
 )
 
 const (
-	// crashesToHold is the number of crashes after which a part is held. Two can
-	// be a coincidence for a part that is rarely used.
+	// crashesToHold is the number of crashes after which a trait is held. Two can
+	// be a coincidence for one that is rarely used.
 	crashesToHold = 3
 	// crossZoneCrashesToHold replaces crashesToHold if no crash was observed from
 	// the upstream's own zone: a partition that resets connections looks like the
@@ -38,12 +39,12 @@
 	// than several requests. Hosts notice a loss up to a tenth of a second late when
 	// their processor is stopped.
 	simultaneousWindow = 150 * time.Millisecond
-	// holdAfterCrash is how long a part is held after its latest crash. The time
+	// holdAfterCrash is how long a trait is held after its latest crash. The time
 	// doubles with each crash beyond crashesToHold, up to maxHold.
 	holdAfterCrash = 30 * time.Second
 	maxHold        = 4 * time.Minute
 	// crashTTL is how long a crash is remembered. It exceeds maxHold, so that a
-	// part whose hold has ended is tried by one request at a time.
+	// trait whose hold has ended is tried by one request at a time.
 	crashTTL = 10 * time.Minute
 	// trialSpacing is the time between the trials of two hosts, and of one host.
 	// A trial ends within a second, and its result reaches most hosts in another.
@@ -52,36 +53,59 @@
 	maxCrashes = 512
 	maxAnswers = 8192
 	// answerTTL is how long an answer is remembered while no crash involves its
-	// part.
+	// trait.
 	answerTTL = 30 * time.Second
-	// maxHeld bounds the parts that are held at the same time.
+	// maxHeld bounds the traits that are held at the same time.
 	maxHeld = 16
-	// maxPartBytes bounds the id of a part; longer ones are ignored.
-	maxPartBytes = 64
+	// maxTraitBytes bounds the id of a trait; longer ones are ignored.
+	maxTraitBytes = 64
 )
 
-// Hold describes a part that is held.
+// Trait is what a request has in common with others that may crash upstreams.
+type Trait struct {
+	// ID is that of a prompt part, or the request's fingerprint.
+	ID string
+	// Depth orders the traits of a request from those that most others share.
+	Depth int
+	// Own is true for the traits that other requests share only if they are the same
+	// one, sent again, or of the same session.
+	Own bool
+}
+
+// TraitsOf returns the traits of a request: the parts of its prompt, which may be nil,
+// and its fingerprint. The last part is that of the request or of its session.
+func TraitsOf(prompt *gateway.Prompt, fingerprint string) []Trait {
+	var parts []gateway.PromptPart
+	if prompt != nil {
+		parts = prompt.Parts
+	}
+	traits := make([]Trait, 0, len(parts)+1)
+	for depth, part := range parts {
+		traits = append(traits, Trait{ID: part.ID, Depth: depth, Own: depth == len(parts)-1})
+	}
+	return append(traits, Trait{ID: fingerprint, Depth: len(parts), Own: true})
+}
+
+// Hold describes a trait that is held.
 type Hold struct {
-	Part string
-	// Until is when the first request with the part may be tried again.
+	Trait string
+	// Until is when the first request with the trait may be tried again.
 	Until time.Time
 	// Crashes and Upstreams count what the decision is based on.
 	Crashes   int
 	Upstreams int
 }
 
-// Holds is the set of held parts, by id. It is immutable.
+// Holds is the set of held traits, by id. It is immutable.
 type Holds map[string]Hold
 
-// Find returns the hold of the first held part of a prompt. The last part is that of
-// the request itself, or of its session: it is held if callers send a request again
-// that crashes each upstream.
-func (h Holds) Find(prompt *gateway.Prompt) (Hold, bool) {
-	if len(h) == 0 || prompt == nil {
+// Find returns the hold of the first of the traits that is held.
+func (h Holds) Find(traits []Trait) (Hold, bool) {
+	if len(h) == 0 {
 		return Hold{}, false
 	}
-	for _, part := range prompt.Parts {
-		if hold, found := h[part.ID]; found {
+	for _, trait := range traits {
+		if hold, found := h[trait.ID]; found {
 			return hold, true
 		}
 	}
@@ -96,13 +120,10 @@
 	SameZone bool
 }
 
-// evidence is a crash of an upstream while a request with the part was in flight
+// evidence is a crash of an upstream while a request with the trait was in flight
 // there without an answer.
 type evidence struct {
-	part  string
-	depth int
-	// own is true for the last part of a prompt.
-	own      bool
+	trait    Trait
 	upstream core.UpstreamID
 	at       time.Time
 	// origin is the host that observed the crash; sameZone is true if it is in the
@@ -113,7 +134,7 @@
 	sendsLeft int
 }
 
-// answerTime is when a request with a part was answered last.
+// answerTime is when a request with a trait was answered last.
 type answerTime struct {
 	at        time.Time
 	sendsLeft int
@@ -126,10 +147,10 @@
 	evidence []evidence
 	answers  map[string]answerTime
 	holds    Holds
-	// trials is when this host last let a request with a held part through.
+	// trials is when this host last let a request with a held trait through.
 	trials map[string]time.Time
-	// nextFull is when a peer that holds other parts is next sent all crashes of
-	// this host's held parts.
+	// nextFull is when a peer that holds other traits is next sent all crashes of
+	// this host's held ones.
 	nextFull time.Time
 }
 
@@ -138,16 +159,16 @@
 	return &Registry{self: self, answers: make(map[string]answerTime), trials: make(map[string]time.Time)}
 }
 
-// Holds returns the parts that are held.
+// Holds returns the traits that are held.
 func (r *Registry) Holds() Holds { return r.holds }
 
-// RecordCrash records that an upstream crashed while a request with the prompt was
+// RecordCrash records that an upstream crashed while a request with the traits was
 // in flight there without an answer.
-func (r *Registry) RecordCrash(prompt *gateway.Prompt, observed Crash, now time.Time) {
+func (r *Registry) RecordCrash(traits []Trait, observed Crash, now time.Time) {
 	changed := false
-	for depth, part := range prompt.Parts {
+	for _, trait := range traits {
 		changed = r.addCrash(evidence{
-			part: part.ID, depth: depth, upstream: observed.Upstream, at: observed.At, own: depth == len(prompt.Parts)-1,
+			trait: trait, upstream: observed.Upstream, at: observed.At,
 			origin: r.self, sameZone: observed.SameZone, sendsLeft: rumorSends,
 		}, now) || changed
 	}
@@ -156,15 +177,15 @@
 	}
 }
 
-// RecordAnswer records that a request with the prompt was answered, which clears
-// its parts. It reports whether that cleared a crash.
-func (r *Registry) RecordAnswer(prompt *gateway.Prompt, now time.Time) bool {
+// RecordAnswer records that a request with the traits was answered, which clears
+// them. It reports whether that cleared a crash.
+func (r *Registry) RecordAnswer(traits []Trait, now time.Time) bool {
 	cleared := false
-	for i, part := range prompt.Parts {
-		if i == len(prompt.Parts)-1 && !r.suspected(part.ID) {
-			continue // most last parts are never seen again
+	for _, trait := range traits {
+		if trait.Own && !r.suspected(trait.ID) {
+			continue // most requests are not sent again
 		}
-		cleared = r.addAnswer(part.ID, now, now) || cleared
+		cleared = r.addAnswer(trait.ID, now, now) || cleared
 	}
 	if cleared {
 		r.decide()
@@ -172,44 +193,40 @@
 	return cleared
 }
 
-// Suspects reports whether a part of the prompt was in flight, without an answer
-// since, at a crash of an upstream other than those given.
-func (r *Registry) Suspects(prompt *gateway.Prompt, except []core.UpstreamID) bool {
-	if prompt == nil {
-		return false
-	}
-	for _, part := range prompt.Parts {
-		if slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.part == part.ID && !slices.Contains(except, c.upstream) }) {
+// Suspects reports whether one of the traits was in flight, without an answer since,
+// at a crash of an upstream other than those given.
+func (r *Registry) Suspects(traits []Trait, except []core.UpstreamID) bool {
+	for _, trait := range traits {
+		if slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait.ID && !slices.Contains(except, c.upstream) }) {
 			return true
 		}
 	}
 	return false
 }
 
-// AllowTrial reports whether a request with a held part may be sent, as a trial
-// whether the part still crashes upstreams, and records the trial. rank is the
-// position of this host in an order of all hosts that depends on the part.
-// Hosts try one after the other, so that a part that still crashes upstreams ends
-// few of them.
-func (r *Registry) AllowTrial(part string, rank int, now time.Time) bool {
-	hold, found := r.holds[part]
+// AllowTrial reports whether a request with a held trait may be sent, as a trial
+// whether it still crashes upstreams, and records the trial. rank is the position of
+// this host in an order of all hosts that depends on the trait. Hosts try one after
+// the other, so that a request that still crashes upstreams ends few of them.
+func (r *Registry) AllowTrial(trait string, rank int, now time.Time) bool {
+	hold, found := r.holds[trait]
 	if !found {
 		return true
 	}
-	if now.Before(hold.Until.Add(time.Duration(rank)*trialSpacing)) || now.Sub(r.trials[part]) < trialSpacing {
+	if now.Before(hold.Until.Add(time.Duration(rank)*trialSpacing)) || now.Sub(r.trials[trait]) < trialSpacing {
 		return false
 	}
-	r.trials[part] = now
+	r.trials[trait] = now
 	return true
 }
 
-// Expire forgets what is too old. It reports whether the held parts changed.
+// Expire forgets what is too old. It reports whether the held traits changed.
 func (r *Registry) Expire(now time.Time) bool {
 	before := len(r.evidence)
 	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return now.Sub(c.at) > crashTTL })
-	for part, answer := range r.answers {
-		if now.Sub(answer.at) > answerTTL && !r.suspected(part) {
-			delete(r.answers, part)
+	for trait, answer := range r.answers {
+		if now.Sub(answer.at) > answerTTL && !r.suspected(trait) {
+			delete(r.answers, trait)
 		}
 	}
 	return before != len(r.evidence) && r.decide()
@@ -218,16 +235,16 @@
 // addCrash stores a crash. It returns false if it is known, cleared by a later
 // answer, or invalid.
 func (r *Registry) addCrash(c evidence, now time.Time) bool {
-	if c.part == "" || len(c.part) > maxPartBytes || now.Sub(c.at) > crashTTL {
+	if c.trait.ID == "" || len(c.trait.ID) > maxTraitBytes || now.Sub(c.at) > crashTTL {
 		return false
 	}
-	if answer, found := r.answers[c.part]; found && !c.at.After(answer.at) {
+	if answer, found := r.answers[c.trait.ID]; found && !c.at.After(answer.at) {
 		// Hosts that have not heard of the answer learn of it.
-		r.answers[c.part] = answerTime{answer.at, rumorSends}
+		r.answers[c.trait.ID] = answerTime{answer.at, rumorSends}
 		return false
 	}
 	for _, known := range r.evidence {
-		if known.part == c.part && known.origin == c.origin && sameCrash(known, c) {
+		if known.trait.ID == c.trait.ID && known.origin == c.origin && sameCrash(known, c) {
 			return false
 		}
 	}
@@ -238,11 +255,11 @@
 	return true
 }
 
-// dropOldest forgets the oldest crash whose part is not held, or the oldest of all.
+// dropOldest forgets the oldest crash whose trait is not held, or the oldest of all.
 func (r *Registry) dropOldest() {
 	oldest := -1
 	for i, c := range r.evidence {
-		_, held := r.holds[c.part]
+		_, held := r.holds[c.trait.ID]
 		if !held && (oldest < 0 || c.at.Before(r.evidence[oldest].at)) {
 			oldest = i
 		}
@@ -252,44 +269,44 @@
 
 // addAnswer stores the time of an answer and forgets the crashes that it clears.
 // It returns true if there were any.
-func (r *Registry) addAnswer(part string, at, now time.Time) bool {
-	if known, found := r.answers[part]; found && !at.After(known.at) {
+func (r *Registry) addAnswer(trait string, at, now time.Time) bool {
+	if known, found := r.answers[trait]; found && !at.After(known.at) {
 		return false
 	}
 	if len(r.answers) >= maxAnswers {
 		r.dropAnswers(now)
 	}
 	before := len(r.evidence)
-	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return c.part == part && !c.at.After(at) })
+	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait && !c.at.After(at) })
 	cleared := before != len(r.evidence)
 	answer := answerTime{at: at}
 	if cleared {
 		answer.sendsLeft = rumorSends
 	}
-	r.answers[part] = answer
+	r.answers[trait] = answer
 	return cleared
 }
 
 // dropAnswers makes room for answers: it forgets those that are too old, or all of
-// parts that no crash involves.
+// traits that no crash involves.
 func (r *Registry) dropAnswers(now time.Time) {
-	for part, answer := range r.answers {
+	for trait, answer := range r.answers {
 		if now.Sub(answer.at) > answerTTL {
-			delete(r.answers, part)
+			delete(r.answers, trait)
 		}
 	}
 	if len(r.answers) < maxAnswers {
 		return
 	}
-	for part := range r.answers {
-		if !r.suspected(part) {
-			delete(r.answers, part)
+	for trait := range r.answers {
+		if !r.suspected(trait) {
+			delete(r.answers, trait)
 		}
 	}
 }
 
-func (r *Registry) suspected(part string) bool {
-	return slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.part == part })
+func (r *Registry) suspected(trait string) bool {
+	return slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait })
 }
 
 // sameCrash reports whether two records are about the same crash of an upstream.
@@ -297,12 +314,12 @@
 	return a.upstream == b.upstream && a.at.Sub(b.at).Abs() < sameCrashWindow
 }
 
-// Digest identifies the set of held parts, so that hosts notice cheaply that
+// Digest identifies the set of held traits, so that hosts notice cheaply that
 // theirs differ.
 func (h Holds) Digest() uint64 {
 	var digest uint64
-	for part := range h {
-		digest ^= xxhash.Sum64String(part)
+	for trait := range h {
+		digest ^= xxhash.Sum64String(trait)
 	}
 	return digest
 }
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -23,17 +23,18 @@
 // prompts counts the prompts of all tests.
 var prompts atomic.Int64
 
-// promptOf returns a prompt with shared parts and one of its own, which no other has.
-func promptOf(shared ...string) *gateway.Prompt {
+// promptOf returns the traits of a request whose prompt has shared parts and one of
+// its own, which no other has.
+func promptOf(shared ...string) []Trait {
 	return promptWith(fmt.Sprint("own-", prompts.Add(1)), shared...)
 }
 
-func promptWith(own string, shared ...string) *gateway.Prompt {
+func promptWith(own string, shared ...string) []Trait {
 	prompt := &gateway.Prompt{}
 	for _, id := range append(shared, own) {
 		prompt.Parts = append(prompt.Parts, gateway.PromptPart{ID: id, Tokens: 1})
 	}
-	return prompt
+	return TraitsOf(prompt, fmt.Sprint("request-", prompts.Add(1)))
 }
 
 func crashOf(r *Registry, second float64, upstream string, shared ...string) {
@@ -76,7 +77,7 @@
 			}
 			So(r.Holds(), ShouldBeEmpty)
 			r.RecordCrash(promptOf("a"), Crash{Upstream: "u9", At: at(9)}, at(9))
-			So(r.Holds().HeldParts(), ShouldResemble, []string{"a"})
+			So(r.Holds().HeldTraits(), ShouldResemble, []string{"a"})
 		})
 		Convey("last parts that differ are each in one crash", func() {
 			for i := range 4 {
@@ -98,12 +99,12 @@
 			r.RecordCrash(promptWith("again", "a"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: at(float64(i)), SameZone: true}, at(float64(i)))
 			r.RecordAnswer(promptOf("a"), at(float64(i)+0.5))
 		}
-		So(r.Holds().HeldParts(), ShouldResemble, []string{"again"})
+		So(r.Holds().HeldTraits(), ShouldResemble, []string{"again"})
 		_, found := r.Holds().Find(promptOf("a"))
 		So(found, ShouldBeFalse)
 		Convey("the other hosts hold it too", func() {
 			other.Merge(r.Report(nil, at(3)), at(3))
-			So(other.Holds().HeldParts(), ShouldResemble, []string{"again"})
+			So(other.Holds().HeldTraits(), ShouldResemble, []string{"again"})
 		})
 		Convey("an answer to it releases it", func() {
 			r.RecordAnswer(promptWith("again", "a"), at(40))
@@ -112,6 +113,45 @@
 	})
 }
 
+// Guards against a request without a prompt that is sent again, at any host, and that
+// crashes each upstream: nothing of it was recorded, and it ended 13 upstreams.
+func TestARequestWithoutAPromptIsHeldByItsFingerprint(t *testing.T) {
+	Convey("Given equal requests that crash upstreams at three hosts", t, func() {
+		hosts := []*Registry{New("h1"), New("h2"), New("h3")}
+		again := TraitsOf(nil, "request-again")
+		for i, host := range hosts {
+			now := at(float64(2 * i))
+			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: i == 0}
+			host.RecordCrash(again, crash, now)
+			host.RecordCrash(TraitsOf(nil, fmt.Sprint("request-beside-", i)), crash, now)
+			for _, other := range hosts {
+				other.Merge(host.Report(nil, now), now)
+			}
+		}
+		for _, host := range hosts {
+			So(host.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
+			So(host.Suspects(again, nil), ShouldBeTrue)
+			_, found := host.Holds().Find(TraitsOf(nil, "request-other"))
+			So(found, ShouldBeFalse)
+		}
+		Convey("an answer releases it", func() {
+			So(hosts[0].RecordAnswer(again, at(40)), ShouldBeTrue)
+			So(hosts[0].Holds(), ShouldBeEmpty)
+		})
+	})
+	Convey("A service's only upstream suffices after more crashes, if no request was answered", t, func() {
+		r := New("h")
+		for i := range crossZoneCrashesToHold {
+			So(r.Holds(), ShouldBeEmpty)
+			now := at(float64(5 * i))
+			r.RecordCrash(TraitsOf(nil, "request-again"), Crash{Upstream: "only", At: now}, now)
+			r.RecordCrash(TraitsOf(nil, "request-polled"), Crash{Upstream: "only", At: now}, now)
+			r.RecordAnswer(TraitsOf(nil, "request-polled"), now.Add(time.Second))
+		}
+		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
+	})
+}
+
 // Guards against repeating a request that may have crashed upstreams before, and
 // against not repeating one whose parts were answered.
 func TestSuspects(t *testing.T) {
@@ -136,7 +176,7 @@
 				crashOf(r, float64(i), fmt.Sprint("u", i), "a", "b", "deadly")
 				crashOf(r, float64(i), fmt.Sprint("u", i), "a", "beside")
 			}
-			So(r.Holds().HeldParts(), ShouldResemble, []string{"deadly"})
+			So(r.Holds().HeldTraits(), ShouldResemble, []string{"deadly"})
 			_, found := r.Holds().Find(promptOf("a", "b"))
 			So(found, ShouldBeFalse)
 			hold, found := r.Holds().Find(promptOf("x", "deadly"))
@@ -148,13 +188,13 @@
 			for i := range 3 {
 				crashOf(r, float64(i)+1, fmt.Sprint("u", i), "deadly", "deepest")
 			}
-			So(r.Holds().HeldParts(), ShouldResemble, []string{"deadly"})
+			So(r.Holds().HeldTraits(), ShouldResemble, []string{"deadly"})
 		})
 		Convey("a first part is held if the parts after it differ", func() {
 			for i := range 3 {
 				crashOf(r, float64(i), fmt.Sprint("u", i), "deadly", fmt.Sprint("b", i))
 			}
-			So(r.Holds().HeldParts(), ShouldResemble, []string{"deadly"})
+			So(r.Holds().HeldTraits(), ShouldResemble, []string{"deadly"})
 		})
 	})
 }
@@ -203,13 +243,13 @@
 			So(r.Holds(), ShouldBeEmpty)
 			Convey("but count together with a crash of this host", func() {
 				crashOf(r, 210, "u30", "a")
-				So(r.Holds().HeldParts(), ShouldResemble, []string{"a"})
+				So(r.Holds().HeldTraits(), ShouldResemble, []string{"a"})
 			})
 		})
 		Convey("impossible ages, ids that are too long and reports that are too long are cut", func() {
 			r.Merge(report(-time.Second, "u", "a"), at(200))
 			r.Merge(report(crashTTL+1, "u", "a"), at(200))
-			r.Merge(report(0, "u", string(make([]byte, maxPartBytes+1))), at(200))
+			r.Merge(report(0, "u", string(make([]byte, maxTraitBytes+1))), at(200))
 			So(r.evidence, ShouldBeEmpty)
 			var long Report
 			for i := range 10 * maxReportEntries {
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -15,17 +16,17 @@
 	// takes about 60 bytes.
 	maxReportEntries = 32
 	// fullInterval is the minimum time between two reports with all crashes of the
-	// held parts.
+	// held traits.
 	fullInterval = time.Second
-	// maxFullPerPart is the number of crashes of a held part in such a report.
-	maxFullPerPart = crashesToHold + 2
+	// maxFullPerTrait is the number of crashes of a held trait in such a report.
+	maxFullPerTrait = crashesToHold + 2
 )
 
 // CrashReport tells a peer of a crash.
 type CrashReport struct {
-	Part  string
-	Depth int
-	// Own is true for the last part of a prompt.
+	// Part is the id of the trait, as hosts of earlier versions know it.
+	Part     string
+	Depth    int
 	Own      bool
 	Upstream core.UpstreamID
 	// Age is the time since the crash.
@@ -36,8 +37,9 @@
 	SameZone bool
 }
 
-// AnswerReport tells a peer that a part was answered.
+// AnswerReport tells a peer that a request with a trait was answered.
 type AnswerReport struct {
+	// Part is the id of the trait, as hosts of earlier versions know it.
 	Part string
 	// Age is the time since the answer.
 	Age time.Duration
@@ -45,15 +47,15 @@
 
 // Report is what a host tells a peer. Its size is bounded by maxReportEntries.
 type Report struct {
-	// Digest identifies the held parts of the sender.
+	// Digest identifies the held traits of the sender.
 	Digest  uint64
 	Crashes []CrashReport
 	Answers []AnswerReport
 }
 
 // Report returns what to tell a peer: news that were not passed on often enough.
-// If the peer holds other parts than this host, as after a restart or a
-// partition, it also gets the crashes of this host's held parts. peer is nil if
+// If the peer holds other traits than this host, as after a restart or a
+// partition, it also gets the crashes of this host's held traits. peer is nil if
 // the peer's digest is not known.
 func (r *Registry) Report(peer *uint64, now time.Time) Report {
 	report := Report{Digest: r.holds.Digest()}
@@ -68,10 +70,10 @@
 			report.Crashes = append(report.Crashes, c.report(now))
 		}
 	}
-	for part, answer := range r.answers {
+	for trait, answer := range r.answers {
 		if answer.sendsLeft > 0 && len(report.Answers) < maxReportEntries {
-			r.answers[part] = answerTime{answer.at, answer.sendsLeft - 1}
-			report.Answers = append(report.Answers, AnswerReport{part, now.Sub(answer.at)})
+			r.answers[trait] = answerTime{answer.at, answer.sendsLeft - 1}
+			report.Answers = append(report.Answers, AnswerReport{trait, now.Sub(answer.at)})
 		}
 	}
 	return report
@@ -79,11 +81,11 @@
 
 func (r *Registry) heldCrashes(now time.Time) []CrashReport {
 	var list []CrashReport
-	perPart := make(map[string]int)
+	perTrait := make(map[string]int)
 	for i := len(r.evidence) - 1; i >= 0 && len(list) < maxReportEntries; i-- {
 		c := r.evidence[i]
-		if _, held := r.holds[c.part]; held && perPart[c.part] < maxFullPerPart {
-			perPart[c.part]++
+		if _, held := r.holds[c.trait.ID]; held && perTrait[c.trait.ID] < maxFullPerTrait {
+			perTrait[c.trait.ID]++
 			list = append(list, c.report(now))
 		}
 	}
@@ -91,10 +93,12 @@
 }
 
 func (c evidence) report(now time.Time) CrashReport {
-	return CrashReport{Part: c.part, Depth: c.depth, Own: c.own, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
+	return CrashReport{Part: c.trait.ID, Depth: c.trait.Depth, Own: c.trait.Own, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
 }
 
-// Merge adds what a peer reports. It reports whether the held parts changed.
+func (c CrashReport) trait() Trait { return Trait{ID: c.Part, Depth: c.Depth, Own: c.Own} }
+
+// Merge adds what a peer reports. It reports whether the held traits changed.
 // Entries beyond maxReportEntries, and those with an impossible age, are ignored.
 func (r *Registry) Merge(report Report, now time.Time) bool {
 	changed := false
@@ -108,18 +112,11 @@
 			continue
 		}
 		changed = r.addCrash(evidence{
-			part: c.Part, depth: c.Depth, own: c.Own, upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sendsLeft: rumorSends,
+			trait: c.trait(), upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	return changed && r.decide()
 }
 
-// HeldParts returns the ids of the held parts in order, for logs.
-func (h Holds) HeldParts() []string {
-	parts := make([]string, 0, len(h))
-	for part := range h {
-		parts = append(parts, part)
-	}
-	slices.Sort(parts)
-	return parts
-}
+// HeldTraits returns the ids of the held traits in order, for logs.
+func (h Holds) HeldTraits() []string { return slices.Sorted(maps.Keys(h)) }
--- a/internal/decide/quarantine/saved_test.go
+++ b/internal/decide/quarantine/saved_test.go
@@ -19,7 +19,7 @@
 			next := New("h")
 			So(next.MergeSaved(killed.Suspicions(at(5)), at(5)), ShouldBeFalse)
 			crashOf(next, 6, "u3", "c", "dead")
-			So(next.Holds().HeldParts(), ShouldResemble, []string{"dead"})
+			So(next.Holds().HeldTraits(), ShouldResemble, []string{"dead"})
 		})
 		Convey("a held part is held at once, for as long as before", func() {
 			crashOf(killed, 3, "u3", "dead")
@@ -59,6 +59,6 @@
 		So(len(saved), ShouldEqual, maxSaved)
 		next := New("h")
 		next.MergeSaved(saved, at(100))
-		So(next.Holds().HeldParts(), ShouldResemble, []string{"dead"})
+		So(next.Holds().HeldTraits(), ShouldResemble, []string{"dead"})
 	})
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -74,7 +74,7 @@
 	title  string
 	fields []string
 }{
-	{"request", []string{"request", "route", "service", "team", "time_ms", "prompt_parts"}},
+	{"request", []string{"request", "route", "service", "team", "time_ms", "fingerprint", "prompt_parts"}},
 	{"configuration", []string{"config_version", "config_age_ms"}},
 	{"balance", []string{"balance", "reserved", "spent", "available", "unallocated", "elsewhere", "unsure", "prepaid", "store_away", "ledger_version", "owner"}},
 	{"attempts", []string{"attempts", "not_repeated"}},
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/peridotreel/peridotreel/internal/connpool"
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
@@ -63,10 +64,10 @@
 	Placed director.Placed
 	Events <-chan connpool.Event
 	// Fresh is true if the connection was established for this attempt.
-	Fresh   bool
-	request *gateway.Request
-	end     context.CancelFunc
-	filter  *Filter
+	Fresh  bool
+	traits []quarantine.Trait
+	end    context.CancelFunc
+	filter *Filter
 }
 
 // NotSentError is the error of an attempt for which no upstream was chosen.
@@ -83,13 +84,13 @@
 func (e *NotSentError) Error() string { return e.Reason }
 
 // notSent returns the error for a placement that found no upstream.
-func notSent(placed director.Placed) *NotSentError {
+func notSent(placed director.Placed, traits []quarantine.Trait) *NotSentError {
 	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, Reason: "no upstream is left to try"}
 	switch placed.Outcome {
 	case director.Held:
-		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold)
+		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold, traits)
 	case director.Suspected:
-		err.Kind, err.Reason = gateway.UpstreamBroke, "a part of the prompt was in flight at several crashes of upstreams"
+		err.Kind, err.Reason = gateway.UpstreamBroke, "the request, or a part of its prompt, was in flight at several crashes of upstreams"
 	case director.Limited:
 		err.Kind, err.Reason = gateway.Limited, "the upstreams take no further request for now"
 	case director.Saturated:
@@ -132,7 +133,7 @@
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
 			Prompt: matched.Request.Prompt, Objective: matched.Route.Objective, Excluded: plan.Excluded, Software: plan.Software,
 		},
-		First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
+		Traits: matched.Traits, First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 		BeginsResumable: matched.Route.Retry == gateway.StreamResumable && plan.Software == nil,
 		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
 	})
@@ -140,7 +141,7 @@
 		return nil, err
 	}
 	if placed.Outcome != director.Found {
-		return nil, notSent(placed)
+		return nil, notSent(placed, matched.Traits)
 	}
 	upstream := placed.Upstream
 	connection, fresh, err := f.Connections.Acquire(ctx, connpool.Target{
@@ -168,7 +169,7 @@
 		ID: matched.Request.ID, Method: matched.Request.Method, Payload: f.Encode(matched.Request, dispatch),
 		Events: events, Context: attemptCtx,
 	})
-	return &Sent{Placed: placed, Events: events, Fresh: fresh, request: matched.Request, end: end, filter: f}, nil
+	return &Sent{Placed: placed, Events: events, Fresh: fresh, traits: matched.Traits, end: end, filter: f}, nil
 }
 
 // Observe records a signal of the attempt. head is the head of the answer if it
@@ -176,7 +177,7 @@
 func (s *Sent) Observe(signal placement.Signal, head *gateway.AnswerHead) {
 	s.filter.Director.Observe(director.Observation{
 		Upstream: s.Placed.Upstream.ID, StartMillis: s.Placed.Upstream.StartMillis, Attempt: s.Placed.Attempt, Signal: signal, Head: head,
-		Prompt: s.request.Prompt,
+		Traits: s.traits,
 	})
 }
 
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -8,6 +8,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/matching"
+	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
 )
@@ -42,6 +43,8 @@
 	Team *gateway.Team
 	// Fingerprint identifies equal requests of the team.
 	Fingerprint string
+	// Traits are what the request has in common with others that may crash upstreams.
+	Traits []quarantine.Trait
 	// Urgency ranges from 0, the most urgent, to 9.
 	Urgency int
 	// Deadline is the caller's deadline or the end of the route's timeout,
@@ -83,6 +86,7 @@
 	}
 	matched.Service = service
 	matched.Fingerprint = request.Fingerprint(teamName(matched.Team))
+	matched.Traits = quarantine.TraitsOf(request.Prompt, matched.Fingerprint)
 	matched.Urgency = matching.Urgency(matched.Team, route)
 	if !request.Deadline.IsZero() && request.Deadline.Before(matched.Deadline) {
 		matched.Deadline = request.Deadline
--- a/internal/opaque/screen/screen.go
+++ b/internal/opaque/screen/screen.go
@@ -1,5 +1,5 @@
-// Package screen is the filter that refuses requests with a prompt part that
-// crashes upstreams, before they reserve tokens.
+// Package screen is the filter that refuses requests that crash upstreams, before
+// they reserve tokens.
 package screen
 
 import (
@@ -11,19 +11,23 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 )
 
-// Apply returns a *gateway.Refusal if a part of the request's prompt is held. A
-// part whose hold has ended passes; the director decides which host tries it. The
+// Apply returns a *gateway.Refusal if a trait of the request is held. One whose hold
+// has ended passes; the director decides which host tries it. The
 // delay is not limited to what callers respect: no earlier retry would be served.
 func Apply(matched *match.Matched, now time.Time) error {
-	hold, found := matched.ConfigState.Holds.Find(matched.Request.Prompt)
+	hold, found := matched.ConfigState.Holds.Find(matched.Traits)
 	if !found || !now.Before(hold.Until) {
 		return nil
 	}
-	return gateway.Refuse(gateway.Quarantined, hold.Until.Sub(now), "%s", Reason(hold))
+	return gateway.Refuse(gateway.Quarantined, hold.Until.Sub(now), "%s", Reason(hold, matched.Traits))
 }
 
-// Reason tells the caller why a request with a held part is refused.
-func Reason(hold quarantine.Hold) string {
+// Reason tells the caller why a request with a held trait is refused.
+func Reason(hold quarantine.Hold, traits []quarantine.Trait) string {
+	if hold.Trait == traits[len(traits)-1].ID {
+		return fmt.Sprintf("the request is quarantined: %d upstreams crashed while they ran it, in %d crashes; change the request, or retry later",
+			hold.Upstreams, hold.Crashes)
+	}
 	return fmt.Sprintf("prompt part %s is quarantined: %d upstreams crashed on requests with it, in %d crashes; change the prompt, or retry later",
-		hold.Part, hold.Upstreams, hold.Crashes)
+		hold.Trait, hold.Upstreams, hold.Crashes)
 }
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -51,7 +51,7 @@
 	// service when the list changes.
 	Listed func(map[core.ServiceName][]string)
 	// SuspicionsChanged is called when what is known of crashes of upstreams changes.
-	// repeated is true if a prompt part was in flight at crashes of several upstreams.
+	// repeated is true if a trait of requests was in flight at crashes of several upstreams.
 	SuspicionsChanged func(repeated bool)
 	// Dial connects to the address of an upstream and closes the connection. It
 	// tells whether an upstream that closed a connection has crashed.
@@ -115,7 +115,7 @@
 	// ShutdownAt is the latest time at which the process exits, zero if it is not
 	// shutting down.
 	ShutdownAt time.Time
-	// Holds are the prompt parts that crash upstreams.
+	// Holds are the traits of requests that crash upstreams.
 	Holds quarantine.Holds
 }
 
@@ -149,8 +149,8 @@
 	// Head is the head of the upstream's answer, nil if the signal does not come
 	// with one.
 	Head *gateway.AnswerHead
-	// Prompt is the prompt of the request, nil if it has none.
-	Prompt *gateway.Prompt
+	// Traits are those of the request.
+	Traits []quarantine.Trait
 }
 
 type offeredConfig struct {
@@ -317,7 +317,7 @@
 			d.observeHead(m, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
-		d.observePrompt(ctx, m, now)
+		d.observeTraits(ctx, m, now)
 	case crashChecked:
 		d.finishCrashCheck(m, now)
 	case confirmedSoftware:
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -15,6 +15,8 @@
 // PlacementRequest is a request for the upstream of an attempt.
 type PlacementRequest struct {
 	placement.Query
+	// Traits are what the request has in common with others that may crash upstreams.
+	Traits []quarantine.Trait
 	// Retry is true if an earlier attempt of the request may have reached an
 	// upstream.
 	Retry bool
@@ -43,11 +45,11 @@
 	// RetryBudgetExhausted means that the service's retry budget allows no further
 	// retry.
 	RetryBudgetExhausted
-	// Held means that a part of the prompt is quarantined, as described by
+	// Held means that a trait of the request is quarantined, as described by
 	// Placed.Hold.
 	Held
 	// Suspected means that the request is not repeated, because it may have crashed
-	// its upstream: a part of its prompt was in flight at another crash.
+	// its upstream: one of its traits was in flight at another crash.
 	Suspected
 	// Limited means that upstreams are left, but the request limits that they name
 	// allow this host no request now, or they want none for a time.
@@ -89,10 +91,10 @@
 	if request.First {
 		budget.RecordRequest(d.config.RetryBound, now)
 	}
-	if hold, retryAfter, held := d.held(request.Prompt, now); held {
+	if hold, retryAfter, held := d.held(request.Traits, now); held {
 		return Placed{Outcome: Held, Hold: hold, RetryAfter: retryAfter}
 	}
-	if request.ClosedEarly && d.quarantine.Suspects(request.Prompt, request.Excluded) {
+	if request.ClosedEarly && d.quarantine.Suspects(request.Traits, request.Excluded) {
 		return Placed{Outcome: Suspected}
 	}
 	request.Usable = func(id core.UpstreamID) bool {
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -13,7 +13,6 @@
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/rendezvous"
-	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
 const (
@@ -24,15 +23,15 @@
 	// upstream that is up accepts, and one that crashed refuses, within
 	// milliseconds; anything else is not a crash of the upstream alone.
 	crashCheckTimeout = 500 * time.Millisecond
-	// trialRetryAfter is the delay sent to callers while another host tries a part.
+	// trialRetryAfter is the delay sent to callers while another host tries a request.
 	trialRetryAfter = 2 * time.Second
 )
 
-// crashCheck is a check whether an upstream has crashed, with the prompts of this
-// host's requests whose connections it closed before answering.
+// crashCheck is a check whether an upstream has crashed, with the traits of each of
+// this host's requests whose connections it closed before answering.
 type crashCheck struct {
-	crash   quarantine.Crash
-	prompts []*gateway.Prompt
+	crash    quarantine.Crash
+	requests [][]quarantine.Trait
 }
 
 type crashChecked struct {
@@ -40,14 +39,11 @@
 	err      error
 }
 
-// observePrompt records what an attempt tells about the parts of its prompt.
-func (d *Director) observePrompt(ctx context.Context, m Observation, now time.Time) {
-	if m.Prompt == nil || len(m.Prompt.Parts) == 0 {
-		return
-	}
+// observeTraits records what an attempt tells about the traits of its request.
+func (d *Director) observeTraits(ctx context.Context, m Observation, now time.Time) {
 	if m.Signal == placement.Progressed || m.Signal == placement.Succeeded {
 		before := d.quarantine.Holds()
-		if d.quarantine.RecordAnswer(m.Prompt, now) {
+		if d.quarantine.RecordAnswer(m.Traits, now) {
 			d.logHolds(before, "own answer")
 			d.config.SuspicionsChanged(false)
 		}
@@ -62,7 +58,7 @@
 // crashed.
 func (d *Director) startCrashCheck(ctx context.Context, m Observation, now time.Time) {
 	if check, running := d.crashChecks[m.Upstream]; running {
-		check.prompts = append(check.prompts, m.Prompt)
+		check.requests = append(check.requests, m.Traits)
 		return
 	}
 	upstream, listed := d.roster.Upstream(m.Upstream)
@@ -70,7 +66,7 @@
 		return
 	}
 	d.crashChecks[m.Upstream] = &crashCheck{
-		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, prompts: []*gateway.Prompt{m.Prompt},
+		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, requests: [][]quarantine.Trait{m.Traits},
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
@@ -87,31 +83,31 @@
 		return
 	}
 	before := d.quarantine.Holds()
-	var parts []string
-	for _, prompt := range check.prompts {
-		d.quarantine.RecordCrash(prompt, check.crash, now)
-		for _, part := range prompt.Parts {
-			if !slices.Contains(parts, part.ID) {
-				parts = append(parts, part.ID)
+	var ids []string
+	for _, traits := range check.requests {
+		d.quarantine.RecordCrash(traits, check.crash, now)
+		for _, trait := range traits {
+			if !slices.Contains(ids, trait.ID) {
+				ids = append(ids, trait.ID)
 			}
 		}
 	}
 	d.config.Log.Warn("upstream crashed before it answered", zap.String("event", "upstream_crashed"), zap.String("upstream", string(m.upstream)),
-		zap.Int("unanswered", len(check.prompts)), zap.Strings("prompt_parts", parts))
+		zap.Int("unanswered", len(check.requests)), zap.Strings("traits", ids))
 	d.logHolds(before, "own crash")
 	d.config.SuspicionsChanged(d.quarantine.Repeated())
 }
 
-// held returns the hold of a part of the prompt and how long it lasts at least,
-// unless this request may try the part.
-func (d *Director) held(prompt *gateway.Prompt, now time.Time) (quarantine.Hold, time.Duration, bool) {
-	hold, found := d.quarantine.Holds().Find(prompt)
+// held returns the hold of one of a request's traits and how long it lasts at least,
+// unless this request may be sent as a trial.
+func (d *Director) held(traits []quarantine.Trait, now time.Time) (quarantine.Hold, time.Duration, bool) {
+	hold, found := d.quarantine.Holds().Find(traits)
 	if !found {
 		return quarantine.Hold{}, 0, false
 	}
-	rank := max(slices.Index(rendezvous.Rank(hold.Part, d.members), string(d.config.Host)), 0)
-	if d.quarantine.AllowTrial(hold.Part, rank, now) {
-		d.config.Log.Info("trying a quarantined prompt part", zap.String("event", "part_tried"), zap.String("part", hold.Part))
+	rank := max(slices.Index(rendezvous.Rank(hold.Trait, d.members), string(d.config.Host)), 0)
+	if d.quarantine.AllowTrial(hold.Trait, rank, now) {
+		d.config.Log.Info("trying a quarantined request", zap.String("event", "part_tried"), zap.String("part", hold.Trait))
 		return quarantine.Hold{}, 0, false
 	}
 	return hold, max(hold.Until.Sub(now), trialRetryAfter), true
@@ -124,19 +120,19 @@
 	}
 }
 
-// logHolds logs the parts that were held or released since before.
+// logHolds logs the traits that were held or released since before.
 func (d *Director) logHolds(before quarantine.Holds, source string) {
 	after := d.quarantine.Holds()
-	for part, hold := range after {
-		if _, held := before[part]; !held {
-			d.config.Log.Warn("prompt part quarantined", zap.String("event", "part_quarantined"), zap.String("part", part),
+	for trait, hold := range after {
+		if _, held := before[trait]; !held {
+			d.config.Log.Warn("requests quarantined", zap.String("event", "part_quarantined"), zap.String("part", trait),
 				zap.Int("crashes", hold.Crashes), zap.Int("upstreams", hold.Upstreams),
 				zap.Int64("held_ms", hold.Until.Sub(d.config.Now()).Milliseconds()), zap.String("source", source))
 		}
 	}
-	for part := range before {
-		if _, held := after[part]; !held {
-			d.config.Log.Info("prompt part released", zap.String("event", "part_released"), zap.String("part", part), zap.String("source", source))
+	for trait := range before {
+		if _, held := after[trait]; !held {
+			d.config.Log.Info("requests released from quarantine", zap.String("event", "part_released"), zap.String("part", trait), zap.String("source", source))
 		}
 	}
 }
