Count a repeat that crashes the next upstream as a crash by itself

Cause: crashes of several upstreams within 0.15 s count as one, since the loss of a rack is likelier than several requests. A request that is repeated at once crashes two upstreams in that time, so that 8 ended before it was held.

Change: a request that is sent after a crash with one of its own traits was known does not share that crash's cause; hosts tell each other.

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		same := slices.ContainsFunc(counted, func(known evidence) bool {
-			return sameCrash(known, c) || c.at.Sub(known.at).Abs() < simultaneousWindow
+			return sameCrash(known, c) || sameCause(c, known)
 		})
 		if same {
 			continue
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -118,6 +118,9 @@
 	At       time.Time
 	// SameZone is true if the host is in the upstream's zone.
 	SameZone bool
+	// Repeat is true if the request was sent after a crash with one of its own traits
+	// was known: what caused that crash cannot have caused this one too.
+	Repeat bool
 }
 
 // evidence is a crash of an upstream while a request with the trait was in flight
@@ -130,6 +133,7 @@
 	// upstream's zone.
 	origin   core.HostID
 	sameZone bool
+	repeat   bool
 	// sendsLeft is how many more times the crash is sent to a peer.
 	sendsLeft int
 }
@@ -169,7 +173,7 @@
 	for _, trait := range traits {
 		changed = r.addCrash(evidence{
 			trait: trait, upstream: observed.Upstream, at: observed.At,
-			origin: r.self, sameZone: observed.SameZone, sendsLeft: rumorSends,
+			origin: r.self, sameZone: observed.SameZone, repeat: observed.Repeat, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	if changed {
@@ -204,6 +208,12 @@
 	return false
 }
 
+// Repeats reports whether an own trait was in flight, without an answer since, at a
+// crash that is known.
+func (r *Registry) Repeats(traits []Trait) bool {
+	return slices.ContainsFunc(traits, func(trait Trait) bool { return trait.Own && r.suspected(trait.ID) })
+}
+
 // AllowTrial reports whether a request with a held trait may be sent, as a trial
 // whether it still crashes upstreams, and records the trial. rank is the position of
 // this host in an order of all hosts that depends on the trait. Hosts try one after
@@ -314,6 +324,13 @@
 	return a.upstream == b.upstream && a.at.Sub(b.at).Abs() < sameCrashWindow
 }
 
+// sameCause reports whether a record may have the cause of an earlier one, such as the
+// loss of a rack.
+func sameCause(c, earlier evidence) bool {
+	separate := c.repeat && c.trait.Own
+	return !separate && c.at.Sub(earlier.at) < simultaneousWindow
+}
+
 // Digest identifies the set of held traits, so that hosts notice cheaply that
 // theirs differ.
 func (h Holds) Digest() uint64 {
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -139,6 +139,26 @@
 			So(hosts[0].Holds(), ShouldBeEmpty)
 		})
 	})
+	Convey("A repeat that crashes the next upstream at once counts by itself", t, func() {
+		r, again := New("h"), TraitsOf(nil, "request-again")
+		for i := range crashesToHold {
+			now := at(0.05 * float64(i))
+			So(r.Repeats(again), ShouldEqual, i > 0)
+			r.RecordCrash(again, Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true, Repeat: r.Repeats(again)}, now)
+		}
+		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
+		other := New("other")
+		other.Merge(r.Report(nil, at(1)), at(1))
+		So(other.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
+	})
+	Convey("Equal requests at upstreams that are lost together are in one crash", t, func() {
+		r := New("h")
+		for i := range 6 {
+			now := at(0.02 * float64(i))
+			r.RecordCrash(TraitsOf(nil, "request-polled"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
+		}
+		So(r.Holds(), ShouldBeEmpty)
+	})
 	Convey("A service's only upstream suffices after more crashes, if no request was answered", t, func() {
 		r := New("h")
 		for i := range crossZoneCrashesToHold {
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -35,6 +35,8 @@
 	Origin core.HostID
 	// SameZone is true if that host is in the upstream's zone.
 	SameZone bool
+	// Repeat is that of Crash. Hosts of earlier versions do not send it.
+	Repeat bool
 }
 
 // AnswerReport tells a peer that a request with a trait was answered.
@@ -93,7 +95,7 @@
 }
 
 func (c evidence) report(now time.Time) CrashReport {
-	return CrashReport{Part: c.trait.ID, Depth: c.trait.Depth, Own: c.trait.Own, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone}
+	return CrashReport{Part: c.trait.ID, Depth: c.trait.Depth, Own: c.trait.Own, Upstream: c.upstream, Age: now.Sub(c.at), Origin: c.origin, SameZone: c.sameZone, Repeat: c.repeat}
 }
 
 func (c CrashReport) trait() Trait { return Trait{ID: c.Part, Depth: c.Depth, Own: c.Own} }
@@ -112,7 +114,7 @@
 			continue
 		}
 		changed = r.addCrash(evidence{
-			trait: c.trait(), upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, sendsLeft: rumorSends,
+			trait: c.trait(), upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, repeat: c.Repeat, sendsLeft: rumorSends,
 		}, now) || changed
 	}
 	return changed && r.decide()
--- a/internal/decide/quarantine/saved.go
+++ b/internal/decide/quarantine/saved.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		changed = r.addCrash(evidence{
-			trait: c.trait(), upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone,
+			trait: c.trait(), upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, repeat: c.Repeat,
 		}, now) || changed
 	}
 	return changed && r.decide()
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -177,7 +177,7 @@
 func (s *Sent) Observe(signal placement.Signal, head *gateway.AnswerHead) {
 	s.filter.Director.Observe(director.Observation{
 		Upstream: s.Placed.Upstream.ID, StartMillis: s.Placed.Upstream.StartMillis, Attempt: s.Placed.Attempt, Signal: signal, Head: head,
-		Traits: s.traits,
+		Traits: s.traits, Repeat: s.Placed.Repeat,
 	})
 }
 
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -151,6 +151,8 @@
 	Head *gateway.AnswerHead
 	// Traits are those of the request.
 	Traits []quarantine.Trait
+	// Repeat is that of Placed.
+	Repeat bool
 }
 
 type offeredConfig struct {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -68,6 +68,8 @@
 	Attempt uint64
 	// MaxConnections limits this host's connections to the upstream.
 	MaxConnections int
+	// Repeat is true if an equal request was in flight at a crash before.
+	Repeat bool
 	// Hold is set if Outcome is Held.
 	Hold quarantine.Hold
 	// RetryAfter is when a request may be sent at the earliest if Outcome is Held,
@@ -119,7 +121,7 @@
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
-	return Placed{Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service)}
+	return Placed{Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service), Repeat: d.quarantine.Repeats(request.Traits)}
 }
 
 // mayBegin reports whether a stream that callers may resume may begin at an upstream.
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -27,11 +27,17 @@
 	trialRetryAfter = 2 * time.Second
 )
 
-// crashCheck is a check whether an upstream has crashed, with the traits of each of
-// this host's requests whose connections it closed before answering.
+// crashCheck is a check whether an upstream has crashed, with this host's requests
+// whose connections it closed before answering.
 type crashCheck struct {
 	crash    quarantine.Crash
-	requests [][]quarantine.Trait
+	requests []lostRequest
+}
+
+// lostRequest is a request whose connection was closed before it was answered.
+type lostRequest struct {
+	traits []quarantine.Trait
+	repeat bool
 }
 
 type crashChecked struct {
@@ -58,7 +64,7 @@
 // crashed.
 func (d *Director) startCrashCheck(ctx context.Context, m Observation, now time.Time) {
 	if check, running := d.crashChecks[m.Upstream]; running {
-		check.requests = append(check.requests, m.Traits)
+		check.requests = append(check.requests, lostRequest{m.Traits, m.Repeat})
 		return
 	}
 	upstream, listed := d.roster.Upstream(m.Upstream)
@@ -66,7 +72,7 @@
 		return
 	}
 	d.crashChecks[m.Upstream] = &crashCheck{
-		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, requests: [][]quarantine.Trait{m.Traits},
+		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, requests: []lostRequest{{m.Traits, m.Repeat}},
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
@@ -84,9 +90,11 @@
 	}
 	before := d.quarantine.Holds()
 	var ids []string
-	for _, traits := range check.requests {
-		d.quarantine.RecordCrash(traits, check.crash, now)
-		for _, trait := range traits {
+	for _, request := range check.requests {
+		crash := check.crash
+		crash.Repeat = request.repeat
+		d.quarantine.RecordCrash(request.traits, crash, now)
+		for _, trait := range request.traits {
 			if !slices.Contains(ids, trait.ID) {
 				ids = append(ids, trait.ID)
 			}
--- a/internal/tasks/holds/row.go
+++ b/internal/tasks/holds/row.go
@@ -19,13 +19,14 @@
 	At       int64       `json:"t"`
 	Origin   core.HostID `json:"o"`
 	SameZone bool        `json:"z,omitempty"`
+	Repeat   bool        `json:"r,omitempty"`
 }
 
 // encodeRow encodes crashes whose ages are those at a time of the store's clock.
 func encodeRow(crashes []quarantine.CrashReport, clock time.Duration) ([]byte, error) {
 	saved := make([]savedCrash, len(crashes))
 	for i, c := range crashes {
-		saved[i] = savedCrash{c.Part, c.Depth, c.Own, c.Upstream, (clock - c.Age).Milliseconds(), c.Origin, c.SameZone}
+		saved[i] = savedCrash{c.Part, c.Depth, c.Own, c.Upstream, (clock - c.Age).Milliseconds(), c.Origin, c.SameZone, c.Repeat}
 	}
 	raw, err := json.Marshal(saved)
 	if err != nil {
@@ -44,7 +45,7 @@
 	crashes := make([]quarantine.CrashReport, len(saved))
 	for i, c := range saved {
 		age := max(clock-time.Duration(c.At)*time.Millisecond, 0)
-		crashes[i] = quarantine.CrashReport{Part: c.Part, Depth: c.Depth, Own: c.Own, Upstream: c.Upstream, Age: age, Origin: c.Origin, SameZone: c.SameZone}
+		crashes[i] = quarantine.CrashReport{Part: c.Part, Depth: c.Depth, Own: c.Own, Upstream: c.Upstream, Age: age, Origin: c.Origin, SameZone: c.SameZone, Repeat: c.Repeat}
 	}
 	return crashes, nil
 }
