Take streams of a stopping host while the balancer still sends callers to it

Many callers return only once, and met balances or hosts that rejected them again.

Change: until the balancer has noticed the stop, a stream is taken if most are finished in time, as before; all other requests, and streams after that, only if their time is up before.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -64,7 +64,8 @@
 	defer cancel()
 	e.readiness.draining.Store(true)
 	e.front.Drain()
-	e.director.SetShutdown(e.options.Now().Add(grace - exitMargin))
+	now := e.options.Now()
+	e.director.SetShutdown(now.Add(grace-exitMargin), now.Add(balancerWait))
 	e.handOverBalances()
 	// If ctx ends first, CloseIdle reports it.
 	_ = task.Sleep(ctx, balancerWait)
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -24,6 +24,9 @@
 	staleConfigAge = 2500 * time.Millisecond
 )
 
+// typicalStreamTime is how long most streams take.
+const typicalStreamTime = 4 * time.Second
+
 // DrainRetryAfter is the retry delay given by a host that shuts down too soon for a
 // request. It is short, as the retry reaches another host.
 const DrainRetryAfter = 50 * time.Millisecond
@@ -91,8 +94,7 @@
 	if !request.Deadline.IsZero() && request.Deadline.Before(matched.Deadline) {
 		matched.Deadline = request.Deadline
 	}
-	// A request that may take longer than the host has is better served by another.
-	if !state.ShutdownAt.IsZero() && matched.Deadline.After(state.ShutdownAt) {
+	if stopsTooSoon(state, matched) {
 		return nil, gateway.Refuse(gateway.Draining, DrainRetryAfter, "this host stops in %s, before the request's time is up; send it again, which reaches another host",
 			state.ShutdownAt.Sub(request.Arrived).Round(time.Millisecond))
 	}
@@ -106,6 +108,23 @@
 	return team.Name
 }
 
+// stopsTooSoon reports whether the host stops before a request may be finished. While
+// the balancer still sends callers here, a stream is taken if most are finished in time:
+// many callers return only once, and their streams would mostly be refused for the sake
+// of the few that last longer.
+func stopsTooSoon(state director.ConfigState, matched *Matched) bool {
+	if state.ShutdownAt.IsZero() {
+		return false
+	}
+	finished := matched.Deadline
+	if arrived := matched.Request.Arrived; matched.Route.Retry.Stream() && arrived.Before(state.ShutdownNoticed) {
+		if typical := arrived.Add(typicalStreamTime); typical.Before(finished) {
+			finished = typical
+		}
+	}
+	return finished.After(state.ShutdownAt)
+}
+
 // refuseUnknown returns a permanent refusal, or a temporary one if the
 // configuration may be outdated.
 func refuseUnknown(state director.ConfigState, kind gateway.RefusalKind, message string) error {
--- a/internal/opaque/match/match_test.go
+++ b/internal/opaque/match/match_test.go
@@ -34,9 +34,21 @@
 					{Name: "chat", Host: "h", Prefix: "/chat/", Retry: gateway.StreamOnce, Timeout: timeout, Objective: 100 * time.Millisecond, Services: []gateway.WeightedService{{Service: "s", Weight: 1}}},
 				},
 			},
-			ShutdownAt: now.Add(4 * time.Second),
+			ShutdownAt: now.Add(4 * time.Second), ShutdownNoticed: now,
 		}
 		filter := &Filter{ConfigSource: fixedConfig(state)}
+		Convey("it takes a stream that most likely ends in time while callers are still sent to it", func() {
+			state.ShutdownAt, state.ShutdownNoticed = now.Add(typicalStreamTime), now.Add(time.Millisecond)
+			filter := &Filter{ConfigSource: fixedConfig(state)}
+			_, err := filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: "/chat/x", Arrived: now})
+			So(err, ShouldBeNil)
+			_, err = filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: "/pay/x", Arrived: now})
+			So(err, ShouldNotBeNil)
+			state.ShutdownAt = state.ShutdownAt.Add(-time.Millisecond)
+			filter.ConfigSource = fixedConfig(state)
+			_, err = filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: "/chat/x", Arrived: now})
+			So(err, ShouldNotBeNil)
+		})
 		for _, target := range []string{"/pay/x", "/chat/x"} {
 			request := &gateway.Request{ID: "id", Host: "h", Target: target, Arrived: now}
 			Convey("it takes a request to "+target+" whose time is up before", func() {
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -91,9 +91,10 @@
 	members     []string
 	lastAttempt uint64
 	// refused counts requests that were told when to return.
-	refused    uint64
-	shutdownAt time.Time
-	expiry     *time.Timer
+	refused         uint64
+	shutdownAt      time.Time
+	shutdownNoticed time.Time
+	expiry          *time.Timer
 }
 
 // New returns a director.
@@ -113,8 +114,9 @@
 	// Age is the time since the configuration was last known to be the latest.
 	Age time.Duration
 	// ShutdownAt is the latest time at which the process exits, zero if it is not
-	// shutting down.
-	ShutdownAt time.Time
+	// shutting down. From ShutdownNoticed on, callers find other hosts.
+	ShutdownAt      time.Time
+	ShutdownNoticed time.Time
 	// Holds are the traits of requests that crash upstreams.
 	Holds quarantine.Holds
 }
@@ -129,7 +131,7 @@
 	reply   chan<- []quarantine.CrashReport
 }
 
-type setShutdown struct{ at time.Time }
+type setShutdown struct{ at, noticed time.Time }
 
 type getConfig struct{ reply chan<- ConfigState }
 
@@ -252,8 +254,11 @@
 	_ = d.inbox.Send(context.Background(), offeredUpstreams{rows, revision})
 }
 
-// SetShutdown sets the latest time at which the process exits.
-func (d *Director) SetShutdown(at time.Time) { _ = d.inbox.Send(context.Background(), setShutdown{at}) }
+// SetShutdown sets the latest time at which the process exits, and the time at which
+// the balancer has noticed that it does.
+func (d *Director) SetShutdown(at, noticed time.Time) {
+	_ = d.inbox.Send(context.Background(), setShutdown{at, noticed})
+}
 
 // SetHosts sets the number of hosts that share the retry budgets and connections,
 // and those of them that are not leaving.
@@ -309,9 +314,9 @@
 	now := d.config.Now()
 	switch m := message.(type) {
 	case getConfig:
-		m.reply <- ConfigState{Config: d.activeConfig, Age: now.Sub(d.configConfirmed), ShutdownAt: d.shutdownAt, Holds: d.quarantine.Holds()}
+		m.reply <- ConfigState{Config: d.activeConfig, Age: now.Sub(d.configConfirmed), ShutdownAt: d.shutdownAt, ShutdownNoticed: d.shutdownNoticed, Holds: d.quarantine.Holds()}
 	case setShutdown:
-		d.shutdownAt = m.at
+		d.shutdownAt, d.shutdownNoticed = m.at, m.noticed
 	case placeAttempt:
 		m.reply <- d.place(m.request, now)
 	case Observation:
