Prefer a single request to shared parts that explain as many crashes

Cause: of traits that explain the same crashes, the deepest is held. A request without a prompt has depth 0, so that a shared part which waited beside it at each crash was held instead, and with it all requests that share the part.

Change: traits of a single request come first.

Measured: the new part of TestARequestWithoutAPromptIsHeldByItsFingerprint failed before (c was held).

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -10,8 +10,7 @@
 
 // suspect is a trait with the crashes that speak against it.
 type suspect struct {
-	trait string
-	depth int
+	trait Trait
 	// answered is true if a request with the trait was answered before.
 	answered  bool
 	crashes   int
@@ -32,10 +31,10 @@
 		if !found {
 			break
 		}
-		holds[worst.trait] = Hold{
-			Trait: worst.trait, Until: worst.latest.Add(holdTime(worst.crashes)), Crashes: worst.crashes, Upstreams: worst.upstreams,
+		holds[worst.trait.ID] = Hold{
+			Trait: worst.trait.ID, Until: worst.latest.Add(holdTime(worst.crashes)), Crashes: worst.crashes, Upstreams: worst.upstreams,
 		}
-		explained := slices.DeleteFunc(slices.Clone(remaining), func(c evidence) bool { return c.trait.ID != worst.trait })
+		explained := slices.DeleteFunc(slices.Clone(remaining), func(c evidence) bool { return c.trait.ID != worst.trait.ID })
 		remaining = slices.DeleteFunc(remaining, func(c evidence) bool {
 			return slices.ContainsFunc(explained, func(e evidence) bool { return sameCrash(c, e) })
 		})
@@ -56,8 +55,8 @@
 }
 
 // worstSuspect returns the trait with the most crashes, if they suffice to hold it.
-// Of equals, it prefers one that was never answered, then the deepest: holding
-// that one affects the fewest requests.
+// Of equals, it prefers one that was never answered, then one of a single request, then
+// the deepest: holding that one affects the fewest requests.
 func (r *Registry) worstSuspect(crashes []evidence) (suspect, bool) {
 	byTrait := make(map[string][]evidence)
 	for _, c := range crashes {
@@ -71,21 +70,25 @@
 		}
 		_, answered := r.answers[trait]
 		suspects = append(suspects, suspect{
-			trait: trait, depth: records[0].trait.Depth, answered: answered, crashes: counted, upstreams: upstreams, latest: records[len(records)-1].at,
+			trait: records[0].trait, answered: answered, crashes: counted, upstreams: upstreams, latest: records[len(records)-1].at,
 		})
 	}
 	if len(suspects) == 0 {
 		return suspect{}, false
 	}
 	rank := func(s suspect) int {
-		if s.answered {
+		switch {
+		case s.answered:
+			return 2
+		case s.trait.Own:
+			return 0
+		default:
 			return 1
 		}
-		return 0
 	}
 	return slices.MinFunc(suspects, func(a, b suspect) int {
 		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(rank(a), rank(b)),
-			cmp.Compare(b.depth, a.depth), cmp.Compare(a.trait, b.trait))
+			cmp.Compare(b.trait.Depth, a.trait.Depth), cmp.Compare(a.trait.ID, b.trait.ID))
 	}), true
 }
 
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -159,6 +159,16 @@
 		}
 		So(r.Holds(), ShouldBeEmpty)
 	})
+	Convey("It is held rather than a part that was in flight beside it, at any depth", t, func() {
+		r := New("h")
+		for i := range crashesToHold {
+			now := at(float64(5 * i))
+			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}
+			r.RecordCrash(TraitsOf(nil, "request-again"), crash, now)
+			r.RecordCrash(promptOf("a", "b", "c"), crash, now)
+		}
+		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
+	})
 	Convey("A service's only upstream suffices after more crashes, if no request was answered", t, func() {
 		r := New("h")
 		for i := range crossZoneCrashesToHold {
