Keep and send records of repeated crashes first, and fewer of shared parts

Cause: a host keeps a bounded number of records of crashes and forgot the oldest first; each host from which a shared part was in flight adds a record of the same crash. Where many requests wait at an upstream that crashes, the crashes of the request that causes them were forgotten, or sent too late, before the third.

Change: of one crash and trait the records of three hosts are kept, the same ones everywhere; traits that were in flight at one crash are forgotten first and sent last; reports hold 96 records (32 before), hosts 1,024 (512).

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,9 +50,14 @@
 	// trialSpacing is the time between the trials of two hosts, and of one host.
 	// A trial ends within a second, and its result reaches most hosts in another.
 	trialSpacing = 2 * time.Second
-	// maxCrashes and maxAnswers bound what a host remembers.
-	maxCrashes = 512
+	// maxCrashes and maxAnswers bound what a host remembers. An upstream that crashes
+	// while 128 requests wait for it leaves some 300 records of crashes.
+	maxCrashes = 1024
 	maxAnswers = 8192
+	// maxWitnesses is the number of hosts whose records of one crash are kept for a
+	// trait, since a part that many requests share was in flight from all hosts. Of one
+	// host, fewer than crashesToHold records count.
+	maxWitnesses = crashesToHold
 	// answerTTL is how long an answer is remembered while no crash involves its
 	// trait.
 	answerTTL = 30 * time.Second
@@ -149,8 +155,10 @@
 type Registry struct {
 	self     core.HostID
 	evidence []evidence
-	answers  map[string]answerTime
-	holds    Holds
+	// records is the number of records of each trait in evidence.
+	records map[string]int
+	answers map[string]answerTime
+	holds   Holds
 	// trials is when this host last let a request with a held trait through.
 	trials map[string]time.Time
 	// nextFull is when a peer that holds other traits is next sent all crashes of
@@ -160,7 +168,7 @@
 
 // New returns the registry of a host.
 func New(self core.HostID) *Registry {
-	return &Registry{self: self, answers: make(map[string]answerTime), trials: make(map[string]time.Time)}
+	return &Registry{self: self, records: make(map[string]int), answers: make(map[string]answerTime), trials: make(map[string]time.Time)}
 }
 
 // Holds returns the traits that are held.
@@ -201,7 +209,7 @@
 // at a crash of an upstream other than those given.
 func (r *Registry) Suspects(traits []Trait, except []core.UpstreamID) bool {
 	for _, trait := range traits {
-		if slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait.ID && !slices.Contains(except, c.upstream) }) {
+		if r.suspected(trait.ID) && slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait.ID && !slices.Contains(except, c.upstream) }) {
 			return true
 		}
 	}
@@ -233,7 +241,7 @@
 // Expire forgets what is too old. It reports whether the held traits changed.
 func (r *Registry) Expire(now time.Time) bool {
 	before := len(r.evidence)
-	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return now.Sub(c.at) > crashTTL })
+	r.forget(func(c evidence) bool { return now.Sub(c.at) > crashTTL })
 	for trait, answer := range r.answers {
 		if now.Sub(answer.at) > answerTTL && !r.suspected(trait) {
 			delete(r.answers, trait)
@@ -253,28 +261,92 @@
 		r.answers[c.trait.ID] = answerTime{answer.at, rumorSends}
 		return false
 	}
-	for _, known := range r.evidence {
-		if known.trait.ID == c.trait.ID && known.origin == c.origin && sameCrash(known, c) {
-			return false
-		}
+	if added, known := r.addWitness(c); known {
+		return added
 	}
 	if len(r.evidence) >= maxCrashes {
 		r.dropOldest()
 	}
 	r.evidence = append(r.evidence, c)
+	r.records[c.trait.ID]++
 	return true
 }
 
-// dropOldest forgets the oldest crash whose trait is not held, or the oldest of all.
+// addWitness replaces a record of the same crash by one that counts before it, if the
+// crash has enough records. known is false if the record is still to be added.
+func (r *Registry) addWitness(c evidence) (added, known bool) {
+	if !r.suspected(c.trait.ID) {
+		return false, false
+	}
+	witnesses, last := 0, -1
+	for i, other := range r.evidence {
+		if other.trait.ID != c.trait.ID || !sameCrash(other, c) {
+			continue
+		}
+		if other.origin == c.origin {
+			return false, true
+		}
+		witnesses++
+		if last < 0 || compareWitnesses(other, r.evidence[last]) > 0 {
+			last = i
+		}
+	}
+	if witnesses < maxWitnesses {
+		return false, false
+	}
+	if compareWitnesses(c, r.evidence[last]) >= 0 {
+		return false, true
+	}
+	r.evidence[last] = c
+	return true, true
+}
+
+// compareWitnesses orders records of a crash by how much they count, so that all hosts
+// keep the same ones.
+func compareWitnesses(a, b evidence) int {
+	if a.sameZone != b.sameZone {
+		if a.sameZone {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin))
+}
+
+// dropOldest forgets the oldest record of a trait that has no other; if there is none,
+// the oldest of a trait that is not held, or the oldest of all.
 func (r *Registry) dropOldest() {
-	oldest := -1
+	rank := func(c evidence) int {
+		if _, held := r.holds[c.trait.ID]; held {
+			return 2
+		}
+		return min(r.records[c.trait.ID]-1, 1)
+	}
+	oldest := 0
 	for i, c := range r.evidence {
-		_, held := r.holds[c.trait.ID]
-		if !held && (oldest < 0 || c.at.Before(r.evidence[oldest].at)) {
+		if cmp.Or(cmp.Compare(rank(c), rank(r.evidence[oldest])), c.at.Compare(r.evidence[oldest].at)) < 0 {
 			oldest = i
 		}
 	}
-	r.evidence = slices.Delete(r.evidence, max(oldest, 0), max(oldest, 0)+1)
+	r.uncount(r.evidence[oldest].trait.ID)
+	r.evidence = slices.Delete(r.evidence, oldest, oldest+1)
+}
+
+// forget deletes the records for which remove returns true.
+func (r *Registry) forget(remove func(evidence) bool) {
+	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool {
+		if !remove(c) {
+			return false
+		}
+		r.uncount(c.trait.ID)
+		return true
+	})
+}
+
+func (r *Registry) uncount(trait string) {
+	if r.records[trait]--; r.records[trait] <= 0 {
+		delete(r.records, trait)
+	}
 }
 
 // addAnswer stores the time of an answer and forgets the crashes that it clears.
@@ -287,7 +359,9 @@
 		r.dropAnswers(now)
 	}
 	before := len(r.evidence)
-	r.evidence = slices.DeleteFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait && !c.at.After(at) })
+	if r.suspected(trait) {
+		r.forget(func(c evidence) bool { return c.trait.ID == trait && !c.at.After(at) })
+	}
 	cleared := before != len(r.evidence)
 	answer := answerTime{at: at}
 	if cleared {
@@ -315,9 +389,7 @@
 	}
 }
 
-func (r *Registry) suspected(trait string) bool {
-	return slices.ContainsFunc(r.evidence, func(c evidence) bool { return c.trait.ID == trait })
-}
+func (r *Registry) suspected(trait string) bool { return r.records[trait] > 0 }
 
 // sameCrash reports whether two records are about the same crash of an upstream.
 func sameCrash(a, b evidence) bool {
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -396,6 +396,37 @@
 	}
 }
 
+// Guards against losing the crashes of the request that causes them among those of the
+// many that were waiting beside it at a large upstream: what a host remembers and sends
+// is bounded.
+func TestARequestIsHeldAmongManyThatWaitBesideIt(t *testing.T) {
+	for size, loads := range map[int][]int{9: {16, 128}, 91: {64}, 330: {32}} {
+		for _, waiting := range loads {
+			Convey(fmt.Sprintf("Given %d hosts, and %d requests that wait at each upstream that crashes", size, waiting), t, func() {
+				f := newFleet(size, uint64(size))
+				for i := range crashesToHold {
+					crashed := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: f.now, SameZone: i == 0}
+					for n := range waiting {
+						f.hosts[f.random.IntN(size)].RecordCrash(promptOf(fmt.Sprint("a", n%4), fmt.Sprint("b", n%16)), crashed, f.now)
+					}
+					f.hosts[(7*i)%size].RecordCrash(TraitsOf(nil, "request-deadly"), crashed, f.now)
+					for range 5 {
+						f.round()
+					}
+				}
+				for range 2 { // with the rounds before 2.8 s; the platform allows 3 s
+					f.round()
+				}
+				So(f.holding("request-deadly"), ShouldEqual, size)
+				So(f.most, ShouldBeLessThanOrEqualTo, maxReportEntries)
+				for _, host := range f.hosts {
+					So(len(host.evidence), ShouldBeLessThanOrEqualTo, maxCrashes)
+				}
+			})
+		}
+	}
+}
+
 // Guards against hosts that disagree because they learned of the same crashes and
 // answers in another order.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,7 +15,7 @@
 	rumorSends = 6
 	// maxReportEntries bounds the crashes, and the answers, in one report. A crash
 	// takes about 60 bytes.
-	maxReportEntries = 32
+	maxReportEntries = 96
 	// fullInterval is the minimum time between two reports with all crashes of the
 	// held traits.
 	fullInterval = time.Second
@@ -65,12 +66,10 @@
 		r.nextFull = now.Add(fullInterval)
 		report.Crashes = r.heldCrashes(now)
 	}
-	for i := range r.evidence {
-		c := &r.evidence[i]
-		if c.sendsLeft > 0 && len(report.Crashes) < maxReportEntries {
-			c.sendsLeft--
-			report.Crashes = append(report.Crashes, c.report(now))
-		}
+	news := r.news()
+	for _, c := range news[:min(len(news), maxReportEntries-len(report.Crashes))] {
+		c.sendsLeft--
+		report.Crashes = append(report.Crashes, c.report(now))
 	}
 	for trait, answer := range r.answers {
 		if answer.sendsLeft > 0 && len(report.Answers) < maxReportEntries {
@@ -81,6 +80,34 @@
 	return report
 }
 
+// news returns the records that were not passed on often enough: first those of traits
+// that were in flight at crashes of several upstreams, then those sent least often.
+func (r *Registry) news() []*evidence {
+	var news []*evidence
+	first, repeated := make(map[string]core.UpstreamID), make(map[string]bool)
+	for i := range r.evidence {
+		c := &r.evidence[i]
+		if upstream, found := first[c.trait.ID]; !found {
+			first[c.trait.ID] = c.upstream
+		} else if upstream != c.upstream {
+			repeated[c.trait.ID] = true
+		}
+		if c.sendsLeft > 0 {
+			news = append(news, c)
+		}
+	}
+	slices.SortStableFunc(news, func(a, b *evidence) int {
+		if repeated[a.trait.ID] != repeated[b.trait.ID] {
+			if repeated[a.trait.ID] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.sendsLeft, a.sendsLeft)
+	})
+	return news
+}
+
 func (r *Registry) heldCrashes(now time.Time) []CrashReport {
 	var list []CrashReport
 	perTrait := make(map[string]int)
