Know requests with prompts by their parts alone

Cause: a fingerprint was a trait of each request. The prompt travels in the head, so that requests of a team to one path may have equal bodies and nothing else in common; a part that crashes upstreams had all of them held. On public routes equal requests may be of different callers, and one host's word held them.

Change: a request has a fingerprint as its trait only if its prompt has no parts, and it is not the request's own on public routes.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -78,18 +78,19 @@
 	Own bool
 }
 
-// TraitsOf returns the traits of a request: the parts of its prompt, which may be nil,
-// and its fingerprint. The last part is that of the request or of its session.
-func TraitsOf(prompt *gateway.Prompt, fingerprint string) []Trait {
-	var parts []gateway.PromptPart
-	if prompt != nil {
-		parts = prompt.Parts
-	}
-	traits := make([]Trait, 0, len(parts)+1)
-	for depth, part := range parts {
-		traits = append(traits, Trait{ID: part.ID, Depth: depth, Own: depth == len(parts)-1})
-	}
-	return append(traits, Trait{ID: fingerprint, Depth: len(parts), Own: true})
+// TraitsOf returns the traits of a request: the parts of its prompt, of which the last
+// is that of the request or of its session, or its fingerprint if it has none. prompt may
+// be nil. public is true if the caller is not known, so that requests with equal
+// fingerprints may be of different callers.
+func TraitsOf(prompt *gateway.Prompt, fingerprint string, public bool) []Trait {
+	if prompt == nil || len(prompt.Parts) == 0 {
+		return []Trait{{ID: fingerprint, Own: !public}}
+	}
+	traits := make([]Trait, len(prompt.Parts))
+	for depth, part := range prompt.Parts {
+		traits[depth] = Trait{ID: part.ID, Depth: depth, Own: depth == len(prompt.Parts)-1}
+	}
+	return traits
 }
 
 // Hold describes a trait that is held.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -34,9 +34,12 @@
 	for _, id := range append(shared, own) {
 		prompt.Parts = append(prompt.Parts, gateway.PromptPart{ID: id, Tokens: 1})
 	}
-	return TraitsOf(prompt, fmt.Sprint("request-", prompts.Add(1)))
+	return TraitsOf(prompt, "", false)
 }
 
+// plain returns the traits of a request without a prompt.
+func plain(fingerprint string) []Trait { return TraitsOf(nil, fingerprint, false) }
+
 func crashOf(r *Registry, second float64, upstream string, shared ...string) {
 	r.RecordCrash(promptOf(shared...), Crash{Upstream: core.UpstreamID(upstream), At: at(second), SameZone: true}, at(second))
 }
@@ -118,12 +121,12 @@
 func TestARequestWithoutAPromptIsHeldByItsFingerprint(t *testing.T) {
 	Convey("Given equal requests that crash upstreams at three hosts", t, func() {
 		hosts := []*Registry{New("h1"), New("h2"), New("h3")}
-		again := TraitsOf(nil, "request-again")
+		again := plain("request-again")
 		for i, host := range hosts {
 			now := at(float64(2 * i))
 			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: i == 0}
 			host.RecordCrash(again, crash, now)
-			host.RecordCrash(TraitsOf(nil, fmt.Sprint("request-beside-", i)), crash, now)
+			host.RecordCrash(plain(fmt.Sprint("request-beside-", i)), crash, now)
 			for _, other := range hosts {
 				other.Merge(host.Report(nil, now), now)
 			}
@@ -131,7 +134,7 @@
 		for _, host := range hosts {
 			So(host.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
 			So(host.Suspects(again, nil), ShouldBeTrue)
-			_, found := host.Holds().Find(TraitsOf(nil, "request-other"))
+			_, found := host.Holds().Find(plain("request-other"))
 			So(found, ShouldBeFalse)
 		}
 		Convey("an answer releases it", func() {
@@ -140,7 +143,7 @@
 		})
 	})
 	Convey("A repeat that crashes the next upstream at once counts by itself", t, func() {
-		r, again := New("h"), TraitsOf(nil, "request-again")
+		r, again := New("h"), plain("request-again")
 		for i := range crashesToHold {
 			now := at(0.05 * float64(i))
 			So(r.Repeats(again), ShouldEqual, i > 0)
@@ -155,7 +158,7 @@
 		r := New("h")
 		for i := range 6 {
 			now := at(0.02 * float64(i))
-			r.RecordCrash(TraitsOf(nil, "request-polled"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
+			r.RecordCrash(plain("request-polled"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
 		}
 		So(r.Holds(), ShouldBeEmpty)
 	})
@@ -164,7 +167,7 @@
 		for i := range crashesToHold {
 			now := at(float64(5 * i))
 			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}
-			r.RecordCrash(TraitsOf(nil, "request-again"), crash, now)
+			r.RecordCrash(plain("request-again"), crash, now)
 			r.RecordCrash(promptOf("a", "b", "c"), crash, now)
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
@@ -174,14 +177,43 @@
 		for i := range crossZoneCrashesToHold {
 			So(r.Holds(), ShouldBeEmpty)
 			now := at(float64(5 * i))
-			r.RecordCrash(TraitsOf(nil, "request-again"), Crash{Upstream: "only", At: now}, now)
-			r.RecordCrash(TraitsOf(nil, "request-polled"), Crash{Upstream: "only", At: now}, now)
-			r.RecordAnswer(TraitsOf(nil, "request-polled"), now.Add(time.Second))
+			r.RecordCrash(plain("request-again"), Crash{Upstream: "only", At: now}, now)
+			r.RecordCrash(plain("request-polled"), Crash{Upstream: "only", At: now}, now)
+			r.RecordAnswer(plain("request-polled"), now.Add(time.Second))
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
 	})
 }
 
+// Guards against holding a team's requests to a path because one part of a prompt crashes
+// upstreams: their bodies may be equal, as the prompt is not in the body.
+func TestRequestsWithPromptsAreKnownByTheirParts(t *testing.T) {
+	Convey("Given requests with equal fingerprints, three of which crash upstreams by a part", t, func() {
+		r := New("h")
+		prompt := func(ids ...string) *gateway.Prompt {
+			prompt := &gateway.Prompt{}
+			for _, id := range ids {
+				prompt.Parts = append(prompt.Parts, gateway.PromptPart{ID: id, Tokens: 1})
+			}
+			return prompt
+		}
+		for i := range crashesToHold {
+			now := at(float64(5 * i))
+			r.RecordCrash(TraitsOf(prompt("a", "deadly", fmt.Sprint("own", i)), "request-equal", false), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
+		}
+		So(r.Holds().HeldTraits(), ShouldResemble, []string{"deadly"})
+		_, found := r.Holds().Find(TraitsOf(prompt("b", "own"), "request-equal", false))
+		So(found, ShouldBeFalse)
+	})
+	Convey("Of callers that are not known, one host's word does not hold a request", t, func() {
+		r := New("h")
+		for i := range crashesToHold {
+			r.Merge(Report{Crashes: []CrashReport{{Part: "request-public", Own: TraitsOf(nil, "request-public", true)[0].Own, Upstream: core.UpstreamID(fmt.Sprint("u", i)), Origin: "other", SameZone: true}}}, at(float64(5*i)))
+		}
+		So(r.Holds(), ShouldBeEmpty)
+	})
+}
+
 // Guards against repeating a request that may have crashed upstreams before, and
 // against not repeating one whose parts were answered.
 func TestSuspects(t *testing.T) {
@@ -409,7 +441,7 @@
 					for n := range waiting {
 						f.hosts[f.random.IntN(size)].RecordCrash(promptOf(fmt.Sprint("a", n%4), fmt.Sprint("b", n%16)), crashed, f.now)
 					}
-					f.hosts[(7*i)%size].RecordCrash(TraitsOf(nil, "request-deadly"), crashed, f.now)
+					f.hosts[(7*i)%size].RecordCrash(plain("request-deadly"), crashed, f.now)
 					for range 5 {
 						f.round()
 					}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -69,10 +70,14 @@
 const fingerprintPrefix = "request-"
 
 // Fingerprint returns an id that requests of a team have in common if their method,
-// host, target and body are equal. team is "" on public routes.
+// host, target, body and prompt are equal. team is "" on public routes.
 func (r *Request) Fingerprint(team core.TeamName) string {
+	texts := [][]byte{[]byte(team), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body}
+	if r.Prompt != nil {
+		texts = append(texts, fmt.Append(nil, *r.Prompt))
+	}
 	hash := sha256.New()
-	for _, text := range [][]byte{[]byte(team), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+	for _, text := range texts {
 		hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
 		hash.Write(text)
 	}
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -84,11 +84,11 @@
 func (e *NotSentError) Error() string { return e.Reason }
 
 // notSent returns the error for a placement that found no upstream.
-func notSent(placed director.Placed, traits []quarantine.Trait) *NotSentError {
+func notSent(placed director.Placed, fingerprint string) *NotSentError {
 	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, Reason: "no upstream is left to try"}
 	switch placed.Outcome {
 	case director.Held:
-		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold, traits)
+		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold, fingerprint)
 	case director.Suspected:
 		err.Kind, err.Reason = gateway.UpstreamBroke, "the request, or a part of its prompt, was in flight at several crashes of upstreams"
 	case director.Limited:
@@ -141,7 +141,7 @@
 		return nil, err
 	}
 	if placed.Outcome != director.Found {
-		return nil, notSent(placed, matched.Traits)
+		return nil, notSent(placed, matched.Fingerprint)
 	}
 	upstream := placed.Upstream
 	connection, fresh, err := f.Connections.Acquire(ctx, connpool.Target{
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -44,7 +44,8 @@
 	Service     gateway.Service
 	// Team is nil on public routes.
 	Team *gateway.Team
-	// Fingerprint identifies equal requests of the team.
+	// Fingerprint identifies equal requests of the team, or of all callers on public
+	// routes.
 	Fingerprint string
 	// Traits are what the request has in common with others that may crash upstreams.
 	Traits []quarantine.Trait
@@ -89,7 +90,7 @@
 	}
 	matched.Service = service
 	matched.Fingerprint = request.Fingerprint(teamName(matched.Team))
-	matched.Traits = quarantine.TraitsOf(request.Prompt, matched.Fingerprint)
+	matched.Traits = quarantine.TraitsOf(request.Prompt, matched.Fingerprint, matched.Team == nil)
 	matched.Urgency = matching.Urgency(matched.Team, route)
 	if !request.Deadline.IsZero() && request.Deadline.Before(matched.Deadline) {
 		matched.Deadline = request.Deadline
--- a/internal/opaque/screen/screen.go
+++ b/internal/opaque/screen/screen.go
@@ -19,12 +19,12 @@
 	if !found || !now.Before(hold.Until) {
 		return nil
 	}
-	return gateway.Refuse(gateway.Quarantined, hold.Until.Sub(now), "%s", Reason(hold, matched.Traits))
+	return gateway.Refuse(gateway.Quarantined, hold.Until.Sub(now), "%s", Reason(hold, matched.Fingerprint))
 }
 
 // Reason tells the caller why a request with a held trait is refused.
-func Reason(hold quarantine.Hold, traits []quarantine.Trait) string {
-	if hold.Trait == traits[len(traits)-1].ID {
+func Reason(hold quarantine.Hold, fingerprint string) string {
+	if hold.Trait == fingerprint {
 		return fmt.Sprintf("the request is quarantined: %d upstreams crashed while they ran it, in %d crashes; change the request, or retry later",
 			hold.Upstreams, hold.Crashes)
 	}
