Do not hold requests that were answered lately for a few crashes

Cause: a sound request that a team sends all the time is in flight whenever an upstream crashes. As a service's upstreams were lost one after the other, or as one host behind a cut saw them refuse, it was held everywhere for 30 s, for answers to single requests were forgotten unless a crash had come before them.

Change: answers and failures of single requests are remembered for 20 s, in a bounded table, and passed on with a crash; such a request is held after five crashes of two upstreams. One host's word holds at most four requests. Hosts try at most 15 steps after the first. A crash is decided on once, not once for each request in flight.

--- a/internal/decide/quarantine/decide.go
+++ b/internal/decide/quarantine/decide.go
@@ -16,6 +16,8 @@
 	crashes   int
 	upstreams int
 	latest    time.Time
+	// word is the only host that saw the crashes, "" if others did or this host.
+	word core.HostID
 }
 
 // decide derives the held traits from the crashes. It reports whether they changed.
@@ -24,16 +26,17 @@
 // requests beside it. So the trait that explains the most crashes is held first,
 // and the crashes that it explains no longer count against others.
 func (r *Registry) decide() bool {
-	holds := make(Holds)
+	holds, words := make(Holds), make(map[core.HostID]int)
 	remaining := slices.Clone(r.evidence)
 	for len(holds) < maxHeld {
-		worst, found := r.worstSuspect(remaining)
+		worst, found := r.worstSuspect(remaining, words)
 		if !found {
 			break
 		}
 		holds[worst.trait.ID] = Hold{
 			Trait: worst.trait.ID, Until: worst.latest.Add(holdTime(worst.crashes)), Crashes: worst.crashes, Upstreams: worst.upstreams,
 		}
+		words[worst.word]++
 		explained := slices.DeleteFunc(slices.Clone(remaining), func(c evidence) bool { return c.trait.ID != worst.trait.ID })
 		remaining = slices.DeleteFunc(remaining, func(c evidence) bool {
 			return slices.ContainsFunc(explained, func(e evidence) bool { return sameCrash(c, e) })
@@ -57,20 +60,22 @@
 // worstSuspect returns the trait with the most crashes, if they suffice to hold it.
 // Of equals, it prefers one that was never answered, then one of a single request, then
 // the deepest: holding that one affects the fewest requests.
-func (r *Registry) worstSuspect(crashes []evidence) (suspect, bool) {
+//
+// words counts the traits that are held on the word of one other host.
+func (r *Registry) worstSuspect(crashes []evidence, words map[core.HostID]int) (suspect, bool) {
 	byTrait := make(map[string][]evidence)
 	for _, c := range crashes {
 		byTrait[c.trait.ID] = append(byTrait[c.trait.ID], c)
 	}
 	var suspects []suspect
-	for trait, records := range byTrait {
+	for _, records := range byTrait {
 		counted, upstreams, sameZone := r.count(records)
-		if !suffices(records[0].trait, counted, upstreams, sameZone) {
+		answered, word := r.answered(records[0].trait), r.onlyWitness(records)
+		if !suffices(records[0].trait, answered, counted, upstreams, sameZone) || (word != "" && words[word] >= maxHeldByWord) {
 			continue
 		}
-		_, answered := r.answers[trait]
 		suspects = append(suspects, suspect{
-			trait: records[0].trait, answered: answered, crashes: counted, upstreams: upstreams, latest: records[len(records)-1].at,
+			trait: records[0].trait, answered: answered, crashes: counted, upstreams: upstreams, latest: records[len(records)-1].at, word: word,
 		})
 	}
 	if len(suspects) == 0 {
@@ -96,19 +101,40 @@
 // number of upstreams. sameZone is true if one of them was seen from its own zone.
 //
 // Requests that share a part may all be sent to the upstream that crashes by itself. One
-// that is sent again and never answered is not in flight at each of its crashes by
-// chance, so that a service with a single upstream is protected too.
-func suffices(trait Trait, crashes, upstreams int, sameZone bool) bool {
-	if crashes >= crossZoneCrashesToHold && trait.Own {
+// that is sent again and never answered is hardly in flight at each of its crashes by
+// chance, so that a service with a single upstream is protected too. One that is sent
+// all the time, and was answered, is in flight at crashes of any cause.
+func suffices(trait Trait, answered bool, crashes, upstreams int, sameZone bool) bool {
+	if trait.Own && !answered && crashes >= crossZoneCrashesToHold {
 		return true
 	}
+	polled := trait.Own && answered
 	needed := crossZoneCrashesToHold
-	if sameZone {
+	if sameZone && !polled {
 		needed = crashesToHold
 	}
 	return crashes >= needed && upstreams >= upstreamsToHold
 }
 
+// answered reports whether a request with a trait was answered before the crashes.
+func (r *Registry) answered(trait Trait) bool {
+	if _, found := r.answers[trait.ID]; found || !trait.Own {
+		return found
+	}
+	_, found := r.recent.find(trait.ID)
+	return found
+}
+
+// onlyWitness returns the other host from which all records come, "" if there is none.
+func (r *Registry) onlyWitness(records []evidence) core.HostID {
+	for _, c := range records {
+		if c.origin == r.self || c.origin != records[0].origin {
+			return ""
+		}
+	}
+	return records[0].origin
+}
+
 // count sorts the records of one trait by time and returns how many separate
 // crashes they are about, of how many different upstreams, and whether one was
 // observed from the upstream's zone. Of what one other host reports, fewer
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -47,6 +47,9 @@
 	// crashTTL is how long a crash is remembered. It exceeds maxHold, so that a
 	// trait whose hold has ended is tried by one request at a time.
 	crashTTL = 10 * time.Minute
+	// maxTrialRank bounds the time until a host may try: at 330 hosts, a request that
+	// comes at one of them would otherwise wait for minutes.
+	maxTrialRank = 15
 	// trialSpacing is the time between the trials of two hosts, and of one host.
 	// A trial ends within a second, and its result reaches most hosts in another.
 	trialSpacing = 2 * time.Second
@@ -61,8 +64,10 @@
 	// answerTTL is how long an answer is remembered while no crash involves its
 	// trait.
 	answerTTL = 30 * time.Second
-	// maxHeld bounds the traits that are held at the same time.
-	maxHeld = 16
+	// maxHeld bounds the traits that are held at the same time, maxHeldByWord those that
+	// only one other host has seen crash upstreams, which may be wrong.
+	maxHeld       = 16
+	maxHeldByWord = 4
 	// maxTraitBytes bounds the id of a trait; longer ones are ignored.
 	maxTraitBytes = 64
 )
@@ -125,8 +130,13 @@
 	At       time.Time
 	// SameZone is true if the host is in the upstream's zone.
 	SameZone bool
+}
+
+// Lost is a request that was in flight at a crash without an answer.
+type Lost struct {
+	Traits []Trait
 	// Repeat is true if the request was sent after a crash with one of its own traits
-	// was known: what caused that crash cannot have caused this one too.
+	// was known, so that a cause which both have in common is less likely.
 	Repeat bool
 }
 
@@ -159,7 +169,9 @@
 	// records is the number of records of each trait in evidence.
 	records map[string]int
 	answers map[string]answerTime
-	holds   Holds
+	// recent are answers to single requests that no crash involves.
+	recent recentAnswers
+	holds  Holds
 	// trials is when this host last let a request with a held trait through.
 	trials map[string]time.Time
 	// nextFull is when a peer that holds other traits is next sent all crashes of
@@ -175,15 +187,17 @@
 // Holds returns the traits that are held.
 func (r *Registry) Holds() Holds { return r.holds }
 
-// RecordCrash records that an upstream crashed while a request with the traits was
-// in flight there without an answer.
-func (r *Registry) RecordCrash(traits []Trait, observed Crash, now time.Time) {
+// RecordCrash records that an upstream crashed while requests were in flight there
+// without an answer.
+func (r *Registry) RecordCrash(observed Crash, lost []Lost, now time.Time) {
 	changed := false
-	for _, trait := range traits {
-		changed = r.addCrash(evidence{
-			trait: trait, upstream: observed.Upstream, at: observed.At,
-			origin: r.self, sameZone: observed.SameZone, repeat: observed.Repeat, sendsLeft: rumorSends,
-		}, now) || changed
+	for _, request := range lost {
+		for _, trait := range request.Traits {
+			changed = r.addCrash(evidence{
+				trait: trait, upstream: observed.Upstream, at: observed.At,
+				origin: r.self, sameZone: observed.SameZone, repeat: request.Repeat, sendsLeft: rumorSends,
+			}, now) || changed
+		}
 	}
 	if changed {
 		r.decide()
@@ -195,8 +209,11 @@
 func (r *Registry) RecordAnswer(traits []Trait, now time.Time) bool {
 	cleared := false
 	for _, trait := range traits {
-		if trait.Own && !r.suspected(trait.ID) {
-			continue // most requests are not sent again
+		if trait.Own {
+			r.recent.add(trait.ID, true, now)
+			if !r.suspected(trait.ID) {
+				continue
+			}
 		}
 		cleared = r.addAnswer(trait.ID, now, now) || cleared
 	}
@@ -206,6 +223,16 @@
 	return cleared
 }
 
+// RecordFailure records that an upstream answered a request with a failure. It clears
+// nothing, as the upstream may not have run the request.
+func (r *Registry) RecordFailure(traits []Trait, now time.Time) {
+	for _, trait := range traits {
+		if trait.Own {
+			r.recent.add(trait.ID, false, now)
+		}
+	}
+}
+
 // Suspects reports whether one of the traits was in flight, without an answer since,
 // at a crash of an upstream other than those given.
 func (r *Registry) Suspects(traits []Trait, except []core.UpstreamID) bool {
@@ -232,7 +259,7 @@
 	if !found {
 		return true
 	}
-	if now.Before(hold.Until.Add(time.Duration(rank)*trialSpacing)) || now.Sub(r.trials[trait]) < trialSpacing {
+	if now.Before(hold.Until.Add(time.Duration(min(rank, maxTrialRank))*trialSpacing)) || now.Sub(r.trials[trait]) < trialSpacing {
 		return false
 	}
 	r.trials[trait] = now
@@ -257,6 +284,11 @@
 	if c.trait.ID == "" || len(c.trait.ID) > maxTraitBytes || now.Sub(c.at) > crashTTL {
 		return false
 	}
+	if at, found := r.recent.find(c.trait.ID); found && c.trait.Own && at.After(r.answers[c.trait.ID].at) {
+		// Hosts that did not see the answer learn of it with the crash.
+		r.addAnswer(c.trait.ID, at, now)
+		r.answers[c.trait.ID] = answerTime{at, rumorSends}
+	}
 	if answer, found := r.answers[c.trait.ID]; found && !c.at.After(answer.at) {
 		// Hosts that have not heard of the answer learn of it.
 		r.answers[c.trait.ID] = answerTime{answer.at, rumorSends}
@@ -365,7 +397,7 @@
 	}
 	cleared := before != len(r.evidence)
 	answer := answerTime{at: at}
-	if cleared {
+	if cleared || r.suspected(trait) {
 		answer.sendsLeft = rumorSends
 	}
 	r.answers[trait] = answer
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -40,8 +40,13 @@
 // plain returns the traits of a request without a prompt.
 func plain(fingerprint string) []Trait { return TraitsOf(nil, fingerprint, false) }
 
+// record records a crash with one request in flight.
+func record(r *Registry, traits []Trait, crash Crash, now time.Time) {
+	r.RecordCrash(crash, []Lost{{Traits: traits}}, now)
+}
+
 func crashOf(r *Registry, second float64, upstream string, shared ...string) {
-	r.RecordCrash(promptOf(shared...), Crash{Upstream: core.UpstreamID(upstream), At: at(second), SameZone: true}, at(second))
+	record(r, promptOf(shared...), Crash{Upstream: core.UpstreamID(upstream), At: at(second), SameZone: true}, at(second))
 }
 
 // Guards against holding parts for what is no crash by a request: few crashes, one
@@ -76,10 +81,10 @@
 		})
 		Convey("upstreams of other zones may be behind a partition, up to a point", func() {
 			for i := range crossZoneCrashesToHold - 1 {
-				r.RecordCrash(promptOf("a"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: at(float64(i))}, at(float64(i)))
+				record(r, promptOf("a"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: at(float64(i))}, at(float64(i)))
 			}
 			So(r.Holds(), ShouldBeEmpty)
-			r.RecordCrash(promptOf("a"), Crash{Upstream: "u9", At: at(9)}, at(9))
+			record(r, promptOf("a"), Crash{Upstream: "u9", At: at(9)}, at(9))
 			So(r.Holds().HeldTraits(), ShouldResemble, []string{"a"})
 		})
 		Convey("last parts that differ are each in one crash", func() {
@@ -99,7 +104,7 @@
 	Convey("Given a request that crashed three upstreams at one host", t, func() {
 		r, other := New("h"), New("other")
 		for i := range 3 {
-			r.RecordCrash(promptWith("again", "a"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: at(float64(i)), SameZone: true}, at(float64(i)))
+			record(r, promptWith("again", "a"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: at(float64(i)), SameZone: true}, at(float64(i)))
 			r.RecordAnswer(promptOf("a"), at(float64(i)+0.5))
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"again"})
@@ -125,8 +130,8 @@
 		for i, host := range hosts {
 			now := at(float64(2 * i))
 			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: i == 0}
-			host.RecordCrash(again, crash, now)
-			host.RecordCrash(plain(fmt.Sprint("request-beside-", i)), crash, now)
+			record(host, again, crash, now)
+			record(host, plain(fmt.Sprint("request-beside-", i)), crash, now)
 			for _, other := range hosts {
 				other.Merge(host.Report(nil, now), now)
 			}
@@ -147,7 +152,8 @@
 		for i := range crashesToHold {
 			now := at(0.05 * float64(i))
 			So(r.Repeats(again), ShouldEqual, i > 0)
-			r.RecordCrash(again, Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true, Repeat: r.Repeats(again)}, now)
+			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}
+			r.RecordCrash(crash, []Lost{{Traits: again, Repeat: r.Repeats(again)}}, now)
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
 		other := New("other")
@@ -158,7 +164,7 @@
 		r := New("h")
 		for i := range 6 {
 			now := at(0.02 * float64(i))
-			r.RecordCrash(plain("request-polled"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
+			record(r, plain("request-polled"), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
 		}
 		So(r.Holds(), ShouldBeEmpty)
 	})
@@ -167,8 +173,8 @@
 		for i := range crashesToHold {
 			now := at(float64(5 * i))
 			crash := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}
-			r.RecordCrash(plain("request-again"), crash, now)
-			r.RecordCrash(promptOf("a", "b", "c"), crash, now)
+			record(r, plain("request-again"), crash, now)
+			record(r, promptOf("a", "b", "c"), crash, now)
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
 	})
@@ -177,8 +183,8 @@
 		for i := range crossZoneCrashesToHold {
 			So(r.Holds(), ShouldBeEmpty)
 			now := at(float64(5 * i))
-			r.RecordCrash(plain("request-again"), Crash{Upstream: "only", At: now}, now)
-			r.RecordCrash(plain("request-polled"), Crash{Upstream: "only", At: now}, now)
+			record(r, plain("request-again"), Crash{Upstream: "only", At: now}, now)
+			record(r, plain("request-polled"), Crash{Upstream: "only", At: now}, now)
 			r.RecordAnswer(plain("request-polled"), now.Add(time.Second))
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"request-again"})
@@ -199,7 +205,7 @@
 		}
 		for i := range crashesToHold {
 			now := at(float64(5 * i))
-			r.RecordCrash(TraitsOf(prompt("a", "deadly", fmt.Sprint("own", i)), "request-equal", false), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
+			record(r, TraitsOf(prompt("a", "deadly", fmt.Sprint("own", i)), "request-equal", false), Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: now, SameZone: true}, now)
 		}
 		So(r.Holds().HeldTraits(), ShouldResemble, []string{"deadly"})
 		_, found := r.Holds().Find(TraitsOf(prompt("b", "own"), "request-equal", false))
@@ -390,8 +396,8 @@
 			for i := range crashesToHold {
 				observer := f.hosts[(7*i)%size]
 				crashed := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: f.now, SameZone: i == 0}
-				observer.RecordCrash(promptOf("a", fmt.Sprint("b", i), "deadly"), crashed, f.now)
-				f.hosts[(5*i+1)%size].RecordCrash(promptOf("a", "beside"), crashed, f.now)
+				record(observer, promptOf("a", fmt.Sprint("b", i), "deadly"), crashed, f.now)
+				record(f.hosts[(5*i+1)%size], promptOf("a", "beside"), crashed, f.now)
 				f.hosts[(3*i+2)%size].RecordAnswer(promptOf("a"), f.now.Add(time.Millisecond))
 				f.round()
 			}
@@ -439,9 +445,9 @@
 				for i := range crashesToHold {
 					crashed := Crash{Upstream: core.UpstreamID(fmt.Sprint("u", i)), At: f.now, SameZone: i == 0}
 					for n := range waiting {
-						f.hosts[f.random.IntN(size)].RecordCrash(promptOf(fmt.Sprint("a", n%4), fmt.Sprint("b", n%16)), crashed, f.now)
+						record(f.hosts[f.random.IntN(size)], promptOf(fmt.Sprint("a", n%4), fmt.Sprint("b", n%16)), crashed, f.now)
 					}
-					f.hosts[(7*i)%size].RecordCrash(plain("request-deadly"), crashed, f.now)
+					record(f.hosts[(7*i)%size], plain("request-deadly"), crashed, f.now)
 					for range 5 {
 						f.round()
 					}
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -36,7 +36,7 @@
 	Origin core.HostID
 	// SameZone is true if that host is in the upstream's zone.
 	SameZone bool
-	// Repeat is that of Crash. Hosts of earlier versions do not send it.
+	// Repeat is that of Lost. Hosts of earlier versions do not send it.
 	Repeat bool
 }
 
@@ -131,11 +131,6 @@
 // Entries beyond maxReportEntries, and those with an impossible age, are ignored.
 func (r *Registry) Merge(report Report, now time.Time) bool {
 	changed := false
-	for _, answer := range report.Answers[:min(len(report.Answers), maxReportEntries)] {
-		if answer.Age >= 0 && answer.Age <= crashTTL && r.suspected(answer.Part) {
-			changed = r.addAnswer(answer.Part, now.Add(-answer.Age), now) || changed
-		}
-	}
 	for _, c := range report.Crashes[:min(len(report.Crashes), maxReportEntries)] {
 		if c.Age < 0 || c.Age > crashTTL || c.Origin == "" {
 			continue
@@ -144,6 +139,12 @@
 			trait: c.trait(), upstream: c.Upstream, at: now.Add(-c.Age), origin: c.Origin, sameZone: c.SameZone, repeat: c.Repeat, sendsLeft: rumorSends,
 		}, now) || changed
 	}
+	// Answers to requests that no crash involves are ignored, so crashes come first.
+	for _, answer := range report.Answers[:min(len(report.Answers), maxReportEntries)] {
+		if answer.Age >= 0 && answer.Age <= crashTTL && r.suspected(answer.Part) {
+			changed = r.addAnswer(answer.Part, now.Add(-answer.Age), now) || changed
+		}
+	}
 	return changed && r.decide()
 }
 
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -30,14 +30,8 @@
 // crashCheck is a check whether an upstream has crashed, with this host's requests
 // whose connections it closed before answering.
 type crashCheck struct {
-	crash    quarantine.Crash
-	requests []lostRequest
-}
-
-// lostRequest is a request whose connection was closed before it was answered.
-type lostRequest struct {
-	traits []quarantine.Trait
-	repeat bool
+	crash quarantine.Crash
+	lost  []quarantine.Lost
 }
 
 type crashChecked struct {
@@ -54,6 +48,9 @@
 			d.config.SuspicionsChanged(false)
 		}
 	}
+	if m.Signal == placement.Failed {
+		d.quarantine.RecordFailure(m.Traits, now)
+	}
 	if m.Signal == placement.ClosedEarly {
 		d.startCrashCheck(ctx, m, now)
 	}
@@ -64,7 +61,7 @@
 // crashed.
 func (d *Director) startCrashCheck(ctx context.Context, m Observation, now time.Time) {
 	if check, running := d.crashChecks[m.Upstream]; running {
-		check.requests = append(check.requests, lostRequest{m.Traits, m.Repeat})
+		check.lost = append(check.lost, quarantine.Lost{Traits: m.Traits, Repeat: m.Repeat})
 		return
 	}
 	upstream, listed := d.roster.Upstream(m.Upstream)
@@ -72,7 +69,7 @@
 		return
 	}
 	d.crashChecks[m.Upstream] = &crashCheck{
-		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, requests: []lostRequest{{m.Traits, m.Repeat}},
+		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, lost: []quarantine.Lost{{Traits: m.Traits, Repeat: m.Repeat}},
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
@@ -89,19 +86,17 @@
 		return
 	}
 	before := d.quarantine.Holds()
+	d.quarantine.RecordCrash(check.crash, check.lost, now)
 	var ids []string
-	for _, request := range check.requests {
-		crash := check.crash
-		crash.Repeat = request.repeat
-		d.quarantine.RecordCrash(request.traits, crash, now)
-		for _, trait := range request.traits {
+	for _, request := range check.lost {
+		for _, trait := range request.Traits {
 			if !slices.Contains(ids, trait.ID) {
 				ids = append(ids, trait.ID)
 			}
 		}
 	}
 	d.config.Log.Warn("upstream crashed before it answered", zap.String("event", "upstream_crashed"), zap.String("upstream", string(m.upstream)),
-		zap.Int("unanswered", len(check.requests)), zap.Strings("traits", ids))
+		zap.Int("unanswered", len(check.lost)), zap.Strings("traits", ids))
 	d.logHolds(before, "own crash")
 	d.config.SuspicionsChanged(d.quarantine.Repeated())
 }
