Take repeatable requests of a stopping host while the balancer sends callers to it

Cause: a stopping host rejected each request whose time was not up before its end, also lookups that take some 30 ms of the 1.5 s that they may take.

Change: while the balancer has not noticed the stop, requests that may be repeated are judged by what most take, as streams are; those that must not be repeated by their time.

--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -123,6 +123,34 @@
 	})
 }
 
+// Guards against ending a request without an answer because its host stops: its handler
+// must learn why, and its answer must reach the caller.
+func TestEndedRequestsAreAnswered(t *testing.T) {
+	Convey("Given a request under way as the server ends requests", t, func() {
+		started := make(chan struct{})
+		server, dial, stop := serve(func(ctx context.Context, _ *gateway.Request, _ gateway.Answer) error {
+			close(started)
+			<-ctx.Done()
+			if !errors.Is(context.Cause(ctx), gateway.ErrHostStopping) {
+				return gateway.Refuse(gateway.CallerGone, 0, "gone")
+			}
+			return gateway.Refuse(gateway.Draining, 0, "this host stops")
+		})
+		Reset(stop)
+		connection := dial()
+		_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(err, ShouldBeNil)
+		<-started
+		server.Drain()
+		server.EndRequests()
+		got, err := readReply(bufio.NewReader(connection))
+		So(err, ShouldBeNil)
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.close, ShouldBeTrue)
+		So(server.CloseIdle(context.Background()), ShouldBeNil)
+	})
+}
+
 // Guards against a request that is accepted after CloseIdle has returned and is
 // lost when the process exits. One was accepted 5.7 s after SIGTERM in
 // deploy/days/rolling-restart-hot-team.
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -24,8 +24,13 @@
 	staleConfigAge = 2500 * time.Millisecond
 )
 
-// typicalStreamTime is how long most streams take.
-const typicalStreamTime = 4 * time.Second
+const (
+	// typicalStreamTime is how long most streams take.
+	typicalStreamTime = 4 * time.Second
+	// completionObjectives is the multiple of the objective within which most answers
+	// that are not streamed are complete.
+	completionObjectives = 4
+)
 
 // DrainRetryAfter is the retry delay given by a host that shuts down too soon for a
 // request. It is short, as the retry reaches another host.
@@ -110,20 +115,24 @@
 }
 
 // stopsTooSoon reports whether the host stops before a request may be finished. While
-// the balancer still sends callers here, a stream is taken if most are finished in time:
-// many callers return only once, and their streams would mostly be refused for the sake
-// of the few that last longer.
+// the balancer still sends callers here, a stream, or a request that may be repeated, is
+// taken if most are finished in time: many callers return only once, and would be refused
+// for the sake of the few that last longer.
 func stopsTooSoon(state director.ConfigState, matched *Matched) bool {
 	if state.ShutdownAt.IsZero() {
 		return false
 	}
-	finished := matched.Deadline
-	if arrived := matched.Request.Arrived; matched.Route.Retry.Stream() && arrived.Before(state.ShutdownNoticed) {
-		if typical := arrived.Add(typicalStreamTime); typical.Before(finished) {
-			finished = typical
+	longest := matched.Deadline.Sub(matched.Request.Arrived)
+	if matched.Request.Arrived.Before(state.ShutdownNoticed) {
+		switch matched.Route.Retry {
+		case gateway.StreamOnce, gateway.StreamResumable:
+			longest = min(longest, typicalStreamTime)
+		case gateway.Idempotent:
+			longest = min(longest, matched.Route.Objective*completionObjectives)
+		case gateway.RunOnce:
 		}
 	}
-	return finished.After(state.ShutdownAt)
+	return state.ShutdownAt.Sub(matched.Request.Arrived) < longest
 }
 
 // refuseUnknown returns a permanent refusal, or a temporary one if the
--- a/internal/opaque/match/match_test.go
+++ b/internal/opaque/match/match_test.go
@@ -31,25 +31,28 @@
 				Services: map[core.ServiceName]gateway.Service{"s": {Name: "s"}},
 				Routes: []gateway.Route{
 					{Name: "pay", Host: "h", Prefix: "/pay/", Retry: gateway.RunOnce, Timeout: timeout, Objective: 100 * time.Millisecond, Services: []gateway.WeightedService{{Service: "s", Weight: 1}}},
+					{Name: "look", Host: "h", Prefix: "/look/", Retry: gateway.Idempotent, Timeout: timeout, Objective: 100 * time.Millisecond, Services: []gateway.WeightedService{{Service: "s", Weight: 1}}},
 					{Name: "chat", Host: "h", Prefix: "/chat/", Retry: gateway.StreamOnce, Timeout: timeout, Objective: 100 * time.Millisecond, Services: []gateway.WeightedService{{Service: "s", Weight: 1}}},
 				},
 			},
 			ShutdownAt: now.Add(4 * time.Second), ShutdownNoticed: now,
 		}
 		filter := &Filter{ConfigSource: fixedConfig(state)}
-		Convey("it takes a stream that most likely ends in time while callers are still sent to it", func() {
-			state.ShutdownAt, state.ShutdownNoticed = now.Add(typicalStreamTime), now.Add(time.Millisecond)
-			filter := &Filter{ConfigSource: fixedConfig(state)}
-			_, err := filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: "/chat/x", Arrived: now})
-			So(err, ShouldBeNil)
-			_, err = filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: "/pay/x", Arrived: now})
-			So(err, ShouldNotBeNil)
-			state.ShutdownAt = state.ShutdownAt.Add(-time.Millisecond)
-			filter.ConfigSource = fixedConfig(state)
-			_, err = filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: "/chat/x", Arrived: now})
-			So(err, ShouldNotBeNil)
+		Convey("while callers are still sent to it, it takes what most likely ends in time", func() {
+			takes := func(target string, left time.Duration) bool {
+				state.ShutdownAt, state.ShutdownNoticed = now.Add(left), now.Add(time.Millisecond)
+				filter := &Filter{ConfigSource: fixedConfig(state)}
+				_, err := filter.Apply(context.Background(), &gateway.Request{ID: "id", Host: "h", Target: target, Arrived: now})
+				return err == nil
+			}
+			So(takes("/chat/x", typicalStreamTime), ShouldBeTrue)
+			So(takes("/chat/x", typicalStreamTime-time.Millisecond), ShouldBeFalse)
+			So(takes("/look/x", completionObjectives*100*time.Millisecond), ShouldBeTrue)
+			So(takes("/look/x", completionObjectives*100*time.Millisecond-time.Millisecond), ShouldBeFalse)
+			So(takes("/pay/x", timeout), ShouldBeTrue)
+			So(takes("/pay/x", timeout-time.Millisecond), ShouldBeFalse)
 		})
-		for _, target := range []string{"/pay/x", "/chat/x"} {
+		for _, target := range []string{"/pay/x", "/look/x", "/chat/x"} {
 			request := &gateway.Request{ID: "id", Host: "h", Target: target, Arrived: now}
 			Convey("it takes a request to "+target+" whose time is up before", func() {
 				request.Deadline = now.Add(3900 * time.Millisecond)
