Run the test of budgets on a fake clock in a synctest bubble

Cause: only the time that demand is measured by was a fake clock. The bounds of a draw (2 s), of a batch at the table (1 s) and of a call to a peer (0.6 s) ran by wall-clock time, so on a machine that stood still for that long a draw ended with budget_unavailable and the run with an error. The product is not at fault: a draw must end within its bound.

Change: the test runs in a bubble, whose time passes only while all tasks wait.

--- a/internal/measure/slopes/slopes_test.go
+++ b/internal/measure/slopes/slopes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -55,14 +56,19 @@
 // Guards against a fake clock that doesn't reach the tasks: without ticks
 // nothing is reported, and if time stands still each request draws tokens.
 func TestBudgetsOnFakeClock(t *testing.T) {
-	Convey("a busy budget has fewer draws than requests, and draws reach the zone's owner", t, func() {
-		points, err := budgetSize{"test", 2, 1, 2, 4, 2}.run(context.Background(), 1)
-		So(err, ShouldBeNil)
-		perRequest := Find(points, "budgets", "test", "commits per request")
-		So(perRequest, ShouldHaveLength, 1)
-		So(perRequest[0].Value, ShouldBeBetween, 0, 1)
-		So(Find(points, "budgets", "test", "peer traffic per host")[0].Value, ShouldBeGreaterThan, 0)
-		So(Find(points, "budgets", "test", "rows per commit")[0].Value, ShouldBeGreaterThanOrEqualTo, 1)
+	// The tasks bound their calls to the platform and to peers by the time of the
+	// bubble, which passes only while all of them wait. By wall-clock time, a busy
+	// machine would exceed these bounds.
+	synctest.Test(t, func(t *testing.T) {
+		Convey("a busy budget has fewer draws than requests, and draws reach the zone's owner", t, func() {
+			points, err := budgetSize{"test", 2, 1, 2, 4, 2}.run(context.Background(), 1)
+			So(err, ShouldBeNil)
+			perRequest := Find(points, "budgets", "test", "commits per request")
+			So(perRequest, ShouldHaveLength, 1)
+			So(perRequest[0].Value, ShouldBeBetween, 0, 1)
+			So(Find(points, "budgets", "test", "peer traffic per host")[0].Value, ShouldBeGreaterThan, 0)
+			So(Find(points, "budgets", "test", "rows per commit")[0].Value, ShouldBeGreaterThanOrEqualTo, 1)
+		})
 	})
 }
 
