Bound the start of a local fleet by polls instead of wall-clock time

Cause: WaitReady ended after 10 s of wall-clock time, also if the process had not run meanwhile, and then chose at random between the end of the time and the next poll.

Change: it ends after 500 polls 20 ms apart, which take 10 s if the process runs.

--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -28,6 +28,9 @@
 	// readyTimeout bounds the start of all hosts.
 	readyTimeout = 10 * time.Second
 	readyPoll    = 20 * time.Millisecond
+	// readyPolls is readyTimeout in polls. Polls are counted and not time, because
+	// hosts of a process that gets no processor time cannot become ready.
+	readyPolls = int(readyTimeout / readyPoll)
 	// balancerWait is short, because a local fleet has no load balancer.
 	balancerWait = 200 * time.Millisecond
 	drainLimit   = time.Minute
@@ -243,11 +246,9 @@
 
 // WaitReady waits until all running hosts are ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	for {
+	for polls := 0; ; polls++ {
 		waiting := ""
 		for _, running := range f.Hosts {
 			if !running.stopped && running.Ready() != nil {
@@ -257,10 +258,13 @@
 		if waiting == "" {
 			return nil
 		}
+		if polls == readyPolls {
+			return fmt.Errorf("host %s was not ready within %d polls of %s", waiting, readyPolls, readyPoll)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return fmt.Errorf("host %s was not ready within %s", waiting, readyTimeout)
+			return fmt.Errorf("host %s was not ready: %w", waiting, ctx.Err())
 		}
 	}
 }
