Keep a carried grant until the reopened ledger is rebased

Cause: a process wrote to a ledger by what it knew of era 1, and the write was applied to the copy after the store had returned (era 2), as the row had the version that it expects. So the process read a ledger with a holding of 800 tokens that was never its grant. After a second return to the same copy, another process reopened the ledger without that holding. The first process took the absence as the confirmation that it has no grant, and then rebased the ledger on the one that it had read. The rebase took the 800 tokens off Lost, and the process's own holding of 0 replaced them, so that they were granted again.

Change: what is carried is confirmed only by a ledger that is not to be rebased any more, so that the rebase and the correction of Lost are one commit.

--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -117,7 +117,7 @@
 	switch {
 	case h.outdated(ledger):
 		ledger, changed = h.reopen(), true
-	case h.latest != nil && ledger.Base.Mark.Sequence > 0 && h.latest.Mark.newer(ledger.Base.Mark):
+	case h.rebaseDue():
 		ledger, changed = rebase(ledger, *h.latest, h.prepaid), true
 	}
 	if h.carried == nil {
@@ -157,7 +157,16 @@
 	l.Lost = min(l.Lost, l.Base.Allocated-l.recorded())
 }
 
-// confirm ends the carried grant once the stored ledger has it.
+// rebaseDue reports whether the stored ledger is based on an earlier ledger than the
+// latest that this process knows.
+func (h *Holder) rebaseDue() bool {
+	return h.latest != nil && h.ledger.Base.Mark.Sequence > 0 && h.latest.Mark.newer(h.ledger.Base.Mark)
+}
+
+// confirm ends the carried grant once the stored ledger has it. A ledger that is still
+// to be rebased does not: latest may have a holding of this process that was never its
+// grant, from a write that was applied to the copy after the return. While the grant is
+// carried, what that holding takes off Lost is added again.
 func (h *Holder) confirm() {
 	if h.outdated(h.ledger) {
 		return
@@ -165,7 +174,7 @@
 	if h.latest != nil && !h.latest.Mark.newer(h.ledger.Base.Mark) {
 		h.latest = nil
 	}
-	if h.carried == nil {
+	if h.carried == nil || h.rebaseDue() {
 		return
 	}
 	holding, found := h.ledger.Holdings[h.process.String()]
--- /dev/null
+++ b/internal/decide/allowance/reopen_test.go
@@ -0,0 +1,53 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// Guards against tokens that no ledger counts any more after two returns of the store to
+// one copy: a commit that was applied to the copy after the first return gives a process
+// a holding that it never had, and the rebase after the second takes it off what is lost.
+func TestAHoldingThatAProcessNeverHadStaysCountedAfterTwoReturns(t *testing.T) {
+	Convey("Given a commit of the first era that is applied to the copy in the second", t, func() {
+		const prepaid, granted, withheld = core.Tokens(12_000), core.Tokens(11_120), core.Tokens(80)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		owner, late := NewHolder(Process{Host: "owner", Start: "1"}), NewHolder(Process{Host: "late", Start: "1"})
+		owner.SetBalance(prepaid, 2, true)
+		late.SetBalance(prepaid, 2, true)
+		copied := Ledger{
+			Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld},
+			Holdings: map[string]Holding{owner.process.String(): {Host: "owner", Granted: granted, EnteredAt: 1}},
+		}
+		owner.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+		late.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+		late.AddDemand(1_000, now)
+		late.AddWaiting(1_000)
+		commit, _ := late.Propose(now)
+		So(commit.Delta, ShouldBeGreaterThan, 0)
+		late.BeginCommit(commit, now)
+		late.SetLedger(commit.Ledger, core.Revision{Era: 2, Number: 8}, clock, now)
+		late.EndCommit(true)
+		So(late.granted(), ShouldEqual, 0)
+		Convey("After the second return, as much is allocated as before the process writes its holding again", func() {
+			owner.SetLedger(copied, core.Revision{Era: 3, Number: 7}, clock, now)
+			reopened, _ := owner.Propose(now)
+			So(reopened.Reopens, ShouldBeTrue)
+			So(reopened.Ledger.Allocated(), ShouldEqual, prepaid-withheld/2)
+			late.SetLedger(reopened.Ledger, core.Revision{Era: 3, Number: 8}, clock, now)
+			rebased, _ := late.Propose(now)
+			So(rebased.Ledger.Base.Mark, ShouldResemble, commit.Ledger.Mark)
+			So(rebased.Ledger.Holdings[late.process.String()].Granted, ShouldEqual, 0)
+			So(rebased.Ledger.Allocated(), ShouldEqual, reopened.Ledger.Allocated())
+			Convey("and the rebase is written once", func() {
+				late.SetLedger(rebased.Ledger, core.Revision{Era: 3, Number: 9}, clock, now)
+				_, changed := late.reconciled()
+				So(changed, ShouldBeFalse)
+			})
+		})
+	})
+}
