Count the ledger that a late commit replaced after a return

Cause: a commit of before a return that is applied to the copy after it looks like the latest ledger of the earlier era. Its room and its withheld amount were taken as bounds of what processes had been granted before the return, although those had gone on from the ledger in the copy. In the model, host-0 was granted 800 tokens after the copy; a return of 1 token by host-2, applied to the copy after the return, bounded the room at 176, so that no more than 176 counted as lost once both owners had confirmed their holdings (12624 of 12000). A commit that raises the withheld amount has the same effect: the raise counted as never granted.

Change: each ledger names what the one that it replaced may allocate and what it withheld, and the larger bound and the smaller guarantee count after a return. A process that knows another ledger with the mark of the base adds its bound.

--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -66,6 +66,9 @@
 	// Room is what processes may be granted that the ledger has had for less than
 	// MaxCopyAge; nil if that is not bounded.
 	Room *core.Tokens `json:"room,omitempty"`
+	// Replaced describes the ledger that this one replaced; nil in a ledger of a build
+	// that does not know it.
+	Replaced *Replaced `json:"replaced,omitempty"`
 	// Lost is what processes may have been granted that no known ledger has, since the
 	// ledger was reopened. It counts as allocated unless it is negative: processes that
 	// confirm more than the ledger had are taken off it.
@@ -105,6 +108,17 @@
 	Complete bool `json:"c,omitempty"`
 }
 
+// Replaced has the bounds of a ledger that was replaced by a commit. The commit may have
+// been sent before a return of the store and applied to the copy after it. What was
+// granted between is then bounded by the ledger in the copy, not by the one that replaced
+// it.
+type Replaced struct {
+	// Allocated is the ledger's mostAllocated, maxTokens if it had no Room.
+	Allocated core.Tokens `json:"a"`
+	// Withheld is what the ledger guaranteed.
+	Withheld core.Tokens `json:"w"`
+}
+
 // DecodeLedger decodes a ledger.
 func DecodeLedger(raw []byte) (Ledger, error) {
 	var ledger Ledger
@@ -207,6 +221,15 @@
 	return l.Allocated() + *l.Room
 }
 
+// mostAllocatedAtReturn bounds what was allocated when the store returned, if l is the
+// latest known ledger.
+func (l Ledger) mostAllocatedAtReturn(prepaid core.Tokens) core.Tokens {
+	if l.Replaced == nil {
+		return l.mostAllocated(prepaid)
+	}
+	return max(l.mostAllocated(prepaid), l.Replaced.Allocated)
+}
+
 func (l Ledger) clone() Ledger {
 	holdings := make(map[string]Holding, len(l.Holdings)+1)
 	for key, holding := range l.Holdings {
--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -27,7 +27,7 @@
 	returns := h.era - max(base.Mark.Era, firstEra)
 	ledger.Base = Base{
 		Mark: base.Mark, Settled: base.Settled, Unsure: base.Unsure,
-		Allocated: base.mostAllocated(h.prepaid), Complete: returns == 1,
+		Allocated: base.mostAllocatedAtReturn(h.prepaid), Complete: returns == 1,
 	}
 	ledger.Base.Mark.Sequence = max(ledger.Base.Mark.Sequence, 1)
 	ledger.Closed, ledger.Room = nil, nil
@@ -36,6 +36,9 @@
 		ledger.Holdings[process] = holding
 	}
 	guaranteed := h.withheldIn(base).guaranteed(returns)
+	if base.Replaced != nil {
+		guaranteed = min(guaranteed, Withheld{Amount: base.Replaced.Withheld}.guaranteed(returns))
+	}
 	ledger.Lost = max(h.prepaid-guaranteed-ledger.recorded(), 0)
 	ledger.Withheld = &Withheld{Amount: guaranteed / 2}
 	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
@@ -65,7 +68,7 @@
 	base := ledger.Base
 	ledger.Base = Base{
 		Mark: latest.Mark, Settled: latest.Settled, Unsure: latest.Unsure,
-		Allocated: max(base.Allocated, latest.mostAllocated(prepaid)), Complete: base.Complete,
+		Allocated: max(base.Allocated, latest.mostAllocatedAtReturn(prepaid)), Complete: base.Complete,
 	}
 	ledger.Lost -= ledger.recorded() - recorded
 	return ledger
@@ -135,7 +138,11 @@
 		delete(ledger.Holdings, key)
 	}
 	for _, commit := range h.unknownCommits {
-		ledger.Base.Allocated = max(ledger.Base.Allocated, commit.Ledger.mostAllocated(h.prepaid))
+		ledger.Base.Allocated = max(ledger.Base.Allocated, commit.Ledger.mostAllocatedAtReturn(h.prepaid))
+	}
+	if h.latest != nil && !ledger.Base.Mark.newer(h.latest.Mark) {
+		// A commit that was applied to the copy may have given the base the same mark.
+		ledger.Base.Allocated = max(ledger.Base.Allocated, h.latest.mostAllocatedAtReturn(h.prepaid))
 	}
 	ledger.endRecovery()
 	return ledger, true
@@ -168,18 +175,12 @@
 // grant, from a write that was applied to the copy after the return. While the grant is
 // carried, what that holding takes off Lost is added again.
 func (h *Holder) confirm() {
-	if h.outdated(h.ledger) {
-		return
-	}
-	if h.latest != nil && !h.latest.Mark.newer(h.ledger.Base.Mark) {
-		h.latest = nil
-	}
-	if h.carried == nil || h.rebaseDue() {
+	if h.carried == nil || h.outdated(h.ledger) || h.rebaseDue() {
 		return
 	}
 	holding, found := h.ledger.Holdings[h.process.String()]
 	if (found && !holding.Unconfirmed && holding.Granted == *h.carried) || (!found && *h.carried == 0) {
-		h.carried, h.unknownCommits = nil, nil
+		h.carried, h.latest, h.unknownCommits = nil, nil, nil
 	}
 }
 
--- a/internal/decide/allowance/reopen_test.go
+++ b/internal/decide/allowance/reopen_test.go
@@ -51,3 +51,73 @@
 		})
 	})
 }
+
+// Guards against too little being lost after a return of the store: a commit of before it
+// that is applied to the copy lowers the room, which other processes had used before.
+func TestACommitAppliedToTheCopyDoesNotLowerWhatIsLost(t *testing.T) {
+	Convey("Given a commit of an owner of which the answer is lost", t, func() {
+		const prepaid, withheld, room = core.Tokens(12_000), core.Tokens(80), core.Tokens(600)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		late, other := NewHolder(Process{Host: "late", Start: "1"}), NewHolder(Process{Host: "other", Start: "1"})
+		for _, holder := range []*Holder{late, other} {
+			holder.SetBalance(prepaid, 2, true)
+		}
+		start := func(known *core.Tokens) Ledger {
+			copied := Ledger{
+				Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld}, Room: known,
+				Holdings: map[string]Holding{
+					late.process.String():  {Host: "late", Granted: 5_000, EnteredAt: 1},
+					other.process.String(): {Host: "other", Granted: 6_000, EnteredAt: 1},
+				},
+			}
+			late.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+			other.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+			return copied
+		}
+		// recovered returns the ledger of the second era once the given holders have
+		// confirmed their holdings, if the store returned with a ledger.
+		recovered := func(ledger Ledger, holders ...*Holder) Ledger {
+			for number, holder := range holders {
+				holder.SetLedger(ledger, core.Revision{Era: 2, Number: int64(8 + number)}, clock, now)
+				proposal, _ := holder.Propose(now)
+				ledger = proposal.Ledger
+			}
+			So(ledger.Base.Complete, ShouldBeFalse)
+			return ledger
+		}
+		giveBack := func() Ledger {
+			commit, _ := late.ProposeReturn(1, now)
+			late.BeginCommit(commit, now)
+			late.EndCommit(false)
+			return commit.Ledger
+		}
+		bounded := room
+		Convey("All that had been unallocated but is not withheld is lost if the room was not bounded", func() {
+			start(nil)
+			So(recovered(giveBack(), other, late).Allocated(), ShouldEqual, prepaid-withheld)
+		})
+		Convey("The room that the copy had is lost", func() {
+			copied := start(&bounded)
+			So(recovered(giveBack(), other, late).Allocated(), ShouldEqual, copied.Allocated()+room)
+		})
+		Convey("The room that the copy had is lost if the commit ends the holding", func() {
+			copied := start(&bounded)
+			late.Retire()
+			commit, _ := late.ProposeClose(now)
+			late.BeginCommit(commit, now)
+			late.EndCommit(false)
+			So(recovered(commit.Ledger, other).Allocated(), ShouldEqual, copied.Allocated()+room)
+		})
+		Convey("The room of a later ledger is lost whose mark the commit has, too", func() {
+			copied := start(&bounded)
+			later := copied.clone()
+			raised := room + 200
+			later.Room, later.Mark.Sequence = &raised, 5
+			commit := giveBack()
+			So(commit.Mark, ShouldResemble, later.Mark)
+			late.SetLedger(later, core.Revision{Era: 1, Number: 8}, clock, now)
+			other.SetLedger(later, core.Revision{Era: 1, Number: 8}, clock, now)
+			So(recovered(commit, other, late).Allocated(), ShouldEqual, later.Allocated()+raised)
+		})
+	})
+}
