Withhold what a copy guarantees after a return to it

Cause: a ledger that was reopened from a later one than the copy withheld half of what the later one guarantees, which may be nothing. All of it could be granted at once. If the store then returned to the same copy and the processes had ended, half of what the copy guarantees counted as never granted.

Change: a reopened ledger withholds at least half of what the copy guarantees. It is lowered as any other, by when the copy is too old to be returned to.

--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -35,16 +35,28 @@
 		holding.Unconfirmed = true
 		ledger.Holdings[process] = holding
 	}
-	guaranteed := h.withheldIn(base).guaranteed(returns)
-	if base.Replaced != nil {
-		guaranteed = min(guaranteed, Withheld{Amount: base.Replaced.Withheld}.guaranteed(returns))
-	}
+	guaranteed, _ := h.guaranteedIn(base)
 	ledger.Lost = max(h.prepaid-guaranteed-ledger.recorded(), 0)
-	ledger.Withheld = &Withheld{Amount: guaranteed / 2}
+	// A further return to the copy counts on half of what the copy guarantees, even if
+	// the base guarantees less.
+	_, inCopy := h.guaranteedIn(h.ledger)
+	ledger.Withheld = &Withheld{Amount: max(guaranteed, inCopy) / 2}
 	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
 	return ledger
 }
 
+// guaranteedIn returns the least and the most that a ledger of an earlier era, or the one
+// that it replaced, guarantees after the returns since then.
+func (h *Holder) guaranteedIn(ledger Ledger) (least, most core.Tokens) {
+	returns := h.era - max(ledger.Mark.Era, firstEra)
+	own := h.withheldIn(ledger).guaranteed(returns)
+	if ledger.Replaced == nil {
+		return own, own
+	}
+	replaced := Withheld{Amount: ledger.Replaced.Withheld}.guaranteed(returns)
+	return min(own, replaced), max(own, replaced)
+}
+
 // rebase corrects a reopened ledger by one of an earlier era that is later than its
 // base. What was confirmed or closed since stays.
 func rebase(ledger Ledger, latest Ledger, prepaid core.Tokens) Ledger {
--- a/internal/decide/allowance/reopen_test.go
+++ b/internal/decide/allowance/reopen_test.go
@@ -121,3 +121,41 @@
 		})
 	})
 }
+
+// Guards against tokens that two returns of the store to one copy grant twice: a ledger
+// that was reopened from a later one grants at once what the copy still guarantees.
+func TestWhatACopyGuaranteesIsWithheldAfterAReturnToIt(t *testing.T) {
+	Convey("Given a return to a copy that is older than the announcement that nothing is to be withheld", t, func() {
+		const prepaid, granted, withheld = core.Tokens(12_000), core.Tokens(6_000), core.Tokens(4_000)
+		now, clock, room := time.Unix(1000, 0), 1000*time.Second, core.Tokens(1_000)
+		first, next := NewHolder(Process{Host: "host", Start: "1"}), NewHolder(Process{Host: "host", Start: "2"})
+		copied := Ledger{
+			Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld}, Room: &room,
+			Holdings: map[string]Holding{first.process.String(): {Host: "host", Granted: granted, EnteredAt: 1}},
+		}
+		announced := copied.clone()
+		announced.Mark.Sequence, announced.Withheld = 5, &Withheld{Amount: withheld, Lowering: true}
+		first.SetBalance(prepaid, 1, true)
+		first.SetLedger(announced, core.Revision{Era: 1, Number: 8}, clock, now)
+		// take lets a holder be granted all that it can be within some seconds.
+		take := func(holder *Holder, ledger Ledger, era, seconds int64) core.Tokens {
+			for number := int64(7); number < 7+seconds; number++ {
+				holder.SetLedger(ledger, core.Revision{Era: era, Number: number}, clock, now)
+				holder.AddDemand(prepaid, now)
+				if proposal, wanted := holder.Propose(now); wanted {
+					ledger = proposal.Ledger
+				}
+				now, clock = now.Add(time.Second), clock+time.Second
+			}
+			return holder.granted()
+		}
+		first.AddWaiting(prepaid)
+		all := take(first, copied, 2, 9)
+		So(all, ShouldBeGreaterThan, granted)
+		Convey("The next process gets no more than is left after another return to it", func() {
+			next.SetBalance(prepaid, 1, true)
+			next.AddWaiting(prepaid)
+			So(all+take(next, copied, 3, 30), ShouldBeLessThanOrEqualTo, prepaid)
+		})
+	})
+}
