--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -19,7 +19,7 @@
 // nobody knows of.
 func (h *Holder) reopen() Ledger {
 	base := h.ledger
-	if h.latest != nil && h.latest.Mark.newer(base.Mark) {
+	if h.latest != nil && !base.Mark.newer(h.latest.Mark) {
 		base = *h.latest
 	}
 	ledger := base.clone()
@@ -27,7 +27,7 @@
 	returns := h.era - max(base.Mark.Era, firstEra)
 	ledger.Base = Base{
 		Mark: base.Mark, Settled: base.Settled, Unsure: base.Unsure,
-		Allocated: base.mostAllocated(h.prepaid), Complete: returns == 1,
+		Allocated: base.mostAllocatedAtReturn(h.prepaid), Complete: returns == 1,
 	}
 	ledger.Base.Mark.Sequence = max(ledger.Base.Mark.Sequence, 1)
 	ledger.Closed, ledger.Room = nil, nil
@@ -35,13 +35,28 @@
 		holding.Unconfirmed = true
 		ledger.Holdings[process] = holding
 	}
-	guaranteed := h.withheldIn(base).guaranteed(returns)
+	guaranteed, _ := h.guaranteedIn(base)
 	ledger.Lost = max(h.prepaid-guaranteed-ledger.recorded(), 0)
-	ledger.Withheld = &Withheld{Amount: guaranteed / 2}
+	// A further return to the copy counts on half of what the copy guarantees, even if
+	// the base guarantees less.
+	_, inCopy := h.guaranteedIn(h.ledger)
+	ledger.Withheld = &Withheld{Amount: max(guaranteed, inCopy) / 2}
 	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
 	return ledger
 }
 
+// guaranteedIn returns the least and the most that a ledger of an earlier era, or the one
+// that it replaced, guarantees after the returns since then.
+func (h *Holder) guaranteedIn(ledger Ledger) (least, most core.Tokens) {
+	returns := h.era - max(ledger.Mark.Era, firstEra)
+	own := h.withheldIn(ledger).guaranteed(returns)
+	if ledger.Replaced == nil {
+		return own, own
+	}
+	replaced := Withheld{Amount: ledger.Replaced.Withheld}.guaranteed(returns)
+	return min(own, replaced), max(own, replaced)
+}
+
 // rebase corrects a reopened ledger by one of an earlier era that is later than its
 // base. What was confirmed or closed since stays.
 func rebase(ledger Ledger, latest Ledger, prepaid core.Tokens) Ledger {
@@ -65,7 +80,7 @@
 	base := ledger.Base
 	ledger.Base = Base{
 		Mark: latest.Mark, Settled: latest.Settled, Unsure: latest.Unsure,
-		Allocated: max(base.Allocated, latest.mostAllocated(prepaid)), Complete: base.Complete,
+		Allocated: max(base.Allocated, latest.mostAllocatedAtReturn(prepaid)), Complete: base.Complete,
 	}
 	ledger.Lost -= ledger.recorded() - recorded
 	return ledger
@@ -90,6 +105,11 @@
 	h.carried = &carried
 	if h.latest == nil || h.ledger.Mark.newer(h.latest.Mark) {
 		latest := h.ledger.clone()
+		if latest.Mark.Era == h.revision.Era {
+			// It was read in the era in which it was written, so that it is not from a
+			// commit that was applied to a copy.
+			latest.Replaced = nil
+		}
 		h.latest = &latest
 	}
 	h.current = false
@@ -117,7 +137,7 @@
 	switch {
 	case h.outdated(ledger):
 		ledger, changed = h.reopen(), true
-	case h.latest != nil && ledger.Base.Mark.Sequence > 0 && h.latest.Mark.newer(ledger.Base.Mark):
+	case h.rebaseDue():
 		ledger, changed = rebase(ledger, *h.latest, h.prepaid), true
 	}
 	if h.carried == nil {
@@ -135,7 +155,11 @@
 		delete(ledger.Holdings, key)
 	}
 	for _, commit := range h.unknownCommits {
-		ledger.Base.Allocated = max(ledger.Base.Allocated, commit.Ledger.mostAllocated(h.prepaid))
+		ledger.Base.Allocated = max(ledger.Base.Allocated, commit.Ledger.mostAllocatedAtReturn(h.prepaid))
+	}
+	if h.latest != nil && !ledger.Base.Mark.newer(h.latest.Mark) {
+		// A commit that was applied to the copy may have given the base the same mark.
+		ledger.Base.Allocated = max(ledger.Base.Allocated, h.latest.mostAllocatedAtReturn(h.prepaid))
 	}
 	ledger.endRecovery()
 	return ledger, true
@@ -157,20 +181,23 @@
 	l.Lost = min(l.Lost, l.Base.Allocated-l.recorded())
 }
 
-// confirm ends the carried grant once the stored ledger has it.
+// rebaseDue reports whether the stored ledger is based on an earlier ledger than the
+// latest that this process knows.
+func (h *Holder) rebaseDue() bool {
+	return h.latest != nil && h.ledger.Base.Mark.Sequence > 0 && h.latest.Mark.newer(h.ledger.Base.Mark)
+}
+
+// confirm ends the carried grant once the stored ledger has it. A ledger that is still
+// to be rebased does not: latest may have a holding of this process that was never its
+// grant, from a write that was applied to the copy after the return. While the grant is
+// carried, what that holding takes off Lost is added again.
 func (h *Holder) confirm() {
-	if h.outdated(h.ledger) {
-		return
-	}
-	if h.latest != nil && !h.latest.Mark.newer(h.ledger.Base.Mark) {
-		h.latest = nil
-	}
-	if h.carried == nil {
+	if h.carried == nil || h.outdated(h.ledger) || h.rebaseDue() {
 		return
 	}
 	holding, found := h.ledger.Holdings[h.process.String()]
 	if (found && !holding.Unconfirmed && holding.Granted == *h.carried) || (!found && *h.carried == 0) {
-		h.carried, h.unknownCommits = nil, nil
+		h.carried, h.latest, h.unknownCommits = nil, nil, nil
 	}
 }
 
--- /dev/null
+++ b/internal/decide/allowance/reopen_test.go
@@ -0,0 +1,188 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+// Guards against tokens that no ledger counts any more after two returns of the store to
+// one copy: a commit that was applied to the copy after the first return gives a process
+// a holding that it never had, and the rebase after the second takes it off what is lost.
+func TestAHoldingThatAProcessNeverHadStaysCountedAfterTwoReturns(t *testing.T) {
+	Convey("Given a commit of the first era that is applied to the copy in the second", t, func() {
+		const prepaid, granted, withheld = core.Tokens(12_000), core.Tokens(11_120), core.Tokens(80)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		owner, late := NewHolder(Process{Host: "owner", Start: "1"}), NewHolder(Process{Host: "late", Start: "1"})
+		owner.SetBalance(prepaid, 2, true)
+		late.SetBalance(prepaid, 2, true)
+		copied := Ledger{
+			Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld},
+			Holdings: map[string]Holding{owner.process.String(): {Host: "owner", Granted: granted, EnteredAt: 1}},
+		}
+		owner.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+		late.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+		late.AddDemand(1_000, now)
+		late.AddWaiting(1_000)
+		commit, _ := late.Propose(now)
+		So(commit.Delta, ShouldBeGreaterThan, 0)
+		late.BeginCommit(commit, now)
+		late.SetLedger(commit.Ledger, core.Revision{Era: 2, Number: 8}, clock, now)
+		late.EndCommit(true)
+		So(late.granted(), ShouldEqual, 0)
+		Convey("After the second return, as much is allocated as before the process writes its holding again", func() {
+			owner.SetLedger(copied, core.Revision{Era: 3, Number: 7}, clock, now)
+			reopened, _ := owner.Propose(now)
+			So(reopened.Reopens, ShouldBeTrue)
+			So(reopened.Ledger.Allocated(), ShouldEqual, prepaid-withheld/2)
+			late.SetLedger(reopened.Ledger, core.Revision{Era: 3, Number: 8}, clock, now)
+			rebased, _ := late.Propose(now)
+			So(rebased.Ledger.Base.Mark, ShouldResemble, commit.Ledger.Mark)
+			So(rebased.Ledger.Holdings[late.process.String()].Granted, ShouldEqual, 0)
+			So(rebased.Ledger.Allocated(), ShouldEqual, reopened.Ledger.Allocated())
+			Convey("and the rebase is written once", func() {
+				late.SetLedger(rebased.Ledger, core.Revision{Era: 3, Number: 9}, clock, now)
+				_, changed := late.reconciled()
+				So(changed, ShouldBeFalse)
+			})
+		})
+	})
+}
+
+// Guards against too little being lost after a return of the store: a commit of before it
+// that is applied to the copy lowers the room, which other processes had used before.
+func TestACommitAppliedToTheCopyDoesNotLowerWhatIsLost(t *testing.T) {
+	Convey("Given a commit of an owner of which the answer is lost", t, func() {
+		const prepaid, withheld, room = core.Tokens(12_000), core.Tokens(80), core.Tokens(600)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		late, other := NewHolder(Process{Host: "late", Start: "1"}), NewHolder(Process{Host: "other", Start: "1"})
+		for _, holder := range []*Holder{late, other} {
+			holder.SetBalance(prepaid, 2, true)
+		}
+		start := func(known *core.Tokens) Ledger {
+			copied := Ledger{
+				Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld}, Room: known,
+				Holdings: map[string]Holding{
+					late.process.String():  {Host: "late", Granted: 5_000, EnteredAt: 1},
+					other.process.String(): {Host: "other", Granted: 6_000, EnteredAt: 1},
+				},
+			}
+			late.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+			other.SetLedger(copied, core.Revision{Era: 1, Number: 7}, clock, now)
+			return copied
+		}
+		// recovered returns the ledger of the second era once the given holders have
+		// confirmed their holdings, if the store returned with a ledger.
+		recovered := func(ledger Ledger, holders ...*Holder) Ledger {
+			for number, holder := range holders {
+				holder.SetLedger(ledger, core.Revision{Era: 2, Number: int64(8 + number)}, clock, now)
+				proposal, _ := holder.Propose(now)
+				ledger = proposal.Ledger
+			}
+			So(ledger.Base.Complete, ShouldBeFalse)
+			return ledger
+		}
+		giveBack := func() Ledger {
+			commit, _ := late.ProposeReturn(1, now)
+			late.BeginCommit(commit, now)
+			late.EndCommit(false)
+			return commit.Ledger
+		}
+		bounded := room
+		Convey("All that had been unallocated but is not withheld is lost if the room was not bounded", func() {
+			start(nil)
+			So(recovered(giveBack(), other, late).Allocated(), ShouldEqual, prepaid-withheld)
+		})
+		Convey("The room that the copy had is lost", func() {
+			copied := start(&bounded)
+			So(recovered(giveBack(), other, late).Allocated(), ShouldEqual, copied.Allocated()+room)
+		})
+		Convey("The room that the copy had is lost if the commit ends the holding", func() {
+			copied := start(&bounded)
+			late.Retire()
+			commit, _ := late.ProposeClose(now)
+			late.BeginCommit(commit, now)
+			late.EndCommit(false)
+			So(recovered(commit.Ledger, other).Allocated(), ShouldEqual, copied.Allocated()+room)
+		})
+		Convey("The room of a later ledger is lost whose mark the commit has, too", func() {
+			copied := start(&bounded)
+			later := copied.clone()
+			raised := room + 200
+			later.Room, later.Mark.Sequence = &raised, 5
+			commit := giveBack()
+			So(commit.Mark, ShouldResemble, later.Mark)
+			late.SetLedger(later, core.Revision{Era: 1, Number: 8}, clock, now)
+			other.SetLedger(later, core.Revision{Era: 1, Number: 8}, clock, now)
+			So(recovered(commit, other, late).Allocated(), ShouldEqual, later.Allocated()+raised)
+		})
+	})
+}
+
+// Guards against tokens that two returns of the store to one copy grant twice: a ledger
+// that was reopened from a later one grants at once what the copy still guarantees.
+func TestWhatACopyGuaranteesIsWithheldAfterAReturnToIt(t *testing.T) {
+	Convey("Given a return to a copy that is older than the announcement that nothing is to be withheld", t, func() {
+		const prepaid, granted, withheld = core.Tokens(12_000), core.Tokens(6_000), core.Tokens(4_000)
+		now, clock, room := time.Unix(1000, 0), 1000*time.Second, core.Tokens(1_000)
+		first, next := NewHolder(Process{Host: "host", Start: "1"}), NewHolder(Process{Host: "host", Start: "2"})
+		copied := Ledger{
+			Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld}, Room: &room,
+			Holdings: map[string]Holding{first.process.String(): {Host: "host", Granted: granted, EnteredAt: 1}},
+		}
+		announced := copied.clone()
+		announced.Mark.Sequence, announced.Withheld = 5, &Withheld{Amount: withheld, Lowering: true}
+		first.SetBalance(prepaid, 1, true)
+		first.SetLedger(announced, core.Revision{Era: 1, Number: 8}, clock, now)
+		// take lets a holder be granted all that it can be within some seconds.
+		take := func(holder *Holder, ledger Ledger, era, seconds int64) core.Tokens {
+			for number := int64(7); number < 7+seconds; number++ {
+				holder.SetLedger(ledger, core.Revision{Era: era, Number: number}, clock, now)
+				holder.AddDemand(prepaid, now)
+				if proposal, wanted := holder.Propose(now); wanted {
+					ledger = proposal.Ledger
+				}
+				now, clock = now.Add(time.Second), clock+time.Second
+			}
+			return holder.granted()
+		}
+		first.AddWaiting(prepaid)
+		all := take(first, copied, 2, 9)
+		So(all, ShouldBeGreaterThan, granted)
+		Convey("The next process gets no more than is left after another return to it", func() {
+			next.SetBalance(prepaid, 1, true)
+			next.AddWaiting(prepaid)
+			So(all+take(next, copied, 3, 30), ShouldBeLessThanOrEqualTo, prepaid)
+		})
+	})
+}
+
+// Guards against tokens that are lost with every return of the store, because a ledger
+// that cannot be from a late commit is bounded as if it were.
+func TestALedgerThatWasReadBeforeAReturnCountsByItself(t *testing.T) {
+	Convey("Given a ledger that withholds more than the one that it replaced", t, func() {
+		const prepaid, withheld = core.Tokens(12_000), core.Tokens(1_000)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		holder := NewHolder(Process{Host: "host", Start: "1"})
+		holder.SetBalance(prepaid, 2, true)
+		ledger := Ledger{
+			Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld}, Replaced: &Replaced{Allocated: prepaid},
+			Holdings: map[string]Holding{"other/1": {Host: "other", Granted: 6_000, EnteredAt: 1}},
+		}
+		reopened := func() Ledger {
+			holder.SetLedger(ledger, core.Revision{Era: 2, Number: 7}, clock, now)
+			proposal, _ := holder.Propose(now)
+			return proposal.Ledger
+		}
+		Convey("A process that knows it only from the copy counts on neither", func() {
+			So(reopened().Allocated(), ShouldEqual, prepaid)
+		})
+		Convey("A process that had read it before the return counts on what it withholds", func() {
+			holder.SetLedger(ledger, core.Revision{Era: 1, Number: 7}, clock, now)
+			So(reopened().Allocated(), ShouldEqual, prepaid-withheld)
+		})
+	})
+}
