Take no body for whole that was reset while its request was written

Callers could get a 200 with a short body that looks whole.

Cause: a body without length or chunks ends with its connection, and is not whole if that is reset. The kernel reports a reset to one call only. If a request is still being written as the server resets, the write may get the error, and the read sees a plain end.

Change: if the write failed, an answer that its connection delimits is broken.

Measured: TestABodyThatIsResetWhileItsRequestIsWrittenIsNotComplete failed before and passes now.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -253,6 +253,11 @@
 		return false
 	}
 	end := result.end
+	if err != nil && end.Err == nil && !end.Framed {
+		// The kernel reports a reset to one call only: after the write, the read sees
+		// the plain end of the connection, which does not mean here that the body is whole.
+		end.Err = fmt.Errorf("%w: %w", ErrClosed, err)
+	}
 	exchange.deliver(Event{End: &end})
 	return err == nil && result.reusable && stillOpen
 }
--- a/internal/connpool/cut_test.go
+++ b/internal/connpool/cut_test.go
@@ -124,3 +124,48 @@
 		}
 	}
 }
+
+// resetSocket is a connection that is reset while a request is written. The kernel
+// reports that to one call only, here to the write; the read then sees a plain end.
+type resetSocket struct {
+	cutSocket
+	writing chan struct{}
+}
+
+func (s *resetSocket) Read(p []byte) (int, error) {
+	<-s.writing
+	return s.cutSocket.Read(p)
+}
+
+func (s *resetSocket) Write([]byte) (int, error) {
+	close(s.writing)
+	return 0, syscall.ECONNRESET
+}
+
+// Guards against taking a part of a body for the whole if its connection, whose end
+// delimits it, is reset before the request is written to its end: the caller got a 200
+// with a short body.
+func TestABodyThatIsResetWhileItsRequestIsWrittenIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		text     string
+		complete bool
+	}{
+		"is delimited by its connection": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nthe server's by", false},
+		"has a length and is whole":      {whole("1", "the server's bytes"), true},
+	} {
+		Convey("Given a reset during the request and a body that "+name, t, func() {
+			socket := &resetSocket{cutSocket{text: c.text, step: len(c.text), end: io.EOF}, make(chan struct{})}
+			connection := newConnection(nil, "u", socket, decodeHead)
+			go connection.read()
+			events := make(chan Event, 8)
+			So(connection.roundTrip(&Exchange{ID: "1", Method: http.MethodPost, Events: events, Context: context.Background()}), ShouldBeFalse)
+			close(events)
+			var end *End
+			for event := range events {
+				end = event.End
+			}
+			So(end, ShouldNotBeNil)
+			So(end.Err == nil, ShouldEqual, c.complete)
+		})
+	}
+}
