Take no success for whole that has neither a length nor a body

Callers could get a 200 with an empty body, framed as whole.

Cause: a head that ends before the line with the body's length reads as one whose body ends with the connection, and an empty body passed for the whole.

Change: a success with such a body counts as broken, as streams without an event do already. Answers that have no body by their kind (HEAD, 204, length 0) stay whole; those to HEAD no longer count as delimited by their connection.

Measured: TestASuccessWithoutLengthAndBodyIsNotComplete failed before (200 for both routes) and passes now; go test -race of platform and the connection pool passes.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -89,7 +89,7 @@
 type End struct {
 	// Err is nil if the answer is complete.
 	Err error
-	// Framed is false if the answer is delimited by the end of the connection.
+	// Framed is false if the answer's body is delimited by the end of the connection.
 	Framed bool
 	// Unsent is true if no byte of the request was written.
 	Unsent bool
@@ -338,7 +338,8 @@
 }
 
 func (c *Connection) readBody(exchange *Exchange, response *http.Response, head *gateway.AnswerHead) End {
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	// Answers to HEAD have no body whatever their fields say.
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 	exchange.deliver(Event{Head: head})
 	for {
 		part := make([]byte, readBuffer)
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -298,6 +298,9 @@
 		return r.endAnswer()
 	case r.head.NotRun || r.head.WrongInstance:
 		return Outcome{Ending: NotRun, Arrived: true, Status: r.head.Status}
+	case r.head.Success() && !end.Framed && len(r.body) == 0:
+		// An upstream that stops within its head may still end it, without the length.
+		return r.outcome(Broke, fmt.Errorf("%w: it delimits the body and sent none", connpool.ErrClosed))
 	}
 	outcome := r.outcome(Failed, nil)
 	outcome.Answer = &BufferedAnswer{Head: *r.head, Body: r.body}
