Count an answer that is cut within a line as closed, not as malformed

A server that ended in the middle of a line of its answer's head was not counted among those that requests may crash, but as one that sends invalid answers.

Cause: net/textproto takes what is left at the end of a connection for a line, and reports a malformed one.

Change: an answer that can't be read is closed early if all that arrived was read and the connection has ended.

Measured: TestAnAnswerThatIsCutAnywhereIsNotComplete, which now asks for the reason, failed before for each kind of answer and passes now.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -119,6 +119,8 @@
 	source    io.Reader
 	limited   bool
 	remaining int
+	// ended is the error with which the source ended, nil before.
+	ended error
 }
 
 // limit lets the next bytes be read and fails after them.
@@ -128,14 +130,17 @@
 
 // Read implements io.Reader.
 func (r *limitedReader) Read(p []byte) (int, error) {
-	if !r.limited {
-		return r.source.Read(p)
-	}
-	if r.remaining <= 0 {
+	if r.limited && r.remaining <= 0 {
 		return 0, ErrHeadTooLong
 	}
-	n, err := r.source.Read(p[:min(len(p), r.remaining)])
+	if r.limited {
+		p = p[:min(len(p), r.remaining)]
+	}
+	n, err := r.source.Read(p)
 	r.remaining -= n
+	if err != nil && r.ended == nil {
+		r.ended = err
+	}
 	return n, err
 }
 
@@ -307,9 +312,9 @@
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: exchange.Method}) //nolint:bodyclose
 		c.received.unlimit()
 		if err != nil {
-			var netErr net.Error
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
-				return End{Err: fmt.Errorf("%w: %w", ErrClosed, err)}, false
+			// A line that the end of the connection cuts off reads as a malformed one.
+			if c.received.ended != nil && c.reader.Buffered() == 0 {
+				return End{Err: fmt.Errorf("%w: %w: %w", ErrClosed, c.received.ended, err)}, false
 			}
 			return End{Err: fmt.Errorf("%w: %w", ErrMalformedResponse, err)}, false
 		}
--- a/internal/connpool/cut_test.go
+++ b/internal/connpool/cut_test.go
@@ -116,6 +116,9 @@
 							broken = append(broken, position)
 						}
 						So(reusable && position < len(answer.text), ShouldBeFalse)
+						if got.Err != nil {
+							So(got.Err, ShouldWrap, ErrClosed)
+						}
 					}
 					So(complete, ShouldBeEmpty)
 					So(broken, ShouldBeEmpty)
