Take no service's answer for whole that has neither a length nor a body

Measured: TestAServiceAnswerThatIsCutAnywhereIsNotComplete failed before for the empty body and passes now. Its other cases, and TestAStreamThatIsCutAnywhereIsNotComplete for engines' streams, passed already: no other cut makes an answer complete.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -71,7 +71,18 @@
 		return nil, fault.New(fault.UpstreamFailed, fault.Ran,
 			"the service's answer exceeds %d bytes; ask for less", maxAnswerBytes)
 	}
+	if len(body) == 0 && !framed(response) && response.StatusCode < http.StatusMultipleChoices {
+		// A service that stops within its answer's head may still end it, without the length.
+		return nil, fault.New(fault.UpstreamFailed, fault.Unknown,
+			"the service's answer has neither a length nor a body; look the result up before a retry")
+	}
 	return &core.ServiceAnswer{
 		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
 	}, nil
 }
+
+// framed reports whether something other than the end of the connection tells where
+// the response's body ends.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
