Take no service's answer for whole that was reset while its call was written

Change: connections to upstreams return the error of a failed write to the reader in place of the plain end, and end a write that is under way then.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -87,7 +86,7 @@
 	for _, option := range opts {
 		option(&settings)
 	}
-	dial := (&net.Dialer{Timeout: settings.dialTimeout}).DialContext
+	dial := dialer(settings.dialTimeout)
 	return &Client{
 		pooled: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerUpstream,
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -59,7 +59,7 @@
 func cutClient(text string, end error) *Client {
 	client := NewClient()
 	client.unpooled.DialContext = func(context.Context, string, string) (net.Conn, error) {
-		return &cutConnection{written: make(chan struct{}, 1), text: text, end: end}, nil
+		return newSocket(&cutConnection{written: make(chan struct{}, 1), text: text, end: end}), nil
 	}
 	return client
 }
@@ -154,3 +154,51 @@
 		}
 	}
 }
+
+// resetConnection is reset while a request is written, after a part of the answer. The
+// write gets the error, and the read the plain end of the connection.
+type resetConnection struct {
+	cutConnection
+	// begun is true once the first part of the request was written. writing is closed
+	// when the next write begins, ended when the read has seen the end.
+	begun          bool
+	writing, ended chan struct{}
+}
+
+func (c *resetConnection) Write(p []byte) (int, error) {
+	if !c.begun {
+		c.begun = true
+		return c.cutConnection.Write(p)
+	}
+	close(c.writing)
+	<-c.ended
+	return 0, syscall.ECONNRESET
+}
+
+func (c *resetConnection) Read(p []byte) (int, error) {
+	if c.text == "" {
+		<-c.writing
+	}
+	n, err := c.cutConnection.Read(p)
+	if err != nil {
+		close(c.ended)
+	}
+	return n, err
+}
+
+// Guards against taking a part of a body for the whole if its connection, whose end
+// delimits it, is reset before the request is written to its end.
+func TestAServiceAnswerThatIsResetWhileItsRequestIsWrittenIsNotComplete(t *testing.T) {
+	Convey("Given a reset during the request and a part of an answer without a length", t, func() {
+		client := NewClient()
+		client.unpooled.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			text := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"payout\":"
+			return newSocket(&resetConnection{cutConnection{written: make(chan struct{}, 1), text: text, end: io.EOF}, false, make(chan struct{}), make(chan struct{})}), nil
+		}
+		request := cutCall(http.MethodPost)
+		request.Work.Call.Service.Body = make([]byte, 1<<20)
+		_, err := client.Call(context.Background(), request)
+		So(err, ShouldNotBeNil)
+		So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+	})
+}
--- /dev/null
+++ b/internal/upstream/socket.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+)
+
+// socket is a connection to an upstream whose reader also learns that a write failed.
+// The kernel reports a reset to one call only: if that is a write, the next read sees
+// the plain end of the connection, which may delimit a body.
+type socket struct {
+	net.Conn
+	// written holds the error of the last write unless one is under way.
+	written chan error
+}
+
+// dialer returns the function that opens connections to upstreams.
+func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := (&net.Dialer{Timeout: timeout}).DialContext
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newSocket(connection), nil
+	}
+}
+
+func newSocket(connection net.Conn) *socket {
+	s := &socket{Conn: connection, written: make(chan error, 1)}
+	s.written <- nil
+	return s
+}
+
+// Write implements io.Writer.
+func (s *socket) Write(p []byte) (int, error) {
+	earlier := <-s.written
+	n, err := s.Conn.Write(p)
+	if earlier != nil {
+		s.written <- earlier
+	} else {
+		s.written <- err
+	}
+	return n, err
+}
+
+// Read implements io.Reader. It returns io.EOF only if no write failed. A write that is
+// under way at the end of the connection is ended.
+func (s *socket) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	var writeErr error
+	select {
+	case writeErr = <-s.written:
+	default:
+		_ = s.Close()
+		writeErr = <-s.written
+	}
+	s.written <- writeErr
+	if writeErr != nil {
+		return n, writeErr
+	}
+	return n, err
+}
