Lose no order to stop while the front's inbox is full

A host that was stopped while many connections opened or closed could go on as before: kept connections stayed open, or unfinished requests were cut at the end of the grace period without an answer.

Cause: the orders to drain and to end requests were dropped if the inbox of the task that owns the connections was full.

Change: they wait for room.

Measured: TestABusyServerLosesNoOrderToStop failed before for both orders and passes now, three times under the race detector.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -85,8 +85,9 @@
 	}
 }
 
-// Drain makes the server close each connection after its next answer.
-func (s *Server) Drain() { s.inbox.TrySend(beginDrain{}) }
+// Drain makes the server close each connection after its next answer. It waits while
+// the inbox is full, as the order must not be lost.
+func (s *Server) Drain() { _ = s.inbox.Send(context.Background(), beginDrain{}) }
 
 // CloseIdle closes idle connections and waits until all others have closed or
 // ctx ends. New connections are accepted for one request each until none is
@@ -97,8 +98,9 @@
 }
 
 // EndRequests ends the contexts of all requests with the cause gateway.ErrHostStopping,
-// so that their callers still get an answer, and closes the listener.
-func (s *Server) EndRequests() { s.inbox.TrySend(endRequests{}) }
+// so that their callers still get an answer, and closes the listener. Like Drain, it
+// waits while the inbox is full.
+func (s *Server) EndRequests() { _ = s.inbox.Send(context.Background(), endRequests{}) }
 
 // Run accepts and serves connections until ctx ends, then closes the listener
 // and all connections.
