Refuse requests that are still read as a stopping host ends

A caller that was sending its request at the end of the grace period got no answer.

Cause: the context of requests, which ends then, did not interrupt reading, so that the connection was closed once the time for last answers was over.

Change: it does, and the caller gets 503 with a short time to come back; such a request has not run.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -137,10 +137,13 @@
 	}
 }
 
+// past is a read deadline that interrupts a read at once.
+var past = time.Unix(1, 0)
+
 // interruptPeek ends the wait for the first byte of a request. It reports whether the
 // peek goroutine has read one all the same.
 func (c *connection) interruptPeek() bool {
-	_ = c.socket.SetReadDeadline(time.Unix(1, 0)) // any time in the past
+	_ = c.socket.SetReadDeadline(past)
 	err := <-c.peekResults
 	c.peeking = false
 	return err == nil
@@ -158,12 +161,12 @@
 func (c *connection) serveRequest(ctx context.Context) bool {
 	c.served = true
 	limits := c.server.config.Limits.Limits(ctx)
-	request, err := c.readHead(limits)
+	request, err := c.readHead(ctx, limits)
 	if err != nil {
 		return c.refuseUnreadable(err)
 	}
 	arrived := c.server.config.Now()
-	body, err := c.readBody(request, limits)
+	body, err := c.readBody(ctx, request, limits)
 	if err != nil {
 		return c.refuseUnreadable(err)
 	}
@@ -220,8 +223,39 @@
 	return false
 }
 
+// limitReads lets reads fail after a timeout, or once ctx has ended, until the returned
+// function is called.
+func (c *connection) limitReads(ctx context.Context, timeout time.Duration) (end func()) {
+	_ = c.socket.SetReadDeadline(c.server.config.Now().Add(timeout))
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.socket.SetReadDeadline(past)
+		close(interrupted)
+	})
+	return func() {
+		if !stop() {
+			<-interrupted
+		}
+		_ = c.socket.SetReadDeadline(time.Time{})
+	}
+}
+
+// readTimeout returns the refusal of a request that did not arrive in time, or before
+// the host stops, or the reason why the connection ends. part is what has not arrived.
+func readTimeout(ctx context.Context, part string, timeout time.Duration) error {
+	cause := context.Cause(ctx)
+	if cause != nil && !errors.Is(cause, gateway.ErrHostStopping) {
+		return cause
+	}
+	if cause != nil {
+		return gateway.Refuse(gateway.Draining, gateway.DrainRetryAfter,
+			"this host stops, and the %s has not arrived; send the request again, which reaches another host", part)
+	}
+	return gateway.Refuse(gateway.SlowRequest, 0, "the %s did not arrive within %s; send it at once", part, timeout)
+}
+
 // readHead reads and checks the head of a request.
-func (c *connection) readHead(limits gateway.Limits) (*http.Request, error) {
+func (c *connection) readHead(ctx context.Context, limits gateway.Limits) (*http.Request, error) {
 	timeout, maxBytes := limits.HeaderTimeout, limits.MaxHeaderBytes
 	if timeout <= 0 {
 		timeout = defaultHeaderTimeout
@@ -229,8 +263,7 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultHeaderBytes
 	}
-	_ = c.socket.SetReadDeadline(c.server.config.Now().Add(timeout))
-	defer func() { _ = c.socket.SetReadDeadline(time.Time{}) }()
+	defer c.limitReads(ctx, timeout)()
 	var head []byte
 	for {
 		line, err := c.reader.ReadSlice('\n')
@@ -242,7 +275,7 @@
 			continue
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, gateway.Refuse(gateway.SlowRequest, 0, "the head did not arrive within %s; send it at once", timeout)
+			return nil, readTimeout(ctx, "head", timeout)
 		}
 		if err != nil {
 			return nil, err
@@ -306,7 +339,7 @@
 	return nil
 }
 
-func (c *connection) readBody(request *http.Request, limits gateway.Limits) ([]byte, error) {
+func (c *connection) readBody(ctx context.Context, request *http.Request, limits gateway.Limits) ([]byte, error) {
 	chunked := len(request.TransferEncoding) > 0
 	if request.ContentLength <= 0 && !chunked {
 		return nil, nil
@@ -323,8 +356,7 @@
 			return nil, err
 		}
 	}
-	_ = c.socket.SetReadDeadline(c.server.config.Now().Add(bodyTimeout))
-	defer func() { _ = c.socket.SetReadDeadline(time.Time{}) }()
+	defer c.limitReads(ctx, bodyTimeout)()
 	var body bytes.Buffer
 	if request.ContentLength > 0 {
 		body.Grow(int(request.ContentLength) + bytes.MinRead)
@@ -332,7 +364,7 @@
 	err := c.copyBody(&body, request, maxBytes)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, gateway.Refuse(gateway.SlowRequest, 0, "the body did not arrive within %s", bodyTimeout)
+		return nil, readTimeout(ctx, "body", bodyTimeout)
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return nil, err
 	case int64(body.Len()) > maxBytes:
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -12,6 +14,54 @@
 	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
+// Guards against closing a connection without an answer at the end of the grace period
+// while a request is being read from it: the caller can't tell whether it was taken.
+func TestARequestThatIsStillReadAsTheHostStopsIsRefused(t *testing.T) {
+	for name, part := range map[string]string{
+		"head":                         "POST /x HTTP/1.1\r\nHost: h\r\nContent-Le",
+		"body":                         "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc",
+		"chunked body":                 "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"body that waits for a prompt": "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n",
+	} {
+		Convey("Given a host that stops while it reads a "+name, t, func() {
+			listener := newPipeListener()
+			passedOn := make(chan string, 1)
+			server := NewServer(Config{
+				Listener: listener, Codec: plainCodec{}, Log: zap.NewNop(), Now: time.Now, MaxConnections: 100, Limits: limits{},
+				Handler: handlerFunc(func(_ context.Context, request *gateway.Request, _ gateway.Answer) error {
+					passedOn <- request.Target
+					return gateway.Refuse(gateway.UpstreamBroke, 0, "passed on")
+				}),
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				server.Run(ctx)
+				close(done)
+			}()
+			Reset(func() {
+				cancel()
+				<-done
+			})
+			connection := listener.dial()
+			_, err := io.WriteString(connection, part)
+			So(err, ShouldBeNil)
+			server.Drain()
+			server.EndRequests()
+			reader := bufio.NewReader(connection)
+			got, err := readReply(reader)
+			for err == nil && got.status == http.StatusContinue {
+				got, err = readReply(reader)
+			}
+			So(err, ShouldBeNil)
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.body, ShouldContainSubstring, string(gateway.Draining))
+			So(got.close, ShouldBeTrue)
+			So(passedOn, ShouldBeEmpty)
+		})
+	}
+}
+
 // Guards against a server that loses the order to drain, or to end its requests, because
 // its inbox is full at that moment: it went on as before, and cut its callers at the end.
 func TestABusyServerLosesNoOrderToStop(t *testing.T) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -46,6 +46,10 @@
 // before the request is finished.
 var ErrHostStopping = errors.New("this host stops before the request is finished")
 
+// DrainRetryAfter is the retry delay given by a host that stops too soon for a request.
+// It is short, as the retry reaches another host.
+const DrainRetryAfter = 50 * time.Millisecond
+
 // Refusal is an error that ends a request without an upstream's answer.
 type Refusal struct {
 	Kind RefusalKind
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -24,10 +24,6 @@
 	staleConfigAge = 2500 * time.Millisecond
 )
 
-// DrainRetryAfter is the retry delay given by a host that shuts down too soon for a
-// request. It is short, as the retry reaches another host.
-const DrainRetryAfter = 50 * time.Millisecond
-
 // ConfigSource returns the active configuration.
 type ConfigSource interface {
 	Current(ctx context.Context) (director.ConfigState, error)
@@ -93,7 +89,7 @@
 	}
 	// A request that may take longer than the host has is better served by another.
 	if !state.ShutdownAt.IsZero() && matched.Deadline.After(state.ShutdownAt) {
-		return nil, gateway.Refuse(gateway.Draining, DrainRetryAfter, "this host stops in %s, before the request's time is up; send it again, which reaches another host",
+		return nil, gateway.Refuse(gateway.Draining, gateway.DrainRetryAfter, "this host stops in %s, before the request's time is up; send it again, which reaches another host",
 			state.ShutdownAt.Sub(request.Arrived).Round(time.Millisecond))
 	}
 	return matched, nil
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -302,7 +302,7 @@
 		}
 		return nil
 	case r.lastOutcome.Ending == relay.HostStopping && !r.retryState.MayHaveRun():
-		return r.capRetryAfter(gateway.Refuse(gateway.Draining, match.DrainRetryAfter, "this host stops; send the request again, which reaches another host"))
+		return r.capRetryAfter(gateway.Refuse(gateway.Draining, gateway.DrainRetryAfter, "this host stops; send the request again, which reaches another host"))
 	case r.lastOutcome.Ending == relay.HostStopping:
 		return gateway.Refuse(gateway.UpstreamBroke, 0, "this host stopped before the upstream answered; the request may have run")
 	case r.lastOutcome.Ending == relay.TimeUp && !r.retryState.MayHaveRun():
