Refuse work that may outlast a stopping host on the product's own path

In a planned stop, calls that came while the load balancer had not noticed it were taken and passed on. If their deadline was after the limit of the stop, they were cut at that limit without an answer, also payouts.

Cause: work was not compared with the time that a stopping host has.

Change: a filter refuses work whose deadline is later (host_draining, not run). It stands behind claim, so that no call is said not to have run that ran before under the same key. A quarter of the limit, at most 3 s, is kept for storing bills and outcomes and for returning shares.

Measured: TestAStoppingHostTakesNoRequestThatMayOutlastIt failed before (the connections of both requests were closed) and passes now.

--- a/internal/host/handlers.go
+++ b/internal/host/handlers.go
@@ -11,6 +11,7 @@
 	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
 	"github.com/peridotreel/peridotreel/internal/filter/claim"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
+	"github.com/peridotreel/peridotreel/internal/filter/lifetime"
 	"github.com/peridotreel/peridotreel/internal/filter/relay"
 	"github.com/peridotreel/peridotreel/internal/filter/reserve"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
@@ -28,6 +29,7 @@
 			Authenticate: authenticate.New(t.teams),
 			Classify:     classify.New(t.teams, t.balancer),
 			Claim:        claim.New(t.claimant, claims.ValidateKey),
+			Lifetime:     lifetime.New(h),
 			Admit:        admit.New(t.admitter),
 			Reserve:      reserve.New(t.shares),
 			Route:        route.New(t.balancer),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -48,6 +48,7 @@
 	callers     *http.Server
 	admin       *http.Server
 	draining    atomic.Bool
+	stopsAt     atomic.Pointer[time.Time]
 	serveErrors chan error
 }
 
@@ -196,21 +197,53 @@
 	return snapshot.Teams[name].Version
 }
 
-// Drain stops the host gracefully. It reports not ready, waits until the load
-// balancer has noticed, finishes every request in flight, stores the pending
-// bills and the outcomes of calls, returns the budget shares, and stops. An error
-// says what could not be finished, stored or returned.
+// StopsAt implements lifetime.Host.
+func (h *Host) StopsAt() time.Time {
+	if at := h.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+const (
+	// exitMargin is the part of the time to stop that is kept for storing bills and
+	// outcomes and for returning shares, unless that is more than exitFraction of it.
+	exitMargin   = 3 * time.Second
+	exitFraction = 0.25
+)
+
+// servingContext returns a context that ends when a host that must stop by the end of
+// ctx can no longer serve.
+func (h *Host) servingContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, limited := ctx.Deadline()
+	if !limited {
+		return context.WithCancel(ctx)
+	}
+	left := time.Until(end)
+	left -= min(exitMargin, time.Duration(float64(left)*exitFraction))
+	stopsAt := h.options.Now().Add(left)
+	h.stopsAt.Store(&stopsAt)
+	return context.WithTimeout(ctx, left)
+}
+
+// Drain stops the host gracefully. It reports not ready, refuses work that may
+// outlast it, waits until the load balancer has noticed, finishes every request
+// in flight, stores the pending bills and the outcomes of calls, returns the
+// budget shares, and stops. An error says what could not be finished, stored or
+// returned.
 func (h *Host) Drain(ctx context.Context) error {
+	serving, cancel := h.servingContext(ctx)
+	defer cancel()
 	h.draining.Store(true)
 	h.callers.SetKeepAlivesEnabled(false)
 	h.log.Info("host is draining and reports not ready")
 	if err := h.tasks.leave(ctx); err != nil {
 		h.log.Warn("could not announce to peers that this host is leaving; they learn it from the platform's list of machines", zap.Error(err))
 	}
-	if err := task.Sleep(ctx, time.Duration(h.options.Settings.Drain.BalancerWait)); err != nil {
+	if err := task.Sleep(serving, time.Duration(h.options.Settings.Drain.BalancerWait)); err != nil {
 		return h.abort(err)
 	}
-	if err := h.callers.Shutdown(ctx); err != nil {
+	if err := h.callers.Shutdown(serving); err != nil {
 		return h.abort(fmt.Errorf("requests in flight were cut off: %w", err))
 	}
 	err := h.tasks.drain(ctx)
--- /dev/null
+++ b/internal/localfleet/stop_test.go
@@ -0,0 +1,101 @@
+package localfleet_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotreel/peridotreel/internal/localfleet"
+)
+
+// longStop is a limit for stopping that is shorter than the requests of these tests, which
+// last until their deadline, 10 s after they arrived. It leaves time to send some.
+const longStop = 8 * time.Second
+
+// withoutEnd makes upstreams answer later than any deadline.
+func withoutEnd(config *localfleet.Config) {
+	const step = time.Hour
+	for i := range config.Engines {
+		config.Engines[i].Settings.StepTime = step
+	}
+	config.Services[0].Settings.Delay = step
+}
+
+// stopWithin stops a host and returns the function that waits for the end.
+func (f *testFleet) stopWithin(limit time.Duration, running *localfleet.RunningHost) (wait func() error) {
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(f.ctx, limit)
+		defer cancel()
+		ended <- running.Drain(ctx)
+	}()
+	return func() error { return <-ended }
+}
+
+// heldRequest is a request of which a host has read the head and waits for the body.
+type heldRequest struct {
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+// heldBody is the body of held requests.
+const heldBody = `{"model":"` + model + `","messages":[{"role":"user","content":"What?"}]}`
+
+func hold(host *localfleet.RunningHost, path, key string) *heldRequest {
+	connection, err := net.Dial("tcp", host.CallerAddress())
+	So(err, ShouldBeNil)
+	Reset(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n",
+		path, callerKey, key, len(heldBody))
+	So(err, ShouldBeNil)
+	held := &heldRequest{connection, bufio.NewReader(connection)}
+	So(held.outcome(), ShouldStartWith, "100")
+	return held
+}
+
+func (r *heldRequest) sendBody() {
+	_, err := io.WriteString(r.connection, heldBody)
+	So(err, ShouldBeNil)
+}
+
+// outcome returns the status, the code and the run state of the next answer.
+func (r *heldRequest) outcome() string {
+	response, err := http.ReadResponse(r.reader, nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	var body struct {
+		Error struct{ Code, Run string }
+	}
+	_ = json.NewDecoder(response.Body).Decode(&body) // interim answers have no body
+	return fmt.Sprintf("%d %s %s", response.StatusCode, body.Error.Code, body.Error.Run)
+}
+
+// Guards against a host that takes a request late in a planned stop which it can't
+// finish, and then cuts it off.
+func TestAStoppingHostTakesNoRequestThatMayOutlastIt(t *testing.T) {
+	Convey("Given requests that arrive after the start of a stop, and may last longer", t, func() {
+		f := start(1, 1, withoutEnd)
+		host := f.running()[0]
+		completion, payout := newKey(), newKey()
+		requests := []*heldRequest{hold(host, "/v1/chat/completions", completion), hold(host, "/services/ledger/payouts", payout)}
+		wait := f.stopWithin(longStop, host)
+		f.waitUntil("the host is stopping", func() bool { return host.Ready() != nil })
+		for _, request := range requests {
+			request.sendBody()
+			So(request.outcome(), ShouldEqual, "503 host_draining not_run")
+		}
+		So(wait(), ShouldBeNil)
+		So(f.hasRun(completion), ShouldBeFalse)
+		So(f.ledgerRuns()[payout], ShouldEqual, 0)
+	})
+}
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -13,6 +13,7 @@
 	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
 	"github.com/peridotreel/peridotreel/internal/filter/claim"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
+	"github.com/peridotreel/peridotreel/internal/filter/lifetime"
 	"github.com/peridotreel/peridotreel/internal/filter/relay"
 	"github.com/peridotreel/peridotreel/internal/filter/reserve"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
@@ -43,6 +44,7 @@
 	recorded      *core.Answer
 	claims        []string
 	earlierTarget *core.Target
+	stopsAt       time.Time
 }
 
 func (f *fakes) Current() *teamtable.Snapshot {
@@ -58,6 +60,8 @@
 	}
 }
 
+func (f *fakes) StopsAt() time.Time { return f.stopsAt }
+
 func (f *fakes) Serves(model core.ModelName) bool { return model == "m" }
 
 func (f *fakes) Enter(context.Context, *core.Work) (admit.Slot, error) {
@@ -150,7 +154,7 @@
 	now := time.Now
 	return &Pipeline{
 		Filters: Filters{
-			Authenticate: authenticate.New(f), Classify: classify.New(f, f),
+			Authenticate: authenticate.New(f), Classify: classify.New(f, f), Lifetime: lifetime.New(f),
 			Claim: claim.New(f, func(string, time.Time) error { return nil }),
 			Admit: admit.New(f), Reserve: reserve.New(f), Route: route.New(f),
 			Attempt: attempt.New(f), Relay: relay.New(now), Settle: settle.New(f, f),
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -1,6 +1,6 @@
 // Package pipeline composes the filters through which each request passes.
 //
-//	decode → authenticate → classify → claim → admit → reserve
+//	decode → authenticate → classify → claim → lifetime → admit → reserve
 //	       → route → attempt → relay → settle
 //
 // Each request is handled by the goroutine that owns the caller's connection.
@@ -18,6 +18,7 @@
 	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
 	"github.com/peridotreel/peridotreel/internal/filter/claim"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
+	"github.com/peridotreel/peridotreel/internal/filter/lifetime"
 	"github.com/peridotreel/peridotreel/internal/filter/relay"
 	"github.com/peridotreel/peridotreel/internal/filter/reserve"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
@@ -77,6 +78,7 @@
 	Authenticate *authenticate.Filter
 	Classify     *classify.Filter
 	Claim        *claim.Filter
+	Lifetime     *lifetime.Filter
 	Admit        *admit.Filter
 	Reserve      *reserve.Filter
 	Route        *route.Filter
@@ -152,6 +154,9 @@
 
 // runAdmitted waits for a slot, runs the work in it and releases the slot.
 func (e *exchange) runAdmitted(ctx context.Context) (*core.Answer, error) {
+	if err := e.pipeline.Lifetime.Apply(e.work); err != nil {
+		return nil, err
+	}
 	if e.pipeline.Backlog.Backlogged() {
 		return nil, fault.Refuse(fault.BillingBacklog,
 			"this host can't store more bills while the platform is down; retry later").WithRetryAfter(backlogRetry)
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -133,6 +134,16 @@
 		So(f.claims, ShouldResemble, []string{"claim", "complete"})
 		So(f.bills[0].Cost, ShouldEqual, core.Tokens(5))
 	})
+	Convey("A call that would outlast the host is refused only if it has not run before", t, func() {
+		f := &fakes{stopsAt: time.Unix(1, 0)}
+		_, err := serve(t, f, serviceCall("POST"))
+		So(fault.From(err).Code, ShouldEqual, fault.HostDraining)
+		So(f.claims, ShouldResemble, []string{"claim", "release"})
+		f = &fakes{stopsAt: time.Unix(1, 0), recorded: &core.Answer{Service: &core.ServiceAnswer{Status: 200}}}
+		_, err = serve(t, f, serviceCall("POST"))
+		So(err, ShouldBeNil)
+		So(f.requests, ShouldBeEmpty)
+	})
 	Convey("A refusal before the call is sent releases the claim", t, func() {
 		f := &fakes{reserveErr: fault.Refuse(fault.InsufficientQuota, "empty")}
 		_, err := serve(t, f, serviceCall("POST"))
