Answer unfinished requests before a host of the product's own path ends

At the limit of a planned stop, callers' connections were closed without an answer, also those of calls that must not be repeated, and those whose body was still read; bills and outcomes were not stored.

Cause: the HTTP server was closed with the requests in flight.

Change: the contexts of the requests end with a cause of their own, also that of calls that go on when their caller leaves. Callers get an error with the run state; engines go on, so that answers can be resumed through other hosts. Bills and outcomes are then stored as in any planned stop. At most 1 s of the time that is kept for the end is for these answers.

Measured: TestAHostAnswersUnfinishedRequestsBeforeItEnds (completions with and without a stream, and a payout) and TestAHostRefusesRequestsThatAreStillReadBeforeItEnds of internal/localfleet failed before with a closed connection and pass now, three times under the race detector.

--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -20,6 +21,10 @@
 	"github.com/peridotreel/peridotreel/internal/pipeline"
 )
 
+// drainRetryAfter is the retry delay given by a host that stops. It is short, because the
+// retry reaches another host.
+const drainRetryAfter = 50 * time.Millisecond
+
 // Models lists the models that the fleet currently serves.
 type Models interface {
 	Models() []core.ModelName
@@ -115,15 +120,23 @@
 func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request) (decode.Raw, error) {
 	// Clear the write deadline of an earlier stream on this connection, which
 	// would otherwise cut off this answer.
-	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(time.Time{}); err != nil {
 		return decode.Raw{}, fault.Refuse(fault.Internal, "the connection can't be used; retry on a new one").WithCause(err)
 	}
+	// The body is no longer waited for once the host stops.
+	stopWaiting := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer stopWaiting()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, decode.MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return decode.Raw{}, fault.Refuse(fault.BodyTooLarge,
 			"the body has more than %d bytes; shorten the prompt or split the request", decode.MaxBody)
 	}
+	if err != nil && errors.Is(context.Cause(r.Context()), fault.ErrHostStopping) {
+		return decode.Raw{}, fault.Refuse(fault.HostDraining,
+			"this host stops, and the body has not arrived; retry, which reaches another host").WithRetryAfter(drainRetryAfter).WithCause(err)
+	}
 	if err != nil {
 		return decode.Raw{}, fault.Refuse(fault.InvalidRequest, "the body could not be read; send the request again").WithCause(err)
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -54,6 +54,10 @@
 	Internal              Code = "internal"
 )
 
+// ErrHostStopping is the cause of a request's context that ends because the host stops
+// before the request is finished.
+var ErrHostStopping = errors.New("this host stops before the request is finished")
+
 // Error is an error that is reported to a caller.
 type Error struct {
 	Code Code
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
 	"github.com/peridotreel/peridotreel/internal/settings"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
@@ -38,13 +39,15 @@
 
 // Host is one process of the fleet.
 type Host struct {
-	options     Options
-	log         *zap.Logger
-	listeners   listeners
-	telemetry   *telemetry.Telemetry
-	requests    *telemetry.RequestHistograms
-	tasks       *tasks
-	group       task.Group
+	options   Options
+	log       *zap.Logger
+	listeners listeners
+	telemetry *telemetry.Telemetry
+	requests  *telemetry.RequestHistograms
+	tasks     *tasks
+	group     task.Group
+	// endRequests ends the contexts of all callers' requests.
+	endRequests context.CancelCauseFunc
 	callers     *http.Server
 	admin       *http.Server
 	draining    atomic.Bool
@@ -121,6 +124,8 @@
 		return err
 	}
 	h.callers = h.newServer(h.callerHandler())
+	requests, end := context.WithCancelCause(context.Background())
+	h.callers.BaseContext, h.endRequests = func(net.Listener) context.Context { return requests }, end
 	h.admin = h.newServer(adminHandler)
 	return nil
 }
@@ -206,10 +211,14 @@
 }
 
 const (
-	// exitMargin is the part of the time to stop that is kept for storing bills and
-	// outcomes and for returning shares, unless that is more than exitFraction of it.
+	// exitMargin is the part of the time to stop that is kept for the last answers, for
+	// storing bills and outcomes and for returning shares, unless that is more than
+	// exitFraction of it.
 	exitMargin   = 3 * time.Second
 	exitFraction = 0.25
+	// lastAnswersTimeout limits the time for answering requests that are unfinished
+	// when the time to serve is over.
+	lastAnswersTimeout = time.Second
 )
 
 // servingContext returns a context that ends when a host that must stop by the end of
@@ -240,13 +249,19 @@
 	if err := h.tasks.leave(ctx); err != nil {
 		h.log.Warn("could not announce to peers that this host is leaving; they learn it from the platform's list of machines", zap.Error(err))
 	}
-	if err := task.Sleep(serving, time.Duration(h.options.Settings.Drain.BalancerWait)); err != nil {
-		return h.abort(err)
+	// If only serving ends first, Shutdown reports it.
+	_ = task.Sleep(serving, time.Duration(h.options.Settings.Drain.BalancerWait))
+	if ctx.Err() != nil {
+		return h.abort(ctx.Err())
 	}
-	if err := h.callers.Shutdown(serving); err != nil {
-		return h.abort(fmt.Errorf("requests in flight were cut off: %w", err))
+	unfinished := h.callers.Shutdown(serving)
+	if unfinished != nil {
+		unfinished = fmt.Errorf("requests in flight were not finished in time: %w", unfinished)
+		if err := h.answerUnfinished(ctx); err != nil {
+			return h.abort(errors.Join(unfinished, err))
+		}
 	}
-	err := h.tasks.drain(ctx)
+	err := errors.Join(unfinished, h.tasks.drain(ctx))
 	_ = h.admin.Close()
 	h.group.Stop()
 	h.listeners.close()
@@ -256,6 +271,20 @@
 	return err
 }
 
+// answerUnfinished ends the requests in flight, so that their callers get an answer.
+// Engines go on with them, since callers may resume answers through other hosts.
+func (h *Host) answerUnfinished(ctx context.Context) error {
+	h.log.Warn("the time to serve is over before all requests finished; ending them")
+	h.tasks.upstream.DisableCancellation()
+	ctx, cancel := context.WithTimeout(ctx, lastAnswersTimeout)
+	defer cancel()
+	h.endRequests(fault.ErrHostStopping)
+	if err := h.callers.Shutdown(ctx); err != nil {
+		return fmt.Errorf("some callers did not take their last answer in time: %w", err)
+	}
+	return nil
+}
+
 func (h *Host) abort(err error) error {
 	h.Kill()
 	return err
--- a/internal/localfleet/stop_test.go
+++ b/internal/localfleet/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,12 +14,16 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotreel/peridotreel/internal/client"
 	"github.com/peridotreel/peridotreel/internal/localfleet"
 )
 
-// longStop is a limit for stopping that is shorter than the requests of these tests, which
-// last until their deadline, 10 s after they arrived. It leaves time to send some.
-const longStop = 8 * time.Second
+// Limits for stopping that are shorter than the requests of these tests, which last until
+// their deadline, 10 s after they arrived. longStop leaves time to send some.
+const (
+	shortStop = 4 * time.Second
+	longStop  = 8 * time.Second
+)
 
 // withoutEnd makes upstreams answer later than any deadline.
 func withoutEnd(config *localfleet.Config) {
@@ -40,6 +45,46 @@
 	return func() error { return <-ended }
 }
 
+// outcome describes how a request ended: with the code and run state of an error, or
+// with the reason why there is no answer.
+func outcome(err error) string {
+	var typed *client.Error
+	if errors.As(err, &typed) {
+		return fmt.Sprintf("%d %s %s", typed.Status, typed.Code, typed.Run)
+	}
+	return fmt.Sprint(err)
+}
+
+// Guards against closing callers' connections without an answer at the end of a planned
+// stop, also those of calls that must not be repeated.
+func TestAHostAnswersUnfinishedRequestsBeforeItEnds(t *testing.T) {
+	Convey("Given requests that are not finished when a host ends", t, func() {
+		f := start(1, 1, withoutEnd)
+		host := f.running()[0]
+		outcomes := make(chan string, 3)
+		for _, stream := range []bool{true, false} {
+			key := newKey()
+			go func() {
+				_, err := f.caller.Complete(f.ctx, host.CallerAddress(), client.Request{
+					Model: model, Prompt: "What?", MaxTokens: 20, Stream: stream, IdempotencyKey: key,
+				})
+				outcomes <- outcome(err)
+			}()
+			f.waitUntil("the engine has the request", func() bool { return f.hasRun(key) })
+		}
+		payout := newKey()
+		go func() {
+			_, _, err := f.caller.Call(f.ctx, host.CallerAddress(), http.MethodPost, "/ledger/payouts", payout, []byte(`{}`))
+			outcomes <- outcome(err)
+		}()
+		f.waitUntil("the ledger has the call", func() bool { return f.ledgerRuns()[payout] > 0 })
+		So(f.stopWithin(shortStop, host)(), ShouldNotBeNil)
+		for range cap(outcomes) {
+			So(<-outcomes, ShouldEqual, "502 upstream_failed unknown")
+		}
+	})
+}
+
 // heldRequest is a request of which a host has read the head and waits for the body.
 type heldRequest struct {
 	connection net.Conn
@@ -99,3 +144,17 @@
 		So(f.ledgerRuns()[payout], ShouldEqual, 0)
 	})
 }
+
+// Guards against closing a caller's connection without an answer while a body is still
+// read from it at the end of a planned stop.
+func TestAHostRefusesRequestsThatAreStillReadBeforeItEnds(t *testing.T) {
+	Convey("Given requests whose bodies have not arrived when a host ends", t, func() {
+		f := start(1, 1)
+		host := f.running()[0]
+		requests := []*heldRequest{hold(host, "/v1/chat/completions", newKey()), hold(host, "/services/ledger/payouts", newKey())}
+		So(f.stopWithin(shortStop, host)(), ShouldNotBeNil)
+		for _, request := range requests {
+			So(request.outcome(), ShouldEqual, "503 host_draining not_run")
+		}
+	})
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -112,11 +113,28 @@
 	defer cancel()
 
 	exchange := &exchange{pipeline: p, work: work, sink: sink, started: p.Now()}
-	err = exchange.serve(ctx)
+	err = reportStop(ctx, exchange.serve(ctx))
 	p.Recorder.Done(exchange.summarize(err))
 	return err
 }
 
+// reportStop returns the error of a request that ended because the host stops, which
+// would otherwise look as if its caller had left. Other errors are returned unchanged.
+func reportStop(ctx context.Context, err error) error {
+	if err == nil || !errors.Is(context.Cause(ctx), fault.ErrHostStopping) {
+		return err
+	}
+	typed := fault.From(err)
+	if typed.Code != fault.CallerGone {
+		return err
+	}
+	if typed.Run == fault.NotRun {
+		return fault.Refuse(fault.HostDraining, "this host stops; retry, which reaches another host").WithRetryAfter(upstreamRetry).WithCause(err)
+	}
+	return fault.New(fault.UpstreamFailed, typed.Run,
+		"this host stopped before the answer was complete; retry with the same Idempotency-Key").WithRetryAfter(upstreamRetry).WithCause(err)
+}
+
 // exchange is the state of one request in the pipeline. Only the goroutine of
 // the request accesses it.
 type exchange struct {
--- a/internal/pipeline/service.go
+++ b/internal/pipeline/service.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/fault"
 	"github.com/peridotreel/peridotreel/internal/filter/attempt"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
 )
@@ -27,7 +29,7 @@
 		// The call continues if the caller disconnects; otherwise its outcome
 		// would be unknown.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), e.work.Deadline)
+		ctx, cancel = untilHostStops(ctx, e.work.Deadline)
 		defer cancel()
 	}
 	plan := e.newPlan(ctx)
@@ -48,6 +50,23 @@
 	}
 }
 
+// untilHostStops returns a context that ends at the deadline, or with ctx if the host
+// stops, but not with ctx if the caller disconnects.
+func untilHostStops(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	detached, cancelDeadline := context.WithDeadline(detached, deadline)
+	stop := context.AfterFunc(ctx, func() {
+		if cause := context.Cause(ctx); errors.Is(cause, fault.ErrHostStopping) {
+			cancel(cause)
+		}
+	})
+	return detached, func() {
+		stop()
+		cancelDeadline()
+		cancel(nil)
+	}
+}
+
 // attemptCall calls the service. An idempotent call that is not answered within
 // serviceSilenceLimit is sent once more on a new connection, and the first
 // answer is used.
