Keep idle connections open while a stop is not noticed yet

In a planned stop of a host of the product's own path, requests on kept connections that crossed the close of idle ones got no answer, although some were passed on.

Cause: idle connections were closed at once, while callers still use them. net/http counts a connection as idle until it has read the head of a request, so that a request is cut that has been read and is then handled.

Change: at first each answer ends its connection; idle connections are closed only after the time in which the load balancer notices the stop. A request that arrives on such a connection within microseconds of that close can still be cut.

--- a/internal/host/handlers.go
+++ b/internal/host/handlers.go
@@ -66,6 +66,17 @@
 	return api.NewHandler(h.newPipeline(), h.tasks.balancer, h.log)
 }
 
+// closeAfterAnswer lets each answer of a stopping host end its connection. Closing idle
+// connections instead would cut off requests that net/http has read but not begun.
+func (h *Host) closeAfterAnswer(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // adminHandler returns the handler of the admin address, which serves operators
 // and the health checks of the platform's load balancer.
 func (h *Host) adminHandler() (http.Handler, error) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	h.callers = h.newServer(h.callerHandler())
+	h.callers = h.newServer(h.closeAfterAnswer(h.callerHandler()))
 	requests, end := context.WithCancelCause(context.Background())
 	h.callers.BaseContext, h.endRequests = func(net.Listener) context.Context { return requests }, end
 	h.admin = h.newServer(adminHandler)
@@ -244,7 +244,6 @@
 	serving, cancel := h.servingContext(ctx)
 	defer cancel()
 	h.draining.Store(true)
-	h.callers.SetKeepAlivesEnabled(false)
 	h.log.Info("host is draining and reports not ready")
 	if err := h.tasks.leave(ctx); err != nil {
 		h.log.Warn("could not announce to peers that this host is leaving; they learn it from the platform's list of machines", zap.Error(err))
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -4,6 +4,7 @@
 package localfleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,9 +29,9 @@
 	// readyTimeout bounds the start of all hosts.
 	readyTimeout = 10 * time.Second
 	readyPoll    = 20 * time.Millisecond
-	// balancerWait is short, because a local fleet has no load balancer.
-	balancerWait = 200 * time.Millisecond
-	drainLimit   = time.Minute
+	// defaultBalancerWait is short, because a local fleet has no load balancer.
+	defaultBalancerWait = 200 * time.Millisecond
+	drainLimit          = time.Minute
 )
 
 // Engine describes a model engine to start.
@@ -56,7 +57,10 @@
 	MembersLag time.Duration
 	// Operators may use the admin interface of each host.
 	Operators []settings.Operator
-	Log       *zap.Logger
+	// BalancerWait is how long a host that is drained still takes requests; 0 takes a
+	// short time.
+	BalancerWait time.Duration
+	Log          *zap.Logger
 }
 
 // RunningEngine is a started engine.
@@ -223,7 +227,7 @@
 		Settings: &settings.Settings{
 			Host: name, Zone: zone, Platform: "http://" + f.forwarders[zone].Address(),
 			Listen:    settings.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort},
-			Drain:     settings.Drain{BalancerWait: settings.Duration(balancerWait), Limit: settings.Duration(drainLimit)},
+			Drain:     settings.Drain{BalancerWait: settings.Duration(cmp.Or(f.config.BalancerWait, defaultBalancerWait)), Limit: settings.Duration(drainLimit)},
 			Operators: f.config.Operators,
 		},
 		Dial:        f.network.dialer(zone),
--- a/internal/localfleet/stop_test.go
+++ b/internal/localfleet/stop_test.go
@@ -158,3 +158,41 @@
 		}
 	})
 }
+
+// Guards against closing kept connections at the start of a planned stop, while callers
+// still use them: a request that crosses the close gets no answer, although net/http may
+// have read it and passed it on.
+func TestAStoppingHostServesKeptConnections(t *testing.T) {
+	Convey("Given a kept connection to a host whose load balancer has not noticed the stop", t, func() {
+		f := start(1, 1, func(config *localfleet.Config) { config.BalancerWait = time.Hour })
+		host := f.running()[0]
+		connection, err := net.Dial("tcp", host.CallerAddress())
+		So(err, ShouldBeNil)
+		Reset(func() { _ = connection.Close() })
+		reader := bufio.NewReader(connection)
+		// listModels returns the status, and whether the answer ends the connection.
+		listModels := func() (status int, last bool, err error) {
+			_, err = io.WriteString(connection, "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+callerKey+"\r\n\r\n")
+			So(err, ShouldBeNil)
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return 0, false, err
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			return response.StatusCode, response.Close, response.Body.Close()
+		}
+		_, last, err := listModels()
+		So(err, ShouldBeNil)
+		So(last, ShouldBeFalse)
+		ctx, cancel := context.WithCancel(f.ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- host.Drain(ctx) }()
+		f.waitUntil("the host is stopping", func() bool { return host.Ready() != nil })
+		status, last, err := listModels()
+		cancel()
+		So(<-ended, ShouldNotBeNil)
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+		So(last, ShouldBeTrue)
+	})
+}
