--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -89,7 +89,7 @@
 type End struct {
 	// Err is nil if the answer is complete.
 	Err error
-	// Framed is false if the answer is delimited by the end of the connection.
+	// Framed is false if the answer's body is delimited by the end of the connection.
 	Framed bool
 	// Unsent is true if no byte of the request was written.
 	Unsent bool
@@ -119,6 +119,8 @@
 	source    io.Reader
 	limited   bool
 	remaining int
+	// ended is the error with which the source ended, nil before.
+	ended error
 }
 
 // limit lets the next bytes be read and fails after them.
@@ -128,14 +130,17 @@
 
 // Read implements io.Reader.
 func (r *limitedReader) Read(p []byte) (int, error) {
-	if !r.limited {
-		return r.source.Read(p)
-	}
-	if r.remaining <= 0 {
+	if r.limited && r.remaining <= 0 {
 		return 0, ErrHeadTooLong
 	}
-	n, err := r.source.Read(p[:min(len(p), r.remaining)])
+	if r.limited {
+		p = p[:min(len(p), r.remaining)]
+	}
+	n, err := r.source.Read(p)
 	r.remaining -= n
+	if err != nil && r.ended == nil {
+		r.ended = err
+	}
 	return n, err
 }
 
@@ -253,6 +258,11 @@
 		return false
 	}
 	end := result.end
+	if err != nil && end.Err == nil && !end.Framed {
+		// The kernel reports a reset to one call only: after the write, the read sees
+		// the plain end of the connection, which does not mean here that the body is whole.
+		end.Err = fmt.Errorf("%w: %w", ErrClosed, err)
+	}
 	exchange.deliver(Event{End: &end})
 	return err == nil && result.reusable && stillOpen
 }
@@ -302,9 +312,9 @@
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: exchange.Method}) //nolint:bodyclose
 		c.received.unlimit()
 		if err != nil {
-			var netErr net.Error
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
-				return End{Err: fmt.Errorf("%w: %w", ErrClosed, err)}, false
+			// A line that the end of the connection cuts off reads as a malformed one.
+			if c.received.ended != nil && c.reader.Buffered() == 0 {
+				return End{Err: fmt.Errorf("%w: %w: %w", ErrClosed, c.received.ended, err)}, false
 			}
 			return End{Err: fmt.Errorf("%w: %w", ErrMalformedResponse, err)}, false
 		}
@@ -333,7 +343,8 @@
 }
 
 func (c *Connection) readBody(exchange *Exchange, response *http.Response, head *gateway.AnswerHead) End {
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	// Answers to HEAD have no body whatever their fields say.
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 	exchange.deliver(Event{Head: head})
 	for {
 		part := make([]byte, readBuffer)
--- a/internal/host/handlers.go
+++ b/internal/host/handlers.go
@@ -11,6 +11,7 @@
 	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
 	"github.com/peridotreel/peridotreel/internal/filter/claim"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
+	"github.com/peridotreel/peridotreel/internal/filter/lifetime"
 	"github.com/peridotreel/peridotreel/internal/filter/relay"
 	"github.com/peridotreel/peridotreel/internal/filter/reserve"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
@@ -28,6 +29,7 @@
 			Authenticate: authenticate.New(t.teams),
 			Classify:     classify.New(t.teams, t.balancer),
 			Claim:        claim.New(t.claimant, claims.ValidateKey),
+			Lifetime:     lifetime.New(h),
 			Admit:        admit.New(t.admitter),
 			Reserve:      reserve.New(t.shares),
 			Route:        route.New(t.balancer),
@@ -64,6 +66,17 @@
 	return api.NewHandler(h.newPipeline(), h.tasks.balancer, h.log)
 }
 
+// closeAfterAnswer lets each answer of a stopping host end its connection. Closing idle
+// connections instead would cut off requests that net/http has read but not begun.
+func (h *Host) closeAfterAnswer(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // adminHandler returns the handler of the admin address, which serves operators
 // and the health checks of the platform's load balancer.
 func (h *Host) adminHandler() (http.Handler, error) {
--- a/internal/opaque/match/match.go
+++ b/internal/opaque/match/match.go
@@ -32,10 +32,6 @@
 	completionObjectives = 4
 )
 
-// DrainRetryAfter is the retry delay given by a host that shuts down too soon for a
-// request. It is short, as the retry reaches another host.
-const DrainRetryAfter = 50 * time.Millisecond
-
 // ConfigSource returns the active configuration.
 type ConfigSource interface {
 	Current(ctx context.Context) (director.ConfigState, error)
@@ -101,7 +97,7 @@
 		matched.Deadline = request.Deadline
 	}
 	if stopsTooSoon(state, matched) {
-		return nil, gateway.Refuse(gateway.Draining, DrainRetryAfter, "this host stops in %s, before the request's time is up; send it again, which reaches another host",
+		return nil, gateway.Refuse(gateway.Draining, gateway.DrainRetryAfter, "this host stops in %s, before the request's time is up; send it again, which reaches another host",
 			state.ShutdownAt.Sub(request.Arrived).Round(time.Millisecond))
 	}
 	return matched, nil
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -1,6 +1,6 @@
 // Package pipeline composes the filters through which each request passes.
 //
-//	decode → authenticate → classify → claim → admit → reserve
+//	decode → authenticate → classify → claim → lifetime → admit → reserve
 //	       → route → attempt → relay → settle
 //
 // Each request is handled by the goroutine that owns the caller's connection.
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -18,6 +19,7 @@
 	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
 	"github.com/peridotreel/peridotreel/internal/filter/claim"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
+	"github.com/peridotreel/peridotreel/internal/filter/lifetime"
 	"github.com/peridotreel/peridotreel/internal/filter/relay"
 	"github.com/peridotreel/peridotreel/internal/filter/reserve"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
@@ -77,6 +79,7 @@
 	Authenticate *authenticate.Filter
 	Classify     *classify.Filter
 	Claim        *claim.Filter
+	Lifetime     *lifetime.Filter
 	Admit        *admit.Filter
 	Reserve      *reserve.Filter
 	Route        *route.Filter
@@ -110,11 +113,28 @@
 	defer cancel()
 
 	exchange := &exchange{pipeline: p, work: work, sink: sink, started: p.Now()}
-	err = exchange.serve(ctx)
+	err = reportStop(ctx, exchange.serve(ctx))
 	p.Recorder.Done(exchange.summarize(err))
 	return err
 }
 
+// reportStop returns the error of a request that ended because the host stops, which
+// would otherwise look as if its caller had left. Other errors are returned unchanged.
+func reportStop(ctx context.Context, err error) error {
+	if err == nil || !errors.Is(context.Cause(ctx), fault.ErrHostStopping) {
+		return err
+	}
+	typed := fault.From(err)
+	if typed.Code != fault.CallerGone {
+		return err
+	}
+	if typed.Run == fault.NotRun {
+		return fault.Refuse(fault.HostDraining, "this host stops; retry, which reaches another host").WithRetryAfter(upstreamRetry).WithCause(err)
+	}
+	return fault.New(fault.UpstreamFailed, typed.Run,
+		"this host stopped before the answer was complete; retry with the same Idempotency-Key").WithRetryAfter(upstreamRetry).WithCause(err)
+}
+
 // exchange is the state of one request in the pipeline. Only the goroutine of
 // the request accesses it.
 type exchange struct {
@@ -152,6 +172,9 @@
 
 // runAdmitted waits for a slot, runs the work in it and releases the slot.
 func (e *exchange) runAdmitted(ctx context.Context) (*core.Answer, error) {
+	if err := e.pipeline.Lifetime.Apply(e.work); err != nil {
+		return nil, err
+	}
 	if e.pipeline.Backlog.Backlogged() {
 		return nil, fault.Refuse(fault.BillingBacklog,
 			"this host can't store more bills while the platform is down; retry later").WithRetryAfter(backlogRetry)
