Release a connection before the end of its answer is delivered

Cause: a requester learned of the end of its answer before the connection was back in the pool, so that its next request could open another one; TestAConnectionIsUsedAgain failed for it.

Change: the connection is released first, unless the delivery would have to wait.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -207,7 +207,6 @@
 			if !c.roundTrip(exchange) {
 				return
 			}
-			c.pool.release(c)
 			idle.Reset(c.idleLimit)
 		case <-c.results:
 			// The upstream closed the idle connection or sent stray bytes.
@@ -236,8 +235,8 @@
 	}
 }
 
-// roundTrip writes a request and waits for the end of its answer. It reports
-// whether the connection can be used for another.
+// roundTrip writes a request and waits for the end of its answer. It releases the
+// connection if it can be used for another request, and reports whether it can.
 func (c *Connection) roundTrip(exchange *Exchange) bool {
 	select {
 	case <-c.results:
@@ -263,8 +262,18 @@
 		// the plain end of the connection, which does not mean here that the body is whole.
 		end.Err = fmt.Errorf("%w: %w", ErrClosed, err)
 	}
+	reusable := err == nil && result.reusable && stillOpen
+	// The requester's next request finds the connection if it is released before the end
+	// is delivered, which must not wait then.
+	early := reusable && len(exchange.Events) < cap(exchange.Events)
+	if early {
+		c.pool.release(c)
+	}
 	exchange.deliver(Event{End: &end})
-	return err == nil && result.reusable && stillOpen
+	if reusable && !early {
+		c.pool.release(c)
+	}
+	return reusable
 }
 
 // deliver sends an event unless the exchange's context has ended.
