Keep the same records of a crash on all hosts whatever their clocks say

Cause: of one crash and trait three records are kept, the earliest first. Their times differ from host to host by the delays of reports, so that hosts could keep different ones and write the row in the store for it.

Change: the hosts' names decide, after whether they are in the upstream's zone.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -334,8 +334,9 @@
 	return true, true
 }
 
-// compareWitnesses orders records of a crash by how much they count, so that all hosts
-// keep the same ones.
+// compareWitnesses orders records of a crash by how much they count. Their times do not
+// matter, as they differ from host to host by the delays of reports, and all hosts are to
+// keep the same records.
 func compareWitnesses(a, b evidence) int {
 	if a.sameZone != b.sameZone {
 		if a.sameZone {
@@ -343,7 +344,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.origin, b.origin))
+	return cmp.Compare(a.origin, b.origin)
 }
 
 // dropOldest forgets the oldest record of a trait that has no other; if there is none,
--- a/internal/tasks/holds/holds.go
+++ b/internal/tasks/holds/holds.go
@@ -1,6 +1,6 @@
-// Package holds is the task that keeps in the store which prompt parts were in flight
-// when upstreams crashed, so that a kill of all hosts does not forget the holds that
-// follow from it.
+// Package holds is the task that keeps in the store which prompt parts and requests were
+// in flight when upstreams crashed, so that a kill of all hosts does not forget the holds
+// that follow from it.
 package holds
 
 import (
