Allow the demo's calls that the killed host cut off to have an unknown outcome

Cause: the demo kills a host under load. The claim of a call that the host was running is never taken over, so that its retry gets outcome_unknown, as the design page says; the demo counted it as an answer that is missing. Such calls are rare on an idle machine.

Change: an unknown outcome is allowed for a call that the killed host cut off, and counted; at any other host it still breaks the promise, and the line names the hosts.

--- a/internal/demo/mix.go
+++ b/internal/demo/mix.go
@@ -147,7 +147,8 @@
 func (d *demo) checkAnswers() {
 	answerCheck := d.newCheck("P3 a caller receives the whole answer to its own request")
 	notRunCheck := d.newCheck("P4 a request refused with \"not run\" did not run")
-	answered, refused, retried := 0, 0, 0
+	answered, refused, retried, unknown := 0, 0, 0, 0
+	killed := d.fleet.Hosts[0].CallerAddress()
 	for _, s := range d.tally.samples {
 		if s.retries > 0 {
 			retried++
@@ -159,11 +160,14 @@
 			answered++
 		case s.notRun:
 			refused++
+		case s.code == outcomeUnknown && slices.Contains(s.cutOffBy, killed):
+			// The claim of a host that dies is never taken over.
+			unknown++
 		default:
-			answerCheck.violationf("%s %s got no answer after all retries: %s", s.team, s.class, s.code)
+			answerCheck.violationf("%s %s got no answer after all retries: %s; hosts that cut it off: %v", s.team, s.class, s.code, s.cutOffBy)
 		}
 	}
-	answerCheck.detail = fmt.Sprintf("%d answers, %d of them after a retry", answered, retried)
+	answerCheck.detail = fmt.Sprintf("%d answers, %d of them after a retry; %d calls of unknown outcome, cut off by the killed host", answered, retried, unknown)
 	notRunCheck.detail = fmt.Sprintf("%d refusals in the mix", refused)
 	d.checkNotRun(notRunCheck)
 }
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -145,6 +145,9 @@
 	key     string
 }
 
+// outcomeUnknown is the code of a call that may have run and did not run again.
+const outcomeUnknown = "outcome_unknown"
+
 // call sends one call to a plain service and retries it under its key like
 // complete, except when the outcome is unknown.
 func call(connection *client.Client, sender *team, hosts addressPicker, random *mathrand.Rand, request serviceCall) sample {
@@ -166,7 +169,7 @@
 			return result
 		}
 		var typed *client.Error
-		if errors.As(err, &typed) && typed.Code == "outcome_unknown" {
+		if errors.As(err, &typed) && typed.Code == outcomeUnknown {
 			result.code, result.notRun = typed.Code, false
 			return result
 		}
