--- a/review/tools/gateway.go
+++ b/review/tools/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,11 +33,17 @@
 	memoryMB, slack int
 }
 
+// freeAddress returns an address below the ports that the system gives to outgoing
+// connections, which could take it before the gateway listens there.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(12_000))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			check(listener.Close())
+			return address
+		}
+	}
 }
 
 // newGateway writes the settings of a gateway in the form of deploy/settings.yaml.tmpl.
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	cases := map[string]func(){"prepaid-drill": prepaidDrill, "silent-server": silentServer, "restarted-server": restartedServer}
+	cases := map[string]func(){"prepaid-drill": prepaidDrill, "silent-server": silentServer, "restarted-server": restartedServer, "take-ups": takeUps, "long-bodies": longBodies}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "give one of the cases")
 		os.Exit(unable)
--- a/review/tools/server.go
+++ b/review/tools/server.go
@@ -19,9 +19,11 @@
 	// stride is the number of tokens in an event, eventTime the time for each.
 	stride    int
 	eventTime time.Duration
-	workTime  time.Duration
-	slots     int
-	log       *record
+	// promptTime is how long the server reads a prompt before it works on the answer.
+	promptTime time.Duration
+	workTime   time.Duration
+	slots      int
+	log        *record
 
 	mu      sync.Mutex
 	address string
@@ -143,6 +145,7 @@
 	events := (tokens + s.stride - 1) / s.stride
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	time.Sleep(s.promptTime)
 	for i := last + 1; i <= events; i++ {
 		time.Sleep(s.eventTime)
 		for rest := s.silentFor(); rest > 0; rest = s.silentFor() {
