--- a/review/tools/client.go
+++ b/review/tools/client.go
@@ -15,6 +15,7 @@
 type call struct {
 	id      string
 	gateway *gateway
+	key     string
 	sent    time.Time
 	ended   time.Time
 	status  int
@@ -56,7 +57,7 @@
 
 // send sends one attempt to a gateway and reads the answer to its end.
 func (c *client) send(g *gateway, q request) call {
-	result := call{id: newID(), gateway: g, sent: time.Now(), versions: map[string]bool{}}
+	result := call{id: newID(), gateway: g, key: q.key, sent: time.Now(), versions: map[string]bool{}}
 	r, err := http.NewRequest(q.method, "http://"+g.callers+q.path, strings.NewReader(strings.Repeat("x", 64)))
 	check(err)
 	r.Host = q.host
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -19,65 +19,84 @@
 	cases[os.Args[1]]()
 }
 
-// prepaidDrill: a tenant is created, uses its balance for some seconds, and the store
-// comes back from a copy of before while all gateways are killed.
+// prepaidDrill: tenants are created and use their balances for some seconds. One gateway of
+// six is killed, and the store comes back from a copy of before as it starts again. That is
+// played three times, each with new tenants.
 func prepaidDrill() {
 	w := newWorld()
-	const prepaid, in, out = 1_000_000, 6610, 385
+	const rounds, tenants, prepaid, in, out = 3, 8, 300_000, 6610, 385
 	lima := sheet{memoryMB: 134, slack: 58}
-	for i, zone := range []string{"lima-a", "lima-b", "lima-c"} {
+	zones := []string{"lima-a", "lima-b", "lima-c"}
+	for i, zone := range zones {
 		w.addServer(fmt.Sprintf("i-%d", i+1), "models", zone, "v1").eventTime = 8 * time.Millisecond
 	}
 	routes := []any{route("binder", "/binder/", "streaming", "models", 12000, 1000, 500, 1, false)}
-	old := tenant("old", "key-old", 2_000_000)
-	w.store.put("op", "config", config(1, 7, 64, 402228, routes, old))
-	w.addGateways(lima, "lima-a", "lima-b", "lima-c")
+	list := []any{tenant("old", "key-old", 2_000_000)}
+	w.store.put("op", "config", config(1, 7, 64, 402228, routes, list...))
+	w.addGateways(lima, append(zones, zones...)...)
 	time.Sleep(3 * time.Second)
 
-	backup := w.store.copy()
-	w.log.line("operator: version 2 adds tenant new, prepaid %d", prepaid)
-	withNew := config(2, 7, 64, 402228, routes, old, tenant("new", "key-new", prepaid))
-	w.store.put("op", "config", withNew)
-	time.Sleep(500 * time.Millisecond)
-	for range 16 {
-		w.startClient(request{method: "POST", host: "shop.example", path: "/binder/1", key: "key-new", in: in, out: out, part: "5c1e07a2", budget: 12 * time.Second},
-			100*time.Millisecond, w.anyGateway)
-	}
-	time.Sleep(6 * time.Second)
-	if trouble() {
-		w.store.leave()
-		for _, g := range w.gateways {
-			g.signal(syscall.SIGKILL)
+	var names []string
+	for round := range rounds {
+		backup := w.store.copy()
+		w.log.line("operator: version %d adds %d tenants, prepaid %d each", round+2, tenants, prepaid)
+		for i := range tenants {
+			name := fmt.Sprintf("new%d-%d", round+1, i+1)
+			names = append(names, name)
+			list = append(list, tenant(name, "key-"+name, prepaid))
 		}
-		for _, g := range w.gateways {
-			g.wait()
-		}
-		time.Sleep(time.Second)
-		w.store.back(&backup)
-		w.log.line("operator: writes version 2 again; the servers write their rows again")
+		withNew := config(round+2, 7, 64, 402228, routes, list...)
 		w.store.put("op", "config", withNew)
-		for _, s := range w.servers {
-			w.list(s, "ready")
+		time.Sleep(500 * time.Millisecond)
+		for i := range 4 * tenants {
+			w.startClient(request{method: "POST", host: "shop.example", path: "/binder/1", key: "key-" + names[round*tenants+i%tenants], in: in, out: out,
+				part: "5c1e07a2", budget: 12 * time.Second}, 100*time.Millisecond, w.anyGateway)
 		}
-		for _, g := range w.gateways {
-			g.start()
+		time.Sleep(5500 * time.Millisecond)
+		if trouble() {
+			w.drill(w.gateways[0], &backup, withNew)
 		}
+		time.Sleep(12 * time.Second)
+		w.stopClients()
+		w.stop = make(chan struct{})
 	}
-	time.Sleep(20 * time.Second)
-	w.stopClients()
 
-	consumed, requests := 0, 0
+	consumed := map[string]int{}
 	for _, c := range w.calls.all {
 		if w.ranAnywhere(c.id) {
-			consumed += in + min(7*c.events, out)
-			requests++
+			consumed[c.key] += in + min(7*c.events, out)
 		}
 	}
-	w.log.line("tenant new: %d requests ran, consumed %d of %d prepaid tokens", requests, consumed, prepaid)
-	if consumed > prepaid {
-		w.finish(1, "the tenant got %d tokens and has prepaid %d", consumed, prepaid)
+	overspent, most := 0, 0
+	for _, name := range names {
+		got := consumed["key-"+name]
+		w.log.line("tenant %s: got %d of %d prepaid tokens", name, got, prepaid)
+		most = max(most, got)
+		if got > prepaid {
+			overspent++
+		}
+	}
+	w.store.logLedgers()
+	if overspent > 0 {
+		w.finish(1, "%d of %d tenants got more than the %d tokens that they prepaid, at most %d", overspent, len(names), prepaid, most)
+	}
+	w.finish(0, "no tenant got more than %d tokens, of %d prepaid", most, prepaid)
+}
+
+// drill lets the store be away for a second and come back from a copy. A gateway is killed
+// at its beginning, and starts again at its end. The operator and the servers write again.
+func (w *world) drill(killed *gateway, from *copyOf, configuration map[string]any) {
+	w.store.leave(true)
+	killed.signal(syscall.SIGKILL)
+	killed.wait()
+	time.Sleep(time.Second)
+	w.store.back(from)
+	w.log.line("operator: writes its configuration again; the servers write their rows again")
+	w.store.put("op", "config", configuration)
+	for _, s := range w.servers {
+		w.list(s, "ready")
 	}
-	w.finish(0, "the tenant got %d tokens and has prepaid %d", consumed, prepaid)
+	killed.start()
 }
 
 // silentServer: a sound server falls silent for a second while its streams run, after a
@@ -172,7 +191,7 @@
 	time.Sleep(5 * time.Second)
 	restarted := w.servers[0]
 	if trouble() {
-		w.store.leave()
+		w.store.leave(false)
 		time.Sleep(300 * time.Millisecond)
 		restarted = w.idleServer()
 		restarted.crash()
--- a/review/tools/store.go
+++ b/review/tools/store.go
@@ -41,13 +41,13 @@
 	version int64
 	era     int64
 	changed chan struct{}
-	// away is closed when the store is back; nil while it answers.
+	// away is closed when the store is back; nil while it answers. busy is true if it
+	// answers 503 while it is away, and nothing otherwise.
 	away    chan struct{}
+	busy    bool
 	born    time.Time
 	address string
 	log     *record
-	// lateWrite reports whether a transaction is to be performed late, without an answer.
-	lateWrite func(puts, removes []row) time.Duration
 }
 
 // callTime is how long an answer takes (SYSTEM.md: 4 ms).
@@ -103,12 +103,12 @@
 	return copyOf{maps.Clone(s.rows), slices.Clone(s.history), s.version, time.Now()}
 }
 
-// leave makes the store answer nothing until back is called.
-func (s *store) leave() {
+// leave makes the store answer nothing, or 503 if busy, until back is called.
+func (s *store) leave(busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.log.line("store: away, answers nothing")
-	s.away = make(chan struct{})
+	s.log.line("store: away, answers 503: %v", busy)
+	s.away, s.busy = make(chan struct{}), busy
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -130,13 +130,18 @@
 	s.changed = make(chan struct{})
 }
 
-// waitAway blocks while the store is away, and then breaks the connection off.
-func (s *store) waitAway(r *http.Request) {
+// refused reports whether the store is away. It then answers 503, or blocks until it is
+// back and breaks the connection off.
+func (s *store) refused(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
-	away := s.away
+	away, busy := s.away, s.busy
 	s.mu.Unlock()
 	if away == nil {
-		return
+		return false
+	}
+	if busy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
 	}
 	select {
 	case <-away:
@@ -146,7 +151,9 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.waitAway(r)
+	if s.refused(w, r) {
+		return
+	}
 	time.Sleep(callTime)
 	switch {
 	case r.URL.Path == "/api/rows-tx":
@@ -181,19 +188,11 @@
 			return
 		}
 	}
-	s.waitAway(r)
+	if s.refused(w, r) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lateWrite != nil {
-		if delay := s.lateWrite(body.Puts, body.Remove); delay > 0 {
-			time.AfterFunc(delay, func() {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				s.perform(body.Expect, body.Puts, body.Remove)
-			})
-			panic(http.ErrAbortHandler)
-		}
-	}
 	if current, ok := s.perform(body.Expect, body.Puts, body.Remove); !ok {
 		s.answer(w, http.StatusPreconditionFailed, map[string]any{"rows": current})
 		return
@@ -240,7 +239,9 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	deadline := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	for ended := false; ; {
-		s.waitAway(r)
+		if s.refused(w, r) {
+			return
+		}
 		s.mu.Lock()
 		if after > s.version {
 			s.answer(w, http.StatusGone, map[string]any{})
@@ -269,3 +270,14 @@
 		}
 	}
 }
+
+// logLedgers records which rows of the gateways' table of balances the store has.
+func (s *store) logLedgers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.rows {
+		if id.table == "balances" {
+			s.log.line("store: balances/%s/%s, written %s", id.part, id.key, r.Value[:min(len(r.Value), 300)])
+		}
+	}
+}
