Keep the attempt at a silent upstream until another answers

Callers saw begun streams cut while their upstream was at work: a sound server was silent for 1.2 s, and the gateway closed its connection after 1.0 s (silenceLimit) before it was known whether the stream could go on elsewhere. No other server had the software that began it. The same follows where the retry budget is used up, where the others refuse, fail or break off, and for requests that are not streams.

Silence no longer ends an attempt. The request is also sent to another upstream once one is placed and connected, and the first of the two that answers ends the other. A refusal or failure of one never ends the request while the other is in flight.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -194,6 +194,9 @@
 // acquired from the pool.
 func (c *Connection) Send(exchange *Exchange) { c.inbox <- exchange }
 
+// Release gives back an acquired connection on which nothing is sent.
+func (c *Connection) Release() { c.pool.release(c) }
+
 // run performs exchanges until the connection is closed.
 func (c *Connection) run() {
 	defer c.pool.connectionClosed(c)
--- a/internal/decide/placement/health.go
+++ b/internal/decide/placement/health.go
@@ -60,7 +60,7 @@
 }
 
 // failureWeight is how much a signal counts as a failure of the upstream.
-var failureWeight = map[Signal]float64{Failed: 0.4, Broke: 1, ClosedEarly: 1, Silent: 1, Succeeded: 0, Full: 0.3}
+var failureWeight = map[Signal]float64{Failed: 0.4, Broke: 1, ClosedEarly: 1, Stalled: 1, Silent: 1, Succeeded: 0, Full: 0.3}
 
 // updateHealth updates the health estimate of an upstream from a signal.
 func (u *upstreamState) updateHealth(signal Signal, now time.Time) {
@@ -73,7 +73,7 @@
 	case Unreachable:
 		u.connectionFailures = min(u.connectionFailures+1, maxConnectionFailures)
 		u.startCooldown(now, cooldownUnreachable<<(u.connectionFailures-1))
-	case Broke, ClosedEarly, Silent:
+	case Broke, ClosedEarly, Stalled, Silent:
 		u.connectionFailures = min(u.connectionFailures+1, maxConnectionFailures)
 		u.startCooldown(now, cooldownBroke<<(u.connectionFailures-1))
 	case Full:
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -166,23 +166,27 @@
 	Broke
 	// ClosedEarly means that the connection ended before the upstream answered.
 	ClosedEarly
-	// Silent means that the upstream sent nothing for too long.
+	// Stalled means that the upstream has sent nothing for some time. The attempt goes on.
+	Stalled
+	// Silent means that the upstream sent nothing until the time was up.
 	Silent
 	// Abandoned means that the caller disconnected or the time was up.
 	Abandoned
 )
 
-// Observe records a signal of an attempt. Any signal but Started and
-// Progressed ends the attempt.
+// Observe records a signal of an attempt. Any signal but Started, Progressed and
+// Stalled ends the attempt.
 func (b *LoadBalancer) Observe(id core.UpstreamID, number uint64, signal Signal, now time.Time) {
 	u := b.upstreams[id]
 	if u == nil {
 		return
 	}
 	if sent, found := u.attempts[number]; found {
-		if signal == Started || signal == Progressed {
+		switch signal {
+		case Started, Progressed:
 			sent.started = true
-		} else {
+		case Stalled:
+		default:
 			delete(u.attempts, number)
 		}
 	}
--- a/internal/decide/retrypolicy/retrypolicy.go
+++ b/internal/decide/retrypolicy/retrypolicy.go
@@ -88,6 +88,8 @@
 // Arrivals returns how many times the request may have reached an upstream.
 func (s *State) Arrivals() int { return s.arrivals }
 
-// MayRetryAfterNext reports whether the request may run at one more upstream
-// after the next attempt.
-func (s *State) MayRetryAfterNext() bool { return s.rule.MayRetry() && s.ran+1 < s.maxAttempts }
+// MayAdd reports whether the request may be sent to one more upstream while attempts
+// that may have run it are in flight.
+func (s *State) MayAdd(inFlight int) bool {
+	return s.rule.MayRetry() && s.ran+inFlight < s.maxAttempts && s.notRun <= maxNotRunAttempts
+}
--- a/internal/decide/retrypolicy/retrypolicy_test.go
+++ b/internal/decide/retrypolicy/retrypolicy_test.go
@@ -21,9 +21,10 @@
 	})
 	Convey("A request that may run twice stops at its maximum number of attempts", t, func() {
 		state := New(gateway.Idempotent, 2)
-		So(state.MayRetryAfterNext(), ShouldBeTrue)
+		So(state.MayAdd(1), ShouldBeTrue)
+		So(state.MayAdd(2), ShouldBeFalse)
 		So(state.RecordFailed(ran), ShouldEqual, Retry)
-		So(state.MayRetryAfterNext(), ShouldBeFalse)
+		So(state.MayAdd(1), ShouldBeFalse)
 		So(state.RecordFailed(ran), ShouldEqual, Stop)
 	})
 	Convey("A request is not retried after a final attempt", t, func() {
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -126,8 +126,28 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// Prepared is an attempt that has an upstream and a connection, and of which nothing was
+// sent. Either Send or Cancel must be called.
+type Prepared struct {
+	Placed     director.Placed
+	connection *connpool.Connection
+	fresh      bool
+	matched    *match.Matched
+	plan       Plan
+	filter     *Filter
+}
+
 // Apply chooses an upstream and sends an attempt to it.
 func (f *Filter) Apply(ctx context.Context, matched *match.Matched, plan Plan) (*Sent, error) {
+	prepared, err := f.Prepare(ctx, matched, plan)
+	if err != nil {
+		return nil, err
+	}
+	return prepared.Send(ctx), nil
+}
+
+// Prepare chooses an upstream for an attempt and acquires a connection to it.
+func (f *Filter) Prepare(ctx context.Context, matched *match.Matched, plan Plan) (*Prepared, error) {
 	placed, err := f.Director.Place(ctx, director.PlacementRequest{
 		Query: placement.Query{
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
@@ -157,19 +177,31 @@
 		f.Director.Observe(director.Observation{Upstream: upstream.ID, Attempt: placed.Attempt, Signal: signal})
 		return nil, &UnreachableError{Upstream: upstream.ID, Cause: err}
 	}
+	return &Prepared{Placed: placed, connection: connection, fresh: fresh, matched: matched, plan: plan, filter: f}, nil
+}
+
+// Send sends the attempt. ctx ends it.
+func (p *Prepared) Send(ctx context.Context) *Sent {
+	matched := p.matched
 	dispatch := gateway.Dispatch{
-		Instance: upstream.ID, TimeLeft: matched.Deadline.Sub(f.Now()), Urgency: matched.Urgency, ResumeAfter: plan.ResumeAfter,
+		Instance: p.Placed.Upstream.ID, TimeLeft: matched.Deadline.Sub(p.filter.Now()), Urgency: matched.Urgency, ResumeAfter: p.plan.ResumeAfter,
 	}
 	if matched.Team != nil {
 		dispatch.Team = matched.Team.Name
 	}
 	attemptCtx, end := context.WithCancel(ctx)
 	events := make(chan connpool.Event, eventBuffer)
-	connection.Send(&connpool.Exchange{
-		ID: matched.Request.ID, Method: matched.Request.Method, Payload: f.Encode(matched.Request, dispatch),
+	p.connection.Send(&connpool.Exchange{
+		ID: matched.Request.ID, Method: matched.Request.Method, Payload: p.filter.Encode(matched.Request, dispatch),
 		Events: events, Context: attemptCtx,
 	})
-	return &Sent{Placed: placed, Events: events, Fresh: fresh, traits: matched.Traits, end: end, filter: f}, nil
+	return &Sent{Placed: p.Placed, Events: events, Fresh: p.fresh, traits: matched.Traits, end: end, filter: p.filter}
+}
+
+// Cancel gives the connection back.
+func (p *Prepared) Cancel() {
+	p.connection.Release()
+	p.filter.Director.Observe(director.Observation{Upstream: p.Placed.Upstream.ID, Attempt: p.Placed.Attempt, Signal: placement.Abandoned})
 }
 
 // Observe records a signal of the attempt. head is the head of the answer if it
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -84,6 +84,8 @@
 	resumed *string
 	// software is that of the upstream that began the stream.
 	software string
+	// decision is what follows the latest attempt that failed.
+	decision retrypolicy.Decision
 	// failureAnswer is the latest failure that an upstream answered with.
 	failureAnswer *relay.BufferedAnswer
 	lastOutcome   relay.Outcome
@@ -146,102 +148,72 @@
 		sent, err := r.pipeline.Attempt.Apply(ctx, r.matched, r.plan)
 		r.plan.First = false
 		if err != nil {
-			var unreached *attempt.UnreachableError
-			if errors.As(err, &unreached) && ctx.Err() == nil && r.retryState.RecordUnreached() {
-				r.attempts = append(r.attempts, attemptRecord{upstream: unreached.Upstream, ending: relay.NotRun, duration: r.pipeline.Now().Sub(startedAt), err: unreached.Cause})
-				r.plan.Excluded = append(r.plan.Excluded, unreached.Upstream)
+			if ctx.Err() == nil && r.passOver(err, startedAt) {
 				continue
 			}
 			return r.concludeUnsent(ctx, err)
 		}
-		if r.progress.Events == 0 && r.plan.Software == nil {
-			r.software = sent.Placed.Upstream.Software
+		flight := newFlight(r, sent, startedAt)
+		flight.run(ctx)
+		if r.lastOutcome.Ending == relay.Delivered {
+			return nil
 		}
-		eventsBefore := r.progress.Events
-		r.lastOutcome = relay.Apply(ctx, relay.Task{
-			Sent: sent, Answer: r.answer, Stream: r.matched.Route.Retry.Stream(), Progress: &r.progress,
-			SilenceLimit: r.silenceLimit(), Now: r.pipeline.Now, Began: r.recordOrigin(),
-		})
-		upstream := sent.Placed.Upstream.ID
-		r.attempts = append(r.attempts, attemptRecord{
-			upstream: upstream, software: sent.Placed.Upstream.Software, cost: sent.Placed.Cost, affinity: sent.Placed.Affinity, newConnection: sent.Fresh,
-			ending: r.lastOutcome.Ending, status: r.lastOutcome.Status, events: r.progress.Events - eventsBefore,
-			duration: r.pipeline.Now().Sub(startedAt), err: r.lastOutcome.Err,
-		})
-		done, err := r.next(upstream)
-		if done {
-			return err
+		if r.decision == retrypolicy.Stop {
+			return r.conclude()
 		}
 	}
 }
 
-// next records how an attempt ended. It reports whether the request is done, and
-// otherwise prepares the plan of the next attempt.
-func (r *requestRun) next(upstream core.UpstreamID) (bool, error) {
-	if r.lastOutcome.Ending == relay.Delivered {
-		r.retryState.RecordDelivered()
-		return true, nil
+// passOver reports whether an upstream could not be reached and another may be tried.
+func (r *requestRun) passOver(err error, startedAt time.Time) bool {
+	var unreached *attempt.UnreachableError
+	if !errors.As(err, &unreached) || !r.retryState.RecordUnreached() {
+		return false
 	}
-	if r.lastOutcome.Answer != nil {
-		r.failureAnswer = r.lastOutcome.Answer
-	}
-	decision := r.retryState.RecordFailed(retrypolicy.Attempt{
-		NotRun:  r.lastOutcome.Ending == relay.NotRun,
-		Arrived: r.lastOutcome.Arrived,
-		Final: r.lastOutcome.Ending == relay.TimeUp || r.lastOutcome.Ending == relay.CallerGone || r.lastOutcome.Ending == relay.HostStopping ||
-			r.rejectedRequest() || (r.answer.Begun() && !r.matched.Route.Retry.Stream()),
-	})
-	if decision == retrypolicy.Stop {
-		return true, r.conclude()
-	}
-	r.plan.Excluded = append(r.plan.Excluded, upstream)
-	r.plan.Retry = r.retryState.Arrivals() > 0
-	r.plan.ClosedEarly = r.lastOutcome.ClosedEarly
+	r.attempts = append(r.attempts, attemptRecord{upstream: unreached.Upstream, ending: relay.NotRun, duration: r.pipeline.Now().Sub(startedAt), err: unreached.Cause})
+	r.plan.Excluded = append(r.plan.Excluded, unreached.Upstream)
+	return true
+}
+
+// updatePlan prepares the plan of the next attempt after what the earlier ones have
+// delivered.
+func (r *requestRun) updatePlan() {
 	if id := r.progress.Splitter.LastID(); id != "" {
 		r.plan.ResumeAfter = id
 	}
 	if r.progress.Events > 0 && r.plan.Software == nil {
 		r.plan.Software = &r.software
 	}
-	r.progress.Splitter.DropPartial()
-	return false, nil
 }
 
-// recordOrigin returns the function that records where the stream begins, nil for
-// answers that no caller can resume. A resumed stream is recorded again under the
-// attempt that began it, so that more hosts know it.
-func (r *requestRun) recordOrigin() func() {
-	if r.matched.Route.Retry != gateway.StreamResumable || (r.resumed != nil && r.request.Resumes == "") {
-		return nil
-	}
-	if r.resumed != nil {
-		return func() { r.pipeline.Began(r.request.Resumes, *r.resumed) }
+// recordOrigin returns the function that records that the stream begins at a software.
+// It is recorded for other hosts if callers can resume the stream. A resumed stream is
+// recorded again under the attempt that began it, so that more hosts know it.
+func (r *requestRun) recordOrigin(software string) func() {
+	return func() {
+		r.software = software
+		switch {
+		case r.matched.Route.Retry != gateway.StreamResumable:
+		case r.resumed == nil:
+			r.pipeline.Began(r.request.ID, software)
+		case r.request.Resumes != "":
+			r.pipeline.Began(r.request.Resumes, *r.resumed)
+		}
 	}
-	return func() { r.pipeline.Began(r.request.ID, r.software) }
-}
-
-// rejectedRequest reports whether the upstream rejected the request itself, as
-// any other upstream would too.
-func (r *requestRun) rejectedRequest() bool {
-	return r.lastOutcome.Ending == relay.Failed && r.lastOutcome.Status < 500
 }
 
 const (
 	// silenceObjectiveFactor is the multiple of the route's objective after
-	// which a request is retried at another upstream.
+	// which a request is also sent to another upstream.
 	silenceObjectiveFactor = 2
 	// silencePauseFactor is the multiple of the route's maximum pause after
-	// which a stream is resumed at another upstream.
+	// which a stream is also sent to another upstream.
 	silencePauseFactor = 2
 )
 
-// silenceLimit returns how long an attempt may be silent; 0 means no limit,
-// because the request could not be retried.
-func (r *requestRun) silenceLimit() time.Duration {
-	route := r.matched.Route
-	if !r.retryState.MayRetryAfterNext() {
-		return 0
-	}
+// silenceLimit returns how long an attempt may be silent before the request is also
+// sent to another upstream.
+func silenceLimit(route *gateway.Route) time.Duration {
 	limit := route.Objective * silenceObjectiveFactor
 	if route.Retry == gateway.StreamResumable {
 		limit = max(limit, route.MaxPause*silencePauseFactor)
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -1,5 +1,6 @@
-// Package relay is the filter that forwards the answer of one attempt to the
-// caller and reports how the attempt ended.
+// Package relay is the filter that forwards the answer of an attempt to the caller and
+// reports how the attempt ended. Several attempts of a request may be in flight, of
+// which only one forwards its answer.
 package relay
 
 import (
@@ -37,8 +38,11 @@
 	// Broke means that the answer was incomplete, invalid or missing; the
 	// request may have run.
 	Broke Ending = "broke"
-	// Silent means that nothing arrived within the attempt's silence limit.
+	// Silent means that nothing arrived for some time, and that another attempt was sent
+	// instead.
 	Silent Ending = "silent"
+	// Superseded means that another attempt of the request answers it.
+	Superseded Ending = "superseded"
 	// TimeUp means that the deadline passed.
 	TimeUp Ending = "time_up"
 	// CallerGone means that the caller closed its connection.
@@ -100,29 +104,19 @@
 	Progress *Progress
 	// Began is called when the first event of the stream is about to be delivered.
 	Began func()
-	// SilenceLimit is how long the upstream may send nothing before the attempt
-	// is aborted; 0 waits until the deadline.
-	SilenceLimit time.Duration
-	Now          func() time.Time
+	Now   func() time.Time
 }
 
-// Apply relays until the attempt has ended. ctx ends at the deadline or when the
-// caller closes its connection.
-func Apply(ctx context.Context, task Task) Outcome {
-	defer task.Sent.End()
-	r := &attemptRelay{Task: task}
-	outcome := r.run(ctx)
-	r.observe(outcome)
-	return outcome
-}
-
-// attemptRelay is the state of relaying one attempt.
-type attemptRelay struct {
+// Attempt is the state of relaying one attempt. It is owned by the goroutine of the
+// request.
+type Attempt struct {
 	Task
 	head *gateway.AnswerHead
 	body []byte
-	// timerStart is when the silence timer was last started.
-	timerStart time.Time
+	// progressAt is when the attempt was sent or last made progress.
+	progressAt time.Time
+	// stalled is true if the upstream was reported as silent since then.
+	stalled bool
 	// streaming is true once the answer is forwarded as it arrives.
 	streaming bool
 	// unbuffered is true once an answer that is no stream is forwarded as it
@@ -132,45 +126,69 @@
 	events int
 }
 
+// Begin starts to relay an attempt that was just sent.
+func Begin(task Task) *Attempt { return &Attempt{Task: task, progressAt: task.Now()} }
+
 // answeringEvents is the number of events from which an upstream is known to
 // answer a request: one that crashes on it may still send the first.
 const answeringEvents = 2
 
 // answering reports whether the upstream is known to answer the request.
-func (r *attemptRelay) answering() bool { return r.events >= answeringEvents }
-
-func (r *attemptRelay) run(ctx context.Context) Outcome {
-	var silence <-chan time.Time
-	var timer *time.Timer
-	if r.SilenceLimit > 0 {
-		timer, r.timerStart = time.NewTimer(r.SilenceLimit), r.Now()
-		defer timer.Stop()
-		silence = timer.C
+func (r *Attempt) answering() bool { return r.events >= answeringEvents }
+
+// Handle relays one part of the answer and reports whether it was the last. The attempt
+// has ended then.
+func (r *Attempt) Handle(event connpool.Event) (Outcome, bool) {
+	eventsBefore := r.events
+	outcome, ended := r.handleEvent(event)
+	if ended {
+		r.end(outcome)
+		return outcome, true
 	}
-	for {
-		select {
-		case event := <-r.Sent.Events:
-			events := r.events
-			outcome, ended := r.handleEvent(event)
-			if ended {
-				return outcome
-			}
-			// Parts of an event are no progress of a stream: an upstream that is stuck
-			// may send a byte now and then.
-			if timer != nil && (!r.streaming || event.Head != nil || r.events > events) {
-				timer.Reset(r.SilenceLimit)
-				r.timerStart = r.Now()
-			}
-		case fired := <-silence:
-			if r.delayedLocally(fired) {
-				timer.Reset(r.SilenceLimit)
-				r.timerStart = r.Now()
-				continue
-			}
-			return r.outcome(Silent, errors.New("the upstream sent nothing within the silence limit"))
-		case <-ctx.Done():
-			return r.outcome(Interrupted(ctx), context.Cause(ctx))
-		}
+	// Parts of an event are no progress of a stream: an upstream that is stuck may send
+	// a byte now and then.
+	if !r.streaming || event.Head != nil || r.events > eventsBefore {
+		r.progressAt, r.stalled = r.Now(), false
+	}
+	return Outcome{}, false
+}
+
+// Stop ends the attempt before its answer is complete.
+func (r *Attempt) Stop(ending Ending, err error) Outcome {
+	outcome := r.outcome(ending, err)
+	r.end(outcome)
+	return outcome
+}
+
+func (r *Attempt) end(outcome Outcome) {
+	r.Sent.End()
+	if r.streaming && outcome.Ending != Delivered {
+		r.Progress.Splitter.DropPartial()
+	}
+	r.observe(outcome)
+}
+
+// Events returns the number of whole events that the attempt delivered.
+func (r *Attempt) Events() int { return r.events }
+
+// Forwards reports whether the attempt writes its answer to the caller.
+func (r *Attempt) Forwards() bool { return r.streaming || r.unbuffered }
+
+// Repeatable reports whether another attempt may still answer the request: the rest of
+// an answer that is no stream can't be had from another upstream.
+func (r *Attempt) Repeatable() bool { return !r.unbuffered }
+
+// Stalled reports whether the attempt has made no progress since Stall was called.
+func (r *Attempt) Stalled() bool { return r.stalled }
+
+// SilentSince returns when the attempt was sent or last made progress.
+func (r *Attempt) SilentSince() time.Time { return r.progressAt }
+
+// Stall records that the upstream is silent. The attempt goes on.
+func (r *Attempt) Stall() {
+	if !r.stalled {
+		r.stalled = true
+		r.Sent.Observe(placement.Stalled, nil)
 	}
 }
 
@@ -178,13 +196,14 @@
 // have been suspended, with parts of the answer still unread.
 const pauseTolerance = 150 * time.Millisecond
 
-// delayedLocally reports whether the silence may be caused by this host: the
-// process was suspended, or parts of the answer are still to be handled.
-func (r *attemptRelay) delayedLocally(fired time.Time) bool {
-	return len(r.Sent.Events) > 0 || fired.Sub(r.timerStart) > r.SilenceLimit+pauseTolerance || r.Now().Sub(fired) > pauseTolerance
+// DelayedLocally reports whether this host may be the cause of the silence that a timer,
+// due and fired at the given times, tells of: the process was suspended, or parts of the
+// answer are still to be handled.
+func (r *Attempt) DelayedLocally(due, fired time.Time) bool {
+	return len(r.Sent.Events) > 0 || fired.Sub(due) > pauseTolerance || r.Now().Sub(fired) > pauseTolerance
 }
 
-func (r *attemptRelay) outcome(ending Ending, err error) Outcome {
+func (r *Attempt) outcome(ending Ending, err error) Outcome {
 	outcome := Outcome{Ending: ending, Err: err, Arrived: true}
 	outcome.ClosedEarly = ending == Broke && errors.Is(err, connpool.ErrClosed) && !r.answering()
 	if r.head != nil {
@@ -194,7 +213,7 @@
 }
 
 // handleEvent handles one part of the answer and reports whether it was the last.
-func (r *attemptRelay) handleEvent(event connpool.Event) (Outcome, bool) {
+func (r *Attempt) handleEvent(event connpool.Event) (Outcome, bool) {
 	switch {
 	case event.Head != nil:
 		return r.handleHead(event.Head)
@@ -214,7 +233,7 @@
 }
 
 // stopBuffering starts to forward an answer that is too long to be buffered.
-func (r *attemptRelay) stopBuffering() (Outcome, bool) {
+func (r *Attempt) stopBuffering() (Outcome, bool) {
 	if !r.head.Success() {
 		return r.outcome(Broke, errors.New("the failure answer exceeds the size limit of this host")), true
 	}
@@ -226,14 +245,14 @@
 	return r.write(body)
 }
 
-func (r *attemptRelay) write(data []byte) (Outcome, bool) {
+func (r *Attempt) write(data []byte) (Outcome, bool) {
 	if err := r.Answer.Write(data); err != nil {
 		return r.outcome(CallerGone, err), true
 	}
 	return Outcome{}, false
 }
 
-func (r *attemptRelay) handleHead(head *gateway.AnswerHead) (Outcome, bool) {
+func (r *Attempt) handleHead(head *gateway.AnswerHead) (Outcome, bool) {
 	r.head = head
 	r.Sent.Observe(placement.Started, head)
 	if !head.Success() {
@@ -255,7 +274,7 @@
 }
 
 // forward writes the whole events received so far to the caller.
-func (r *attemptRelay) forward(data []byte) (Outcome, bool) {
+func (r *Attempt) forward(data []byte) (Outcome, bool) {
 	whole, count := r.Progress.Splitter.Push(data)
 	if r.Progress.Splitter.PartialTooLong() {
 		return r.outcome(Broke, errors.New("an event exceeds the size limit of this host")), true
@@ -284,7 +303,7 @@
 	return Outcome{}, false
 }
 
-func (r *attemptRelay) handleEnd(end *connpool.End) Outcome {
+func (r *Attempt) handleEnd(end *connpool.End) Outcome {
 	switch {
 	case end.Unsent:
 		return Outcome{Ending: NotRun, Err: end.Err}
@@ -313,7 +332,7 @@
 	return outcome
 }
 
-func (r *attemptRelay) endStream(end *connpool.End) Outcome {
+func (r *Attempt) endStream(end *connpool.End) Outcome {
 	if r.Progress.Splitter.HasPartial() {
 		err := errors.New("the stream ended with an incomplete event")
 		if !end.Framed {
@@ -327,7 +346,7 @@
 	return r.endAnswer()
 }
 
-func (r *attemptRelay) endAnswer() Outcome {
+func (r *Attempt) endAnswer() Outcome {
 	if err := r.Answer.End(); err != nil {
 		return r.outcome(CallerGone, err)
 	}
@@ -337,10 +356,12 @@
 // signalByEnding maps endings to the signals that update the upstream's health.
 var signalByEnding = map[Ending]placement.Signal{
 	Delivered: placement.Succeeded, Failed: placement.Failed, Broke: placement.Broke,
-	Silent: placement.Silent, TimeUp: placement.Silent, CallerGone: placement.Abandoned, HostStopping: placement.Abandoned,
+	// An attempt that was silent was reported as stalled.
+	Silent: placement.Abandoned, Superseded: placement.Abandoned,
+	TimeUp: placement.Silent, CallerGone: placement.Abandoned, HostStopping: placement.Abandoned,
 }
 
-func (r *attemptRelay) observe(outcome Outcome) {
+func (r *Attempt) observe(outcome Outcome) {
 	signal := signalByEnding[outcome.Ending]
 	if outcome.ClosedEarly {
 		signal = placement.ClosedEarly
