Let silent engines of the product's own path go on with their streams

The next engine is now chosen while the stream is in flight; if there is none, the stream stays. If the others fail, the stream resumes at the engine that was silent, which holds the answer. Completions that must not run twice wait for their engine.

TestASilentUpstreamMayGoOnWithItsAnswer of internal/pipeline failed in all three cases before ("the upstream stopped sending", "connection reset") and passes.

--- a/internal/filter/relay/relay.go
+++ b/internal/filter/relay/relay.go
@@ -53,6 +53,9 @@
 type AnswerState struct {
 	Cursor *stream.Cursor
 	Pace   stream.Pace
+	// Patient is true if no attempt is ever reported as silent, as the work must not be
+	// sent again.
+	Patient bool
 	// OnFirstToken, if set, is called with the time from the start of an
 	// attempt to its first token.
 	OnFirstToken func(elapsed time.Duration)
@@ -68,35 +71,45 @@
 	return &Filter{now: now}
 }
 
-// Apply relays one attempt until it ends. It handles all events that have
+// Begin returns the relay of one attempt.
+func (f *Filter) Begin(answer *AnswerState, results <-chan core.StreamResult, sink Sink) *Attempt {
+	started := f.now()
+	return &Attempt{answer: answer, results: results, sink: sink, started: started, lastToken: started, now: f.now}
+}
+
+// Run relays the attempt until it ends or is silent. It may be called again after an
+// outcome that is Silent, as the upstream may go on. It handles all events that have
 // arrived before it flushes, so that a burst needs only one write.
-func (f *Filter) Apply(ctx context.Context, answer *AnswerState, results <-chan core.StreamResult, sink Sink) Outcome {
-	run := relayRun{answer: answer, sink: sink, started: f.now(), now: f.now}
-	run.lastToken = run.started
-	silenceTimer := time.NewTimer(answer.Pace.Limit())
-	defer silenceTimer.Stop()
+func (r *Attempt) Run(ctx context.Context) Outcome {
+	timer := time.NewTimer(r.answer.Pace.Limit())
+	defer timer.Stop()
+	silence := timer.C
+	if r.answer.Patient {
+		silence = nil
+	}
 	for {
 		select {
-		case result, open := <-results:
-			if run.handle(result, open) || run.handleBuffered(results) {
-				return run.outcome
+		case result, open := <-r.results:
+			if r.handle(result, open) || r.handleBuffered() {
+				return r.outcome
 			}
-			if err := sink.Flush(); err != nil {
-				return run.end(CallerGone, err)
+			if err := r.sink.Flush(); err != nil {
+				return r.end(CallerGone, err)
 			}
-			silenceTimer.Reset(answer.Pace.Limit())
-		case <-silenceTimer.C:
-			answer.Pace.DoubleLimit()
-			return run.end(Silent, nil)
+			timer.Reset(r.answer.Pace.Limit())
+		case <-silence:
+			r.answer.Pace.DoubleLimit()
+			return r.end(Silent, nil)
 		case <-ctx.Done():
-			return run.end(CallerGone, ctx.Err())
+			return r.end(CallerGone, ctx.Err())
 		}
 	}
 }
 
-// relayRun is the state of one call of Apply.
-type relayRun struct {
+// Attempt is the state of relaying one attempt.
+type Attempt struct {
 	answer    *AnswerState
+	results   <-chan core.StreamResult
 	sink      Sink
 	started   time.Time
 	lastToken time.Time
@@ -104,7 +117,7 @@
 	outcome   Outcome
 }
 
-func (r *relayRun) end(ending Ending, err error) Outcome {
+func (r *Attempt) end(ending Ending, err error) Outcome {
 	r.outcome.Ending = ending
 	r.outcome.Err = err
 	return r.outcome
@@ -112,10 +125,10 @@
 
 // handleBuffered handles the results that are buffered in the channel. It
 // returns true if the attempt has ended.
-func (r *relayRun) handleBuffered(results <-chan core.StreamResult) bool {
+func (r *Attempt) handleBuffered() bool {
 	for {
 		select {
-		case result, open := <-results:
+		case result, open := <-r.results:
 			if r.handle(result, open) {
 				return true
 			}
@@ -126,7 +139,7 @@
 }
 
 // handle processes one result and returns true if the attempt has ended.
-func (r *relayRun) handle(result core.StreamResult, open bool) bool {
+func (r *Attempt) handle(result core.StreamResult, open bool) bool {
 	if !open {
 		r.end(Broken, errTruncated)
 		return true
@@ -152,7 +165,7 @@
 	return r.deliver(&result.Event)
 }
 
-func (r *relayRun) deliver(event *core.Event) bool {
+func (r *Attempt) deliver(event *core.Event) bool {
 	now := r.now()
 	if r.outcome.Tokens == 0 {
 		r.outcome.FirstToken = now.Sub(r.started)
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,13 @@
 	testULID = "01JEABCDEFGHJKMNPQRSTVWXYZ"
 )
 
+const (
+	// streamCapacity is enough for the results that arrive late on one stream.
+	streamCapacity = 16
+	// silencePause exceeds the first silence limit of a stream.
+	silencePause = 2 * time.Second
+)
+
 // fakes implements the interfaces of all filters and records the calls. It
 // needs no lock, because a test runs one request at a time.
 type fakes struct {
@@ -35,6 +43,10 @@
 	serviceErrors []error
 	requests      []attempt.Request
 	probeErr      error
+	// goOn, if set, sends what a silent stream delivers after silencePause.
+	goOn          func(request attempt.Request, results chan<- attempt.Result)
+	unlisted      []core.UpstreamID
+	nonIdempotent bool
 	picks         []route.Query
 	observed      []route.ObservationKind
 	settled       []core.Tokens
@@ -50,7 +62,7 @@
 func (f *fakes) Current() *teamtable.Snapshot {
 	row := &core.TeamRow{
 		Team: "shop", Budget: "b", Deadline: time.Minute,
-		Classes: []core.ClassRow{{Name: "chat", MaxTokens: 10}},
+		Classes: []core.ClassRow{{Name: "chat", MaxTokens: 10, NonIdempotent: f.nonIdempotent}},
 	}
 	return &teamtable.Snapshot{
 		ByKeyDigest: map[string]*core.TeamRow{authenticate.Digest(testKey): row},
@@ -99,11 +111,7 @@
 		return core.Target{Upstream: query.Resume}, nil
 	}
 	for _, name := range []core.UpstreamID{"u1", "u2"} {
-		excluded := false
-		for _, other := range query.Excluded {
-			excluded = excluded || other == name
-		}
-		if !excluded {
+		if !slices.Contains(query.Excluded, name) && !slices.Contains(f.unlisted, name) {
 			return core.Target{Upstream: name}, nil
 		}
 	}
@@ -115,12 +123,15 @@
 	step := f.script[0]
 	f.script = f.script[1:]
 	results := step(request)
-	channel := make(chan attempt.Result, len(results))
+	channel := make(chan attempt.Result, len(results)+streamCapacity)
 	for _, result := range results {
 		channel <- result
 	}
-	if results != nil {
+	switch {
+	case results != nil:
 		close(channel)
+	case f.goOn != nil:
+		time.AfterFunc(silencePause, func() { f.goOn(request, channel) })
 	}
 	return channel
 }
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -83,6 +83,44 @@
 	})
 }
 
+// Guards against ending the answer of an upstream that was silent for a second or so and
+// goes on, because no other upstream takes the request, or because it must not run twice.
+func TestASilentUpstreamMayGoOnWithItsAnswer(t *testing.T) {
+	noAnswer := fault.Refuse(fault.NoUpstream, "no answer")
+	goOn := func(request attempt.Request, results chan<- attempt.Result) {
+		for _, result := range completeStream(request) {
+			results <- result
+		}
+	}
+	whole := func(f *fakes) {
+		call := completionCall()
+		call.IdempotencyKey = testULID
+		received, err := serve(t, f, call)
+		So(err, ShouldBeNil)
+		So(received.text.String(), ShouldEqual, "abcd")
+		So(f.bills, ShouldHaveLength, 1)
+	}
+	Convey("Where no other upstream is left, it goes on", t, func() {
+		f := &fakes{script: script{silentStream}, probeErr: noAnswer, goOn: goOn, unlisted: []core.UpstreamID{"u2"}}
+		whole(f)
+		So(f.requests, ShouldHaveLength, 1)
+		So(f.observed, ShouldResemble, []route.ObservationKind{route.FirstToken, route.Finished})
+	})
+	Convey("Where the other upstreams fail, the stream resumes at it", t, func() {
+		f := &fakes{script: script{silentStream, brokenStream(2), completeStream}, probeErr: noAnswer}
+		whole(f)
+		So(f.requests, ShouldHaveLength, 3)
+		So(f.requests[2].Target.Upstream, ShouldEqual, core.UpstreamID("u1"))
+		So(f.requests[2].NewConnection, ShouldBeTrue)
+		So(f.requests[2].After, ShouldEqual, 2)
+	})
+	Convey("Work that must not run twice waits for it", t, func() {
+		f := &fakes{script: script{silentStream}, goOn: goOn, nonIdempotent: true}
+		whole(f)
+		So(f.requests, ShouldHaveLength, 1)
+	})
+}
+
 // Guards against an incomplete answer that ends like a complete one.
 func TestFailedAnswerIsAnErrorAndNotBilled(t *testing.T) {
 	Convey("All upstreams fail", t, func() {
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -62,6 +63,11 @@
 	query         route.Query
 	newConnection bool
 	lastErr       error
+	// silent is the upstream that runs the request but was silent; "" if there is none.
+	silent core.UpstreamID
+	// next is the target of the next attempt if it was chosen while the one before was in
+	// flight.
+	next *core.Target
 }
 
 func (e *exchange) newPlan(ctx context.Context) *attemptPlan {
@@ -76,8 +82,36 @@
 }
 
 // nextTarget waits for the backoff delay and chooses the upstream of the next
-// attempt. If there is none, it returns the error of the last attempt.
+// attempt. If there is none, it returns the error of the last attempt, unless an upstream
+// that was silent may go on.
 func (e *exchange) nextTarget(ctx context.Context, plan *attemptPlan) (core.Target, error) {
+	if plan.next != nil {
+		target := *plan.next
+		plan.next = nil
+		return target, nil
+	}
+	target, err := e.pickTarget(ctx, plan)
+	if err != nil && plan.silent != "" {
+		return e.returnToSilent(ctx, plan)
+	}
+	return target, err
+}
+
+// returnToSilent chooses the upstream that was silent once more. It holds the answer, so
+// that this doesn't run the request again.
+func (e *exchange) returnToSilent(ctx context.Context, plan *attemptPlan) (core.Target, error) {
+	plan.newConnection = true
+	plan.query.Resume = plan.silent
+	target, err := e.pipeline.Route.Apply(ctx, plan.query)
+	if err != nil {
+		return core.Target{}, plan.lastErr
+	}
+	return target, nil
+}
+
+// pickTarget chooses the upstream of the next attempt without regard to one that was
+// silent.
+func (e *exchange) pickTarget(ctx context.Context, plan *attemptPlan) (core.Target, error) {
 	e.attempts++
 	plan.query.Attempt = e.attempts
 	if e.attempts > maxAttempts {
@@ -96,7 +130,7 @@
 }
 
 func (e *exchange) streamCompletion(ctx context.Context) (result, error) {
-	answer := &relay.AnswerState{Cursor: stream.NewCursor(e.work.ID)}
+	answer := &relay.AnswerState{Cursor: stream.NewCursor(e.work.ID), Patient: !e.work.Idempotent}
 	plan := e.newPlan(ctx)
 	for {
 		target, err := e.nextTarget(ctx, plan)
@@ -110,8 +144,10 @@
 		case relay.CallerGone:
 			return e.partialResult(answer), e.interruptionError(ctx, outcome.Err)
 		case relay.Silent:
-			e.planAfterSilence(ctx, plan, target)
 		default:
+			if target.Upstream == plan.silent {
+				plan.silent = ""
+			}
 			plan.lastErr = outcome.Err
 			plan.newConnection = false
 			plan.query.Resume = ""
@@ -137,7 +173,11 @@
 		After: answer.Cursor.Delivered(), Partial: answer.Cursor.Text(), NewConnection: plan.newConnection,
 	})
 	answer.OnFirstToken = func(elapsed time.Duration) { e.observeFirstToken(target, started, elapsed) }
-	outcome := e.pipeline.Relay.Apply(attemptCtx, answer, results, e.sink)
+	relayed := e.pipeline.Relay.Begin(answer, results, e.sink)
+	outcome := relayed.Run(attemptCtx)
+	for outcome.Ending == relay.Silent && !e.planAfterSilence(ctx, plan, target) {
+		outcome = relayed.Run(attemptCtx)
+	}
 	if outcome.Ending == relay.Silent {
 		cancel(attempt.ErrKeepRunning)
 	}
@@ -187,20 +227,37 @@
 
 // planAfterSilence probes a silent upstream on a new connection. If the
 // upstream answers, only the old connection failed, and the stream resumes on
-// the same upstream; otherwise the upstream is excluded.
-func (e *exchange) planAfterSilence(ctx context.Context, plan *attemptPlan, target core.Target) {
+// the same upstream; otherwise the upstream is excluded. It reports false if no attempt
+// can follow: the upstream may be sound and go on.
+func (e *exchange) planAfterSilence(ctx context.Context, plan *attemptPlan, target core.Target) bool {
 	plan.lastErr = fault.New(fault.UpstreamFailed, fault.Unknown,
 		"the upstream stopped sending; retry with the same Idempotency-Key").WithRetryAfter(upstreamRetry)
+	following := *plan
+	following.query.Excluded = slices.Clone(plan.query.Excluded)
+	if e.probe(ctx, target) == nil {
+		following.newConnection = true
+		following.query.Resume = target.Upstream
+	} else {
+		following.newConnection = false
+		following.query.Resume = ""
+		following.query.Excluded = append(following.query.Excluded, target.Upstream)
+		following.silent = target.Upstream
+	}
+	attempts := e.attempts
+	next, err := e.pickTarget(ctx, &following)
+	if err != nil {
+		e.attempts = attempts
+		return false
+	}
+	*plan = following
+	plan.next = &next
+	return true
+}
+
+func (e *exchange) probe(ctx context.Context, target core.Target) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := e.pipeline.Attempt.Probe(ctx, target); err == nil {
-		plan.newConnection = true
-		plan.query.Resume = target.Upstream
-		return
-	}
-	plan.newConnection = false
-	plan.query.Resume = ""
-	plan.query.Excluded = append(plan.query.Excluded, target.Upstream)
+	return e.pipeline.Attempt.Probe(ctx, target)
 }
 
 func (e *exchange) completedResult(answer *relay.AnswerState, outcome relay.Outcome) result {
