Bound the memory of all buffered bodies of a gateway together

Operators reported that a faulty server sent bytes without end until the machine that had called it ran out of memory, and other clients' requests ended with it.

A task now owns the memory for buffered bodies, a quarter of memory_mb. Bodies of up to 16 KiB, which nearly all are, don't ask. A request whose body does not fit is refused at once with 503 before it is read; a long answer that does not fit is forwarded unbuffered, a failure or an event that does not is given up. Long request bodies are no longer copied for each attempt, parts of answers take the bytes that were read instead of 4 KiB each, and heads of answers are limited to 16 KiB.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -48,7 +49,7 @@
 	maxStrayBytes = 1 << 20
 	// maxHeadBytes bounds the head of an answer. Heads that the platform's servers
 	// send have less than 1 kB.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 16 << 10
 	// maxInterimResponses bounds the interim (1xx) and stray answers read before
 	// the final one.
 	maxInterimResponses = 5
@@ -72,6 +73,8 @@
 	ID      string
 	Method  string
 	Payload []byte
+	// Body is the rest of the request, which is written after Payload.
+	Body []byte
 	// Events receives the answer: its head, parts of its body, then its end. The
 	// connection stops sending events when Context ends.
 	Events  chan Event
@@ -112,6 +115,8 @@
 	// idleLimit is how long this connection may stay idle: maxIdle, or less if
 	// the upstream states a shorter timeout.
 	idleLimit time.Duration
+	// part is what the reading goroutine reads a body into.
+	part [readBuffer]byte
 }
 
 // limitedReader fails once more than remaining bytes have been read, if limited.
@@ -250,6 +255,9 @@
 	stopWatching := context.AfterFunc(exchange.Context, func() { _ = c.socket.Close() })
 	c.dispatched <- exchange
 	_, err := c.socket.Write(exchange.Payload)
+	if err == nil && len(exchange.Body) > 0 {
+		_, err = c.socket.Write(exchange.Body)
+	}
 	result := <-c.results
 	// The requester cancels the context once it has the end of the answer, so
 	// the context must no longer close the socket by then.
@@ -359,10 +367,9 @@
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 	exchange.deliver(Event{Head: head})
 	for {
-		part := make([]byte, readBuffer)
-		n, err := response.Body.Read(part)
+		n, err := response.Body.Read(c.part[:])
 		if n > 0 {
-			exchange.deliver(Event{Data: part[:n]})
+			exchange.deliver(Event{Data: bytes.Clone(c.part[:n])})
 		}
 		if errors.Is(err, io.EOF) {
 			return End{Framed: framed}
--- a/internal/decide/events/events.go
+++ b/internal/decide/events/events.go
@@ -47,6 +47,9 @@
 // PartialTooLong reports whether the incomplete event exceeds the size limit.
 func (s *Splitter) PartialTooLong() bool { return len(s.partial) > maxPartialBytes }
 
+// PartialBytes returns the length of the incomplete event that is buffered.
+func (s *Splitter) PartialBytes() int { return len(s.partial) }
+
 // DropPartial discards the bytes after the last whole event, because another
 // upstream resumes the stream after that event.
 func (s *Splitter) DropPartial() { s.partial = nil }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/peridotreel/peridotreel/internal/settings"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
+	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
 	"github.com/peridotreel/peridotreel/internal/tasks/follower"
 	"github.com/peridotreel/peridotreel/internal/tasks/holds"
@@ -49,6 +50,9 @@
 	// memoryLimitFraction is the part of the process's memory that the garbage
 	// collector keeps to; the rest is for stacks of the kernel's buffers.
 	memoryLimitFraction = 0.6
+	// bufferFraction is the part of the process's memory for bodies that are buffered. It
+	// leaves the garbage collector room for as much again.
+	bufferFraction = 0.25
 	// reservedDescriptors is the number of file descriptors kept for connections
 	// to upstreams, the store and peers.
 	reservedDescriptors = 1200
@@ -130,6 +134,7 @@
 		return nil, err
 	}
 	pool := connpool.NewPool(options.Platform.DecodeHead)
+	memory := buffers.New(int64(float64(s.MemoryMB) * bufferFraction * (1 << 20)))
 	process := allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	e.balances = balances.New(balances.Config{
 		Store: options.Platform.Store, Process: process, Zone: s.Zone, Log: options.Log, Now: options.Now,
@@ -193,13 +198,13 @@
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
 		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, Now: options.Now},
-		Log:     options.Log, Now: options.Now, Recorder: recorder{requests}, Began: e.origins.Began,
+		Log:     options.Log, Now: options.Now, Recorder: recorder{requests}, Began: e.origins.Began, Buffers: memory,
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
-		Away: e.load.Away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100),
+		Buffers: memory, Away: e.load.Away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100),
 	})
-	e.start(pool, client, server)
+	e.start(memory, pool, client, server)
 	return e, e.serveHTTP()
 }
 
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 )
 
 const (
@@ -44,6 +45,11 @@
 // maxTrailers limits the trailer lines after a chunked body, which are discarded.
 const maxTrailers = 32
 
+// errNoMemory refuses a request of which the body does not fit into the host's memory
+// beside those of other requests.
+var errNoMemory = gateway.Refuse(gateway.Overloaded, gateway.DrainRetryAfter,
+	"this host has no memory for the body beside those of other requests; send the request again, which reaches another host")
+
 var (
 	errBodyTooLong = errors.New("the body is too long")
 	errTrailers    = errors.New("the body has too many trailers")
@@ -166,7 +172,9 @@
 		return c.refuseUnreadable(err)
 	}
 	arrived := c.server.config.Now()
-	body, err := c.readBody(ctx, request, limits)
+	memory := c.server.config.Buffers.Account()
+	defer memory.Close()
+	body, err := c.readBody(ctx, request, limits, memory)
 	if err != nil {
 		return c.refuseUnreadable(err)
 	}
@@ -339,7 +347,7 @@
 	return nil
 }
 
-func (c *connection) readBody(ctx context.Context, request *http.Request, limits gateway.Limits) ([]byte, error) {
+func (c *connection) readBody(ctx context.Context, request *http.Request, limits gateway.Limits, memory *buffers.Account) ([]byte, error) {
 	chunked := len(request.TransferEncoding) > 0
 	if request.ContentLength <= 0 && !chunked {
 		return nil, nil
@@ -351,6 +359,9 @@
 	if request.ContentLength > maxBytes {
 		return nil, gateway.Refuse(gateway.BodyTooLarge, 0, "the body is longer than %d bytes", maxBytes)
 	}
+	if !memory.Cover(request.ContentLength) {
+		return nil, errNoMemory
+	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
 		if _, err := c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
@@ -361,8 +372,10 @@
 	if request.ContentLength > 0 {
 		body.Grow(int(request.ContentLength) + bytes.MinRead)
 	}
-	err := c.copyBody(&body, request, maxBytes)
+	err := c.copyBody(&body, request, maxBytes, memory)
 	switch {
+	case errors.Is(err, errNoMemory):
+		return nil, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, readTimeout(ctx, "body", bodyTimeout)
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
@@ -372,17 +385,33 @@
 	case err != nil:
 		return nil, gateway.Refuse(gateway.BadRequest, 0, "the body can't be read: %v", err)
 	}
+	memory.Shrink(int64(body.Cap()))
 	return body.Bytes(), nil
 }
 
+// copyChunked reads a body of unknown length. While its buffer grows, the old one is kept.
+func copyChunked(body *bytes.Buffer, source io.Reader, memory *buffers.Account) error {
+	for size := int64(buffers.Free); ; size *= 2 {
+		if !memory.Cover(size + int64(body.Cap())) {
+			return errNoMemory
+		}
+		body.Grow(int(size) - body.Len())
+		if _, err := io.CopyN(body, source, size-int64(body.Len())-bytes.MinRead); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // copyBody reads exactly one body, so that the reader is at the start of the next
 // request.
-func (c *connection) copyBody(body *bytes.Buffer, request *http.Request, maxBytes int64) error {
+func (c *connection) copyBody(body *bytes.Buffer, request *http.Request, maxBytes int64, memory *buffers.Account) error {
 	if request.ContentLength > 0 {
 		_, err := io.CopyN(body, c.reader, request.ContentLength)
 		return err
 	}
-	if _, err := body.ReadFrom(io.LimitReader(httputil.NewChunkedReader(c.reader), maxBytes+1)); err != nil {
+	if err := copyChunked(body, io.LimitReader(httputil.NewChunkedReader(c.reader), maxBytes+1), memory); err != nil {
 		return err
 	}
 	if int64(body.Len()) > maxBytes {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 )
 
 const (
@@ -49,6 +50,8 @@
 	Limits   LimitSource
 	Log      *zap.Logger
 	Now      func() time.Time
+	// Buffers has the memory for the bodies of requests.
+	Buffers *buffers.Buffers
 	// Away reports whether callers are to move to other hosts: answers then end their
 	// connections. nil means that they are not.
 	Away func() bool
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -32,8 +32,9 @@
 	Acquire(ctx context.Context, target connpool.Target) (*connpool.Connection, bool, error)
 }
 
-// Encode encodes a request for an upstream.
-type Encode func(request *gateway.Request, dispatch gateway.Dispatch) []byte
+// Encode encodes a request for an upstream. It returns the start of the encoded request
+// and what follows, which is not a copy of the request's body.
+type Encode func(request *gateway.Request, dispatch gateway.Dispatch) (start, rest []byte)
 
 // Filter sends attempts.
 type Filter struct {
@@ -191,8 +192,9 @@
 	}
 	attemptCtx, end := context.WithCancel(ctx)
 	events := make(chan connpool.Event, eventBuffer)
+	start, rest := p.filter.Encode(matched.Request, dispatch)
 	p.connection.Send(&connpool.Exchange{
-		ID: matched.Request.ID, Method: matched.Request.Method, Payload: p.filter.Encode(matched.Request, dispatch),
+		ID: matched.Request.ID, Method: matched.Request.Method, Payload: start, Body: rest,
 		Events: events, Context: attemptCtx,
 	})
 	return &Sent{Placed: p.Placed, Events: events, Fresh: p.fresh, traits: matched.Traits, end: end, filter: p.filter}
--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -67,7 +67,7 @@
 	f.attempts = append(f.attempts, &flownAttempt{
 		Attempt: relay.Begin(relay.Task{
 			Sent: sent, Answer: r.answer, Stream: r.matched.Route.Retry.Stream(), Progress: &r.progress,
-			Now: r.pipeline.Now, Began: r.recordOrigin(sent.Placed.Upstream.Software),
+			Memory: r.pipeline.Buffers.Account(), Now: r.pipeline.Now, Began: r.recordOrigin(sent.Placed.Upstream.Software),
 		}),
 		startedAt: startedAt,
 	})
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -25,6 +25,7 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/resume"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
 	"github.com/peridotreel/peridotreel/internal/opaque/shed"
+	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 )
 
 // Summary describes a finished request for metrics.
@@ -46,10 +47,12 @@
 type Pipeline struct {
 	Match *match.Filter
 	// Shed rejects what this host cannot serve in time itself.
-	Shed     *shed.Filter
-	Resume   *resume.Filter
-	Reserve  *reserve.Filter
-	Attempt  *attempt.Filter
+	Shed    *shed.Filter
+	Resume  *resume.Filter
+	Reserve *reserve.Filter
+	Attempt *attempt.Filter
+	// Buffers has the memory for buffered answers.
+	Buffers  *buffers.Buffers
 	Recorder Recorder
 	// Began records at which software an attempt's stream began.
 	Began func(attempt, software string)
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -102,11 +102,21 @@
 	Answer   gateway.Answer
 	Stream   bool
 	Progress *Progress
+	// Memory holds what is buffered of the answer.
+	Memory Memory
 	// Began is called when the first event of the stream is about to be delivered.
 	Began func()
 	Now   func() time.Time
 }
 
+// Memory is the memory that the host has for the attempt's buffers.
+type Memory interface {
+	// Cover reports whether a number of bytes may be buffered.
+	Cover(bytes int64) bool
+	// Close gives back all that is held.
+	Close()
+}
+
 // Attempt is the state of relaying one attempt. It is owned by the goroutine of the
 // request.
 type Attempt struct {
@@ -162,6 +172,7 @@
 
 func (r *Attempt) end(outcome Outcome) {
 	r.Sent.End()
+	r.Memory.Close()
 	if r.streaming && outcome.Ending != Delivered {
 		r.Progress.Splitter.DropPartial()
 	}
@@ -225,7 +236,7 @@
 		return r.write(event.Data)
 	default:
 		r.body = append(r.body, event.Data...)
-		if len(r.body) > maxBufferedBytes {
+		if len(r.body) > maxBufferedBytes || !r.Memory.Cover(int64(len(r.body))) {
 			return r.stopBuffering()
 		}
 		return Outcome{}, false
@@ -276,7 +287,7 @@
 // forward writes the whole events received so far to the caller.
 func (r *Attempt) forward(data []byte) (Outcome, bool) {
 	whole, count := r.Progress.Splitter.Push(data)
-	if r.Progress.Splitter.PartialTooLong() {
+	if r.Progress.Splitter.PartialTooLong() || !r.Memory.Cover(int64(r.Progress.Splitter.PartialBytes())) {
 		return r.outcome(Broke, errors.New("an event exceeds the size limit of this host")), true
 	}
 	if count == 0 {
