Limit the heads of upstreams' answers on the product's own path

An upstream that sent a head, a status line or interim answers without end made the host keep up to 10 MiB a request, net/http's default. The limit is 16 KiB now, as at the gateway.

TestAnswersWithoutEndAreBounded failed before (10,485,760 bytes read) and passes. Bodies, lines and events were bounded already.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -32,6 +32,8 @@
 	// maxAnswerBytes is the largest answer of a plain service. Request bodies
 	// have the same limit.
 	maxAnswerBytes = 4 << 20
+	// maxHeadBytes limits the head of an answer, interim answers before it included.
+	maxHeadBytes = 16 << 10
 	// maxErrorBytes limits what is read of an error answer, of a load report
 	// and of a stream after its finish event.
 	maxErrorBytes = 4 << 10
@@ -90,10 +92,10 @@
 	return &Client{
 		pooled: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerUpstream,
-			IdleConnTimeout: idleTimeout, DisableCompression: true,
+			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		unpooled: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		controlTimeout: settings.controlTimeout, onLoad: settings.onLoad,
 	}
