Give routes without an objective no silence limit

Since attempts at silent upstreams are kept, a route that states neither an objective nor a pause had a limit of 0 ms, and each of its requests that may be repeated was sent to a second upstream at once. It has no limit, as before.

The new case of TestASilentUpstreamMayGoOnWithItsAnswer failed (2 requests at upstreams instead of 1) and passes.

--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -196,7 +196,7 @@
 
 // mayAdd reports whether the request may be sent to one more upstream.
 func (f *flight) mayAdd() bool {
-	return f.request.retryState.MayAdd(len(f.attempts)) &&
+	return f.silenceLimit() > 0 && f.request.retryState.MayAdd(len(f.attempts)) &&
 		!slices.ContainsFunc(f.attempts, func(a *flownAttempt) bool { return !a.Repeatable() })
 }
 
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -215,7 +215,7 @@
 )
 
 // silenceLimit returns how long an attempt may be silent before the request is also
-// sent to another upstream.
+// sent to another upstream, 0 if it never is, as the route states no times.
 func silenceLimit(route *gateway.Route) time.Duration {
 	limit := route.Objective * silenceObjectiveFactor
 	if route.Retry == gateway.StreamResumable {
