--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -31,7 +31,7 @@
 // another upstream, and the first of them that answers ends the others.
 type flight struct {
 	request  *requestRun
-	attempts []*flownAttempt // the oldest first
+	attempts []*attemptInFlight // the oldest first
 	// preparing receives the next attempt while it is prepared, nil otherwise.
 	preparing chan preparation
 	// silence fires at silenceDue if another attempt may be sent, to tell whether the
@@ -40,8 +40,8 @@
 	silenceDue time.Time
 }
 
-// flownAttempt is an attempt in flight, with what the log tells of it.
-type flownAttempt struct {
+// attemptInFlight is an attempt in flight, with what the log tells of it.
+type attemptInFlight struct {
 	*relay.Attempt
 	startedAt time.Time
 }
@@ -64,7 +64,7 @@
 func (f *flight) add(sent *attempt.Sent, startedAt time.Time) {
 	r := f.request
 	r.plan.Excluded = append(r.plan.Excluded, sent.Placed.Upstream.ID)
-	f.attempts = append(f.attempts, &flownAttempt{
+	f.attempts = append(f.attempts, &attemptInFlight{
 		Attempt: relay.Begin(relay.Task{
 			Sent: sent, Answer: r.answer, Stream: r.matched.Route.Retry.Stream(), Progress: &r.progress,
 			Memory: r.pipeline.Buffers.Account(), Now: r.pipeline.Now, Began: r.recordOrigin(sent.Placed.Upstream.Software),
@@ -106,7 +106,7 @@
 	return f.attempts[index].Sent.Events
 }
 
-func (f *flight) handle(a *flownAttempt, event connpool.Event) {
+func (f *flight) handle(a *attemptInFlight, event connpool.Event) {
 	outcome, ended := a.Handle(event)
 	if ended {
 		f.record(a, outcome)
@@ -125,7 +125,7 @@
 }
 
 // stopOthers ends all attempts but kept, which may be nil.
-func (f *flight) stopOthers(kept *flownAttempt, ending relay.Ending, err error) {
+func (f *flight) stopOthers(kept *attemptInFlight, ending relay.Ending, err error) {
 	for _, a := range slices.Clone(f.attempts) {
 		if a != kept {
 			f.record(a, a.Stop(ending, err))
@@ -134,9 +134,9 @@
 }
 
 // record removes an attempt that has ended and decides whether another may follow.
-func (f *flight) record(a *flownAttempt, outcome relay.Outcome) {
+func (f *flight) record(a *attemptInFlight, outcome relay.Outcome) {
 	r := f.request
-	f.attempts = slices.DeleteFunc(f.attempts, func(other *flownAttempt) bool { return other == a })
+	f.attempts = slices.DeleteFunc(f.attempts, func(other *attemptInFlight) bool { return other == a })
 	placed := a.Sent.Placed
 	r.attempts = append(r.attempts, attemptRecord{
 		upstream: placed.Upstream.ID, software: placed.Upstream.Software, cost: placed.Cost, affinity: placed.Affinity, newConnection: a.Sent.Fresh,
@@ -190,14 +190,14 @@
 	f.silence.Reset(due.Sub(f.request.pipeline.Now()))
 }
 
-func (f *flight) newest() *flownAttempt { return f.attempts[len(f.attempts)-1] }
+func (f *flight) newest() *attemptInFlight { return f.attempts[len(f.attempts)-1] }
 
 func (f *flight) silenceLimit() time.Duration { return silenceLimit(f.request.matched.Route) }
 
 // mayAdd reports whether the request may be sent to one more upstream.
 func (f *flight) mayAdd() bool {
 	return f.silenceLimit() > 0 && f.request.retryState.MayAdd(len(f.attempts)) &&
-		!slices.ContainsFunc(f.attempts, func(a *flownAttempt) bool { return !a.Repeatable() })
+		!slices.ContainsFunc(f.attempts, func(a *attemptInFlight) bool { return !a.Repeatable() })
 }
 
 // handleSilence starts to prepare an attempt at another upstream if the newest is silent.
