Verify the process of an upstream while the list is outdated

Cause: the software of an upstream is that of its entry in the list, and was believed for as long as no newer entry was read, although connections to the server had ended and new ones led to another process.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -115,6 +115,10 @@
 	// idleLimit is how long this connection may stay idle: maxIdle, or less if
 	// the upstream states a shorter timeout.
 	idleLimit time.Duration
+	// setUpAt is when the connection was set up, and verified true if the upstream then
+	// said which of its processes it is.
+	setUpAt  time.Time
+	verified bool
 	// part is what the reading goroutine reads a body into.
 	part [readBuffer]byte
 }
@@ -176,6 +180,29 @@
 	return socket, nil
 }
 
+// verifyTimeout bounds the verification of a new connection: one request and its answer.
+const verifyTimeout = 250 * time.Millisecond
+
+// dialVerified sets up a connection and verifies it if the target asks for that.
+func dialVerified(ctx context.Context, target Target) (net.Conn, error) {
+	socket, err := dial(ctx, target.Address)
+	if err != nil || target.Verify == nil {
+		return socket, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	interrupted := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	err = target.Verify(ctx, socket)
+	if !interrupted() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = socket.Close()
+		return nil, fmt.Errorf("the process of upstream %s at %s could not be verified: %w", target.Upstream, target.Address, err)
+	}
+	return socket, nil
+}
+
 // Probe connects to an upstream and closes the connection without sending
 // anything. Its error tells why no connection could be established.
 func Probe(ctx context.Context, address string) error {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/task"
@@ -22,6 +23,18 @@
 	Address  string
 	// MaxConnections bounds this host's connections to the upstream.
 	MaxConnections int
+	// Verify checks over a new connection that it leads to the listed process of the
+	// upstream, and not to one that was started at its address since. It is nil if the
+	// list is recent enough to tell.
+	Verify func(ctx context.Context, socket net.Conn) error
+	// ListedAt is when the list was last confirmed. If Verify is set, idle connections
+	// that were set up later are used only if they were verified.
+	ListedAt time.Time
+}
+
+// accepts reports whether an idle connection leads to the listed process.
+func (t *Target) accepts(c *Connection) bool {
+	return t.Verify == nil || c.verified || c.setUpAt.Before(t.ListedAt)
 }
 
 // Pool is the task that manages the connections to all upstreams. It hands out
@@ -83,6 +96,18 @@
 	}
 }
 
+// takeIdle returns the idle connection that was used last of those that the target
+// accepts, nil if there is none.
+func (u *upstreamPool) takeIdle(target *Target) *Connection {
+	for i, connection := range slices.Backward(u.idle) {
+		if target.accepts(connection) {
+			u.idle = slices.Delete(u.idle, i, i+1)
+			return connection
+		}
+	}
+	return nil
+}
+
 // NewPool returns a pool whose connections convert response heads with decode.
 func NewPool(decode DecodeHead) *Pool {
 	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode}
@@ -195,9 +220,7 @@
 
 func (p *Pool) acquire(u *upstreamPool, request acquire) {
 	u.draining = false
-	if n := len(u.idle); n > 0 {
-		connection := u.idle[n-1]
-		u.idle = u.idle[:n-1]
+	if connection := u.takeIdle(&request.target); connection != nil {
 		request.reply <- acquired{connection: connection}
 		return
 	}
@@ -207,7 +230,7 @@
 	}
 	u.open++
 	go func() {
-		socket, err := dial(request.ctx, request.target.Address)
+		socket, err := dialVerified(request.ctx, request.target)
 		_ = p.inbox.Send(context.Background(), dialed{request.target, socket, err, request})
 	}()
 }
@@ -219,6 +242,7 @@
 		return
 	}
 	connection := newConnection(p, m.target.Upstream, m.socket, p.decode)
+	connection.setUpAt, connection.verified = time.Now(), m.target.Verify != nil
 	go connection.run()
 	m.request.reply <- acquired{connection: connection, isNew: true}
 }
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -201,3 +201,41 @@
 		So(accepted(), ShouldEqual, 2)
 	})
 }
+
+// Guards against using a connection that may lead to another process of an upstream than
+// the listed one, while the list is too old to tell.
+func TestConnectionsAreVerifiedWhileTheListIsOutdated(t *testing.T) {
+	Convey("Given a connection that was set up without verification", t, func() {
+		address, _, stop := upstream(whole("1", "a"))
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		target := Target{Upstream: "u", Address: address, MaxConnections: 4}
+		connection, _, err := pool.Acquire(context.Background(), target)
+		So(err, ShouldBeNil)
+		pool.release(connection)
+		verdict := error(nil)
+		target.Verify = func(context.Context, net.Conn) error { return verdict }
+		Convey("It is used if the list was confirmed after it was set up", func() {
+			target.ListedAt = connection.setUpAt.Add(time.Millisecond)
+			_, fresh, err := pool.Acquire(context.Background(), target)
+			So(err, ShouldBeNil)
+			So(fresh, ShouldBeFalse)
+		})
+		Convey("It is not used otherwise, and a verified one is used again", func() {
+			target.ListedAt = connection.setUpAt
+			verified, fresh, err := pool.Acquire(context.Background(), target)
+			So(err, ShouldBeNil)
+			So(fresh, ShouldBeTrue)
+			pool.release(verified)
+			again, fresh, err := pool.Acquire(context.Background(), target)
+			So(err, ShouldBeNil)
+			So(fresh, ShouldBeFalse)
+			So(again, ShouldEqual, verified)
+		})
+		Convey("No connection is handed out that another process answers", func() {
+			verdict = ErrMalformedResponse
+			_, _, err := pool.Acquire(context.Background(), target)
+			So(err, ShouldWrap, ErrMalformedResponse)
+		})
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,6 +75,7 @@
 	Codec          front.Codec
 	Encode         attempt.Encode
 	DecodeHead     connpool.DecodeHead
+	VerifyStart    attempt.VerifyStart
 	DecodeConfig   func(raw []byte) (*gateway.Config, error)
 	DecodeUpstream func(id string, raw []byte) (gateway.Upstream, error)
 	ConfigTable    string
@@ -197,7 +198,7 @@
 		Shed:    &shed.Filter{Load: e.load},
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
-		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, Now: options.Now},
+		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, VerifyStart: options.Platform.VerifyStart, Now: options.Now},
 		Log:     options.Log, Now: options.Now, Recorder: recorder{requests}, Began: e.origins.Began, Buffers: memory,
 	}
 	e.front = front.NewServer(front.Config{
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/connpool"
@@ -36,11 +37,17 @@
 // and what follows, which is not a copy of the request's body.
 type Encode func(request *gateway.Request, dispatch gateway.Dispatch) (start, rest []byte)
 
+// VerifyStart asks an upstream over a new connection when it was started, and returns an
+// error unless that is the given time, in Unix milliseconds.
+type VerifyStart func(ctx context.Context, socket net.Conn, startMillis int64) error
+
 // Filter sends attempts.
 type Filter struct {
 	Director    Director
 	Connections Connections
 	Encode      Encode
+	// VerifyStart checks over a new connection when the upstream was started.
+	VerifyStart VerifyStart
 	Now         func() time.Time
 }
 
@@ -165,9 +172,7 @@
 		return nil, notSent(placed, matched.Fingerprint)
 	}
 	upstream := placed.Upstream
-	connection, fresh, err := f.Connections.Acquire(ctx, connpool.Target{
-		Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections,
-	})
+	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched.Route))
 	if err != nil {
 		signal := placement.Unreachable
 		if errors.Is(err, connpool.ErrConnectionLimit) {
@@ -181,6 +186,21 @@
 	return &Prepared{Placed: placed, connection: connection, fresh: fresh, matched: matched, plan: plan, filter: f}, nil
 }
 
+// target returns the upstream process to connect to. While the list is not confirmed, an
+// upstream may have been started again with other software; a stream that may be resumed
+// must not be taken for one of the software that the list names.
+func (f *Filter) target(placed director.Placed, route *gateway.Route) connpool.Target {
+	upstream := placed.Upstream
+	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
+	if placed.ListOutdated && route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
+		target.ListedAt = placed.ListedAt
+		target.Verify = func(ctx context.Context, socket net.Conn) error {
+			return f.VerifyStart(ctx, socket, upstream.StartMillis)
+		}
+	}
+	return target
+}
+
 // Send sends the attempt. ctx ends it.
 func (p *Prepared) Send(ctx context.Context) *Sent {
 	matched := p.matched
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -390,10 +390,14 @@
 	return d.activeConfig == nil || d.activeConfig.Version < d.peerConfigVersion || now.Sub(d.configConfirmed) > peerFallbackAfter
 }
 
+func (d *Director) lacksUpstreams(now time.Time) bool {
+	return now.Sub(d.listConfirmed) > peerFallbackAfter
+}
+
 func (d *Director) localState(now time.Time) LocalState {
 	return LocalState{
 		Config: d.activeConfig, ConfigAge: now.Sub(d.configConfirmed), UpstreamRows: d.upstreamRows, ListRevision: d.listRevision,
 		Loads:       d.balancer.OwnLoads(),
-		LacksConfig: d.lacksConfig(now), LacksUpstreams: now.Sub(d.listConfirmed) > peerFallbackAfter,
+		LacksConfig: d.lacksConfig(now), LacksUpstreams: d.lacksUpstreams(now),
 	}
 }
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -70,6 +70,10 @@
 	MaxConnections int
 	// Repeat is true if an equal request was in flight at a crash before.
 	Repeat bool
+	// ListedAt is when the store last confirmed the list of upstreams, and ListOutdated
+	// true if it has not for longer than it holds a call without changes.
+	ListedAt     time.Time
+	ListOutdated bool
 	// Hold is set if Outcome is Held.
 	Hold quarantine.Hold
 	// RetryAfter is when a request may be sent at the earliest if Outcome is Held,
@@ -121,7 +125,10 @@
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
-	return Placed{Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service), Repeat: d.quarantine.Repeats(request.Traits)}
+	return Placed{
+		Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service), Repeat: d.quarantine.Repeats(request.Traits),
+		ListedAt: d.listConfirmed, ListOutdated: d.lacksUpstreams(now),
+	}
 }
 
 // mayBegin reports whether a stream that callers may resume may begin at an upstream.
