Serve once the saved crashes of upstreams are known

What callers saw: after a kill of all hosts, a process that had just started sent a request that crashes upstreams and that the fleet held (502 instead of `quarantined`).

Cause: a host served as soon as it knew a configuration, while tasks/holds was still reading the saved crashes.

Change: the director matches requests, and the host is ready, once both are known.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -29,8 +29,8 @@
 // readiness is whether the host accepts new connections from the balancer. The
 // handlers of the ready address read it concurrently.
 type readiness struct {
-	hasConfig atomic.Bool
-	draining  atomic.Bool
+	serving  atomic.Bool
+	draining atomic.Bool
 	// away reports whether callers are to move to other hosts.
 	away func() bool
 	log  *zap.Logger
@@ -40,15 +40,15 @@
 	return &readiness{away: away, log: log}
 }
 
-// markConfigured marks the host as ready, since a configuration is known.
-func (r *readiness) markConfigured() {
-	if !r.hasConfig.Swap(true) {
+// markServing marks the host as ready, since it knows what it needs to serve requests.
+func (r *readiness) markServing() {
+	if !r.serving.Swap(true) {
 		r.log.Info("ready for callers", zap.String("event", "ready"))
 	}
 }
 
 func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
-	if r.hasConfig.Load() && !r.draining.Load() && !r.away() {
+	if r.serving.Load() && !r.draining.Load() && !r.away() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -49,6 +49,7 @@
 		zap.Int64("config_version", config.Version), zap.String("source", source),
 		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
 	d.config.Changed(config)
+	d.announceServing(d.config.Now())
 }
 
 // confirmConfig records that a version was known to be the latest at a time.
--- a/internal/tasks/director/config_test.go
+++ b/internal/tasks/director/config_test.go
@@ -22,7 +22,7 @@
 		director := New(Config{
 			ConfigTable: "config", ConfigKey: "current", Log: zap.NewNop(), Now: time.Now,
 			DecodeConfig: func([]byte) (*gateway.Config, error) { return &gateway.Config{Version: 3}, nil },
-			Changed:      func(*gateway.Config) {},
+			Changed:      func(*gateway.Config) {}, Serving: func() {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -48,6 +48,8 @@
 		So(lacksConfig(), ShouldBeTrue)
 		director.OfferConfig(4, &gateway.Config{Version: 4}, 0, "peer")
 		So(lacksConfig(), ShouldBeFalse)
+		_, err := director.MergeCrashes(ctx, nil)
+		So(err, ShouldBeNil)
 		state, err := director.Current(ctx)
 		So(err, ShouldBeNil)
 		So(state.Config.Version, ShouldEqual, 4)
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -45,6 +45,8 @@
 	Now   func() time.Time
 	// Changed is called with each configuration that is applied.
 	Changed func(*gateway.Config)
+	// Serving is called once, when requests are matched from then on.
+	Serving func()
 	// Forget is called with the upstreams that must get no new work.
 	Forget func([]core.UpstreamID)
 	// Listed is called with the software versions of the listed upstreams of each
@@ -95,6 +97,7 @@
 	shutdownAt      time.Time
 	shutdownNoticed time.Time
 	expiry          *time.Timer
+	startup         startup
 }
 
 // New returns a director.
@@ -104,12 +107,14 @@
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
 		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		startup: startup{began: config.Now()},
 	}
 }
 
 // ConfigState is the latest configuration that a host knows, and its age.
 type ConfigState struct {
-	// Config is nil until the host has received one.
+	// Config is nil until the host has received one and knows the saved crashes, or has
+	// waited for them for savedCrashesWait.
 	Config *gateway.Config
 	// Age is the time since the configuration was last known to be the latest.
 	Age time.Duration
@@ -295,10 +300,14 @@
 	defer d.expiry.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
+	startup := time.NewTimer(savedCrashesWait)
+	defer startup.Stop()
 	for {
 		select {
 		case message := <-d.inbox.Messages():
 			d.handle(ctx, message)
+		case <-startup.C:
+			d.announceServing(d.config.Now())
 		case <-d.expiry.C:
 			d.expireLapsed()
 		case <-forget.C:
@@ -314,7 +323,7 @@
 	now := d.config.Now()
 	switch m := message.(type) {
 	case getConfig:
-		m.reply <- ConfigState{Config: d.activeConfig, Age: now.Sub(d.configConfirmed), ShutdownAt: d.shutdownAt, ShutdownNoticed: d.shutdownNoticed, Holds: d.quarantine.Holds()}
+		m.reply <- d.configState(now)
 	case setShutdown:
 		d.shutdownAt, d.shutdownNoticed = m.at, m.noticed
 	case placeAttempt:
@@ -334,6 +343,8 @@
 		if d.quarantine.MergeSaved(m.crashes, now) {
 			d.logHolds(before, "store")
 		}
+		d.startup.crashesRead = true
+		d.announceServing(now)
 		m.reply <- d.quarantine.Suspicions(now)
 	case follower.Update:
 		d.applyUpdate(m)
