Announce the address on which the listener for peers listens

Cause: tests chose a free port, closed it and let the host open it again; beside other tests it was taken meanwhile (1 of 160 runs of TestAHoldOutlivesAKillOfAllHosts, twice in all).

Change: the host announces the address of its listener, which is that of the settings unless their port is 0.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -163,7 +163,7 @@
 	e.holds = holds.New(holds.Config{Host: s.Host, Store: options.Platform.Store, Registry: e.director, Log: options.Log, Now: options.Now})
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log})
 	e.peers = peers.New(peers.Config{
-		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
+		Host: s.Host, Address: peerListener.Addr().String(), Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
 		ReturnTokens: e.balances.Return,
 		HostsChanged: func(hosts int, members []allowance.Member) {
