--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,11 +150,9 @@
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
 		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
-		Changed: func(config *gateway.Config) {
-			e.balances.Configure(config)
-			e.readiness.markConfigured()
-		},
-		Forget: pool.Drain, Dial: connpool.Probe,
+		Changed: func(config *gateway.Config) { e.balances.Configure(config) },
+		Serving: func() { e.readiness.markServing() },
+		Forget:  pool.Drain, Dial: connpool.Probe,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
@@ -166,7 +164,7 @@
 	e.holds = holds.New(holds.Config{Host: s.Host, Store: options.Platform.Store, Registry: e.director, Log: options.Log, Now: options.Now})
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log})
 	e.peers = peers.New(peers.Config{
-		Host: s.Host, Address: s.Listen.Peers, Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
+		Host: s.Host, Address: peerListener.Addr().String(), Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
 		ReturnTokens: e.balances.Return,
 		HostsChanged: func(hosts int, members []allowance.Member) {
