Write records of streams again after a failed write

The task origins took the records of where streams began from its queue before they were written, and did not repeat a write that failed. Streams that had begun while the store was away could not be taken up after a kill of all hosts, even if the store had been back for a while.

A host also writes the records of the last 20 s when it takes a bucket over from another host, and after a return of the store to an older copy.

--- a/internal/decide/origin/origin.go
+++ b/internal/decide/origin/origin.go
@@ -36,6 +36,12 @@
 	Software string
 }
 
+// TimedRecord is a record with the time at which a host learned of it.
+type TimedRecord struct {
+	Record
+	At time.Time
+}
+
 // Records are the origins that a host knows.
 type Records struct {
 	software map[string]string
@@ -65,6 +71,18 @@
 	return own
 }
 
+// OfBuckets returns the records of a set of buckets with their times, the oldest first.
+func (r *Records) OfBuckets(buckets map[string]bool, now time.Time) []TimedRecord {
+	r.expire(now)
+	var records []TimedRecord
+	for _, timed := range r.order {
+		if buckets[Bucket(timed.attempt)] {
+			records = append(records, TimedRecord{Record{Attempt: timed.attempt, Software: r.software[timed.attempt]}, timed.at})
+		}
+	}
+	return records
+}
+
 // Add adds a record; own is true if this host began the stream. The first record of an
 // attempt counts.
 func (r *Records) Add(record Record, own bool, now time.Time) {
@@ -98,7 +116,23 @@
 // Registrars returns the hosts that keep the record of an attempt, besides the one
 // that made it. Hosts with the same view of the members agree.
 func Registrars(attempt string, members []allowance.Member) []allowance.Member {
-	bucket := Bucket(attempt)
+	return registrarsOf(Bucket(attempt), members)
+}
+
+// Writes returns the buckets whose records a host writes to the store: those of which it
+// is the first registrar.
+func Writes(host core.HostID, members []allowance.Member) map[string]bool {
+	buckets := make(map[string]bool)
+	for i := range bucketCount {
+		bucket := strconv.Itoa(i)
+		if registrars := registrarsOf(bucket, members); len(registrars) > 0 && registrars[0].Host == host {
+			buckets[bucket] = true
+		}
+	}
+	return buckets
+}
+
+func registrarsOf(bucket string, members []allowance.Member) []allowance.Member {
 	best := make(map[core.ZoneName]allowance.Member)
 	weight := func(m allowance.Member) uint64 { return rendezvous.Weight(bucket, string(m.Host)) }
 	for _, member := range members {
@@ -115,53 +149,3 @@
 	})
 	return registrars[:min(len(registrars), registrarCount)]
 }
-
-// Unsaved are the records that a host has to write to the store, by bucket.
-type Unsaved struct{ buckets map[string][]unsavedRecord }
-
-type unsavedRecord struct {
-	Record
-	at time.Time
-}
-
-// NewUnsaved returns an empty set of records.
-func NewUnsaved() *Unsaved { return &Unsaved{buckets: make(map[string][]unsavedRecord)} }
-
-// maxUnsaved bounds the records of a bucket that wait to be written.
-const maxUnsaved = 10_000
-
-// Add adds a record.
-func (u *Unsaved) Add(record Record, now time.Time) {
-	bucket := Bucket(record.Attempt)
-	u.buckets[bucket] = append(u.buckets[bucket], unsavedRecord{record, now})
-	u.buckets[bucket] = u.buckets[bucket][max(len(u.buckets[bucket])-maxUnsaved, 0):]
-}
-
-// Expire drops records of streams that are no longer resumed.
-func (u *Unsaved) Expire(now time.Time) {
-	for bucket, records := range u.buckets {
-		for len(records) > 0 && now.Sub(records[0].at) > Retention {
-			records = records[1:]
-		}
-		u.buckets[bucket] = records
-		if len(records) == 0 {
-			delete(u.buckets, bucket)
-		}
-	}
-}
-
-// Take removes and returns up to limit records of each bucket, the oldest first.
-func (u *Unsaved) Take(limit int) map[string][]Record {
-	taken := make(map[string][]Record, len(u.buckets))
-	for bucket, records := range u.buckets {
-		count := min(limit, len(records))
-		for _, record := range records[:count] {
-			taken[bucket] = append(taken[bucket], record.Record)
-		}
-		u.buckets[bucket] = records[count:]
-		if count == len(records) {
-			delete(u.buckets, bucket)
-		}
-	}
-	return taken
-}
--- a/internal/tasks/origins/origins.go
+++ b/internal/tasks/origins/origins.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -74,8 +75,10 @@
 	// resend is true if the hosts have changed since records were sent. A host that has
 	// started has none, and the registrars may be others.
 	resend bool
-	// unsaved are records that this host has to write to the store.
+	// unsaved are records that this host has to write to the store, writes the buckets
+	// of which it is the first registrar.
 	unsaved *origin.Unsaved
+	writes  map[string]bool
 	// sends and saves pace what flushTimer and saveTimer start.
 	sends, saves          origin.Pace
 	flushTimer, saveTimer *time.Timer
@@ -215,6 +218,7 @@
 	case setMembers:
 		o.members, o.resend = m, true
 		o.sendSoon(now)
+		o.updateWrites(now)
 	case setListed:
 		o.updateListed(ctx, m)
 		o.saveSoon(now) // streams of several versions may be resumed from now on
@@ -223,7 +227,7 @@
 	case add:
 		o.records.Add(m.record, m.send, now)
 		registrars := origin.Registrars(m.record.Attempt, o.members)
-		if len(registrars) > 0 && registrars[0].Host == o.config.Host {
+		if o.writes[origin.Bucket(m.record.Attempt)] {
 			o.unsaved.Add(m.record, now)
 			o.saveSoon(now)
 		}
@@ -233,6 +237,8 @@
 		}
 	case readSaved:
 		m.reply <- o.startRead(ctx, m.bucket, now)
+	case savedWritten:
+		o.handleSavedWritten(m, now)
 	case savedRead:
 		o.handleSavedRead(m, now)
 	case find:
@@ -247,6 +253,16 @@
 	}
 }
 
+// updateWrites finds the buckets that this host writes by the current members. It writes
+// the records of those that are new to it, as the host before may have left with them.
+func (o *Origins) updateWrites(now time.Time) {
+	before := o.writes
+	o.writes = origin.Writes(o.config.Host, o.members)
+	taken := maps.Clone(o.writes)
+	maps.DeleteFunc(taken, func(bucket string, _ bool) bool { return before[bucket] })
+	o.saveAgain(taken, now)
+}
+
 func (o *Origins) enqueue(record origin.Record, registrars []allowance.Member) {
 	for _, registrar := range registrars {
 		if registrar.Host != o.config.Host && len(o.queued[registrar.Address]) < maxQueued {
@@ -302,7 +318,8 @@
 	time.AfterFunc(delay, func() { _ = o.inbox.Send(ctx, historyDue{name}) })
 }
 
-// noticeEra reads all histories again after a return of the store.
+// noticeEra reads all histories again after a return of the store, and writes the
+// records again that the copy may lack.
 func (o *Origins) noticeEra(ctx context.Context, era int64) {
 	if era <= o.era {
 		return
@@ -312,6 +329,7 @@
 		known.history, known.readAt = origin.History{}, time.Time{}
 		o.updateLater(ctx, name, rand.N(writeSpread))
 	}
+	o.saveAgain(o.writes, o.config.Now())
 }
 
 func (o *Origins) only(m only) onlyReply {
--- a/internal/tasks/origins/saved.go
+++ b/internal/tasks/origins/saved.go
@@ -39,6 +39,12 @@
 	reply  chan<- chan struct{}
 }
 
+// savedWritten is the outcome of a write of records.
+type savedWritten struct {
+	batch origin.Batch
+	err   error
+}
+
 type savedRead struct {
 	bucket string
 	rows   []rowstore.Row
@@ -55,18 +61,22 @@
 	// A slot is written again once its records have expired, so that nothing grows.
 	const slots = int64(origin.Retention/saveInterval) + 1
 	slot := strconv.FormatInt(now.UnixMilli()/saveInterval.Milliseconds()%slots, 10)
-	for bucket, records := range o.unsaved.Take(maxSaved) {
+	for _, batch := range o.unsaved.Take(maxSaved, now) {
 		value := make(savedRecords)
-		for _, record := range records {
+		for _, record := range batch.Records {
 			value[record.Software] = append(value[record.Software], record.Attempt)
 		}
 		raw, err := json.Marshal(value)
 		if err != nil {
 			o.config.Log.Error("could not encode records of streams", zap.String("event", "origins_save_failed"), zap.Error(err))
+			o.unsaved.Written(batch, false, now) // it would fail again
 			continue
 		}
-		row := rowstore.Row{Table: SavedTable, Part: bucket, Key: string(o.config.Host) + "." + slot, Value: raw}
-		go o.writeSaved(ctx, row)
+		row := rowstore.Row{Table: SavedTable, Part: batch.Bucket, Key: string(o.config.Host) + "." + slot, Value: raw}
+		go o.writeSaved(ctx, row, batch)
+	}
+	if o.unsaved.Waiting() {
+		o.saveSoon(now)
 	}
 }
 
@@ -81,13 +91,34 @@
 	return false
 }
 
-// writeSaved writes a row. It is not repeated: other hosts have its records.
-func (o *Origins) writeSaved(ctx context.Context, row rowstore.Row) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+// writeSaved writes a row and sends the task its outcome. It does not access the task's
+// state.
+func (o *Origins) writeSaved(ctx context.Context, row rowstore.Row, batch origin.Batch) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, err := o.config.Store.Commit(ctx, rowstore.Commit{Puts: []rowstore.Row{row}}); err != nil {
-		o.config.Log.Debug("records of streams were not saved", zap.String("event", "origins_save_failed"), zap.Error(err))
+	_, err := o.config.Store.Commit(callCtx, rowstore.Commit{Puts: []rowstore.Row{row}})
+	_ = o.inbox.Send(ctx, savedWritten{batch, err})
+}
+
+func (o *Origins) handleSavedWritten(m savedWritten, now time.Time) {
+	if m.err != nil {
+		o.config.Log.Debug("records of streams were not saved; they are written again", zap.String("event", "origins_save_failed"),
+			zap.String("bucket", m.batch.Bucket), zap.Int("records", len(m.batch.Records)), zap.Error(m.err))
+	}
+	o.unsaved.Written(m.batch, m.err != nil, now)
+	if o.unsaved.Waiting() {
+		o.saveSoon(now)
+	}
+}
+
+// saveAgain queues the records of buckets that other hosts or an earlier store had: this
+// host has become the one that writes them, or the store has come back from an older copy.
+func (o *Origins) saveAgain(buckets map[string]bool, now time.Time) {
+	if len(buckets) == 0 {
+		return
 	}
+	o.unsaved.Restore(o.records.OfBuckets(buckets, now))
+	o.saveSoon(now)
 }
 
 // startRead returns a channel that is closed once the saved records of a bucket are
