Keep rows of stream records below the size that the store takes

A row of records held up to 2,500 attempts, whatever their length. Callers choose the names of their attempts: a row of long ones was over the 64 KB that the store takes, and as a failed write is repeated, no record of its bucket was saved any more.

A write now takes as many records as its row has room for, and a record that alone has no room is not saved. The test with 200 names of 500 bytes and one of 70,000 failed before (no record saved within 10 s) and passes.

--- a/internal/decide/origin/unsaved.go
+++ b/internal/decide/origin/unsaved.go
@@ -78,23 +78,37 @@
 	}
 }
 
-// Take returns up to limit records of each bucket that may be written now, the oldest
-// first. Each batch is answered by Written.
-func (u *Unsaved) Take(limit int, now time.Time) []Batch {
+// Take returns the records of each bucket that may be written now, the oldest first. fit
+// tells how many of some records one write has room for; a record that alone has no room
+// is dropped, as it would keep the others from being written. Each batch is answered by
+// Written.
+func (u *Unsaved) Take(fit func([]TimedRecord) int, now time.Time) []Batch {
 	var batches []Batch
 	for name, bucket := range u.buckets {
 		failing := !bucket.retryAt.IsZero()
-		if len(bucket.records) == 0 || failing && (bucket.writing > 0 || now.Before(bucket.retryAt)) {
+		if failing && (bucket.writing > 0 || now.Before(bucket.retryAt)) {
 			continue
 		}
-		count := min(limit, len(bucket.records))
-		batches = append(batches, Batch{name, slices.Clone(bucket.records[:count])})
-		bucket.records = bucket.records[count:]
-		bucket.writing++
+		if records := bucket.take(fit); len(records) > 0 {
+			batches = append(batches, Batch{name, records})
+			bucket.writing++
+		}
 	}
 	return batches
 }
 
+func (b *unsavedBucket) take(fit func([]TimedRecord) int) []TimedRecord {
+	for len(b.records) > 0 {
+		if count := fit(b.records); count > 0 {
+			taken := slices.Clone(b.records[:count])
+			b.records = b.records[count:]
+			return taken
+		}
+		b.records = b.records[1:]
+	}
+	return nil
+}
+
 // Written notes the outcome of the write of a batch. Its records wait again if it has
 // failed or its outcome is unknown: that a record is written twice does no harm.
 func (u *Unsaved) Written(batch Batch, failed bool, now time.Time) {
--- a/internal/tasks/origins/saved.go
+++ b/internal/tasks/origins/saved.go
@@ -17,8 +17,9 @@
 	// SavedTable has the records of streams that survive a kill of all hosts, in a part
 	// for each bucket of attempts.
 	SavedTable = "origins"
-	// maxSaved bounds the records in a row: 64 KB have room for some 2,800.
-	maxSaved = 2500
+	// maxRowBytes is below the 64 KB that the store takes in a row. It has room for some
+	// 2,700 records of 16-digit attempts.
+	maxRowBytes = 60_000
 	// savedMaxAge is how long rows that were read are not read again.
 	savedMaxAge = time.Second
 )
@@ -59,7 +60,7 @@
 		return
 	}
 	slot := strconv.FormatInt(now.UnixMilli()/origin.SaveSlot.Milliseconds()%origin.SaveSlots, 10)
-	for _, batch := range o.unsaved.Take(maxSaved, now) {
+	for _, batch := range o.unsaved.Take(fitRow, now) {
 		value := make(savedRecords)
 		for _, record := range batch.Records {
 			value[record.Software] = append(value[record.Software], record.Attempt)
@@ -78,6 +79,33 @@
 	}
 }
 
+// fitRow returns how many of some records, from the first, a row has room for.
+func fitRow(records []origin.TimedRecord) int {
+	size := 0
+	counted := make(map[string]bool)
+	for i, record := range records {
+		size += encodedSize(record.Attempt)
+		if !counted[record.Software] {
+			counted[record.Software] = true
+			size += encodedSize(record.Software)
+		}
+		if size > maxRowBytes {
+			return i
+		}
+	}
+	return len(records)
+}
+
+// encodedSize returns the bytes of a text in a row, with the characters around it.
+func encodedSize(text string) int {
+	const around = 4
+	raw, err := json.Marshal(text)
+	if err != nil {
+		return maxRowBytes + 1
+	}
+	return len(raw) + around
+}
+
 // severalVersions reports whether several versions serve a service, or have served it
 // while callers may still resume their streams.
 func (o *Origins) severalVersions() bool {
