Let only a whole event end the other attempt of a stream

The head of another upstream's answer ended the silent attempt of a stream, also of one that had begun, although decision 18 asks for a whole event there.

The head is now written with the first event, and only that event supersedes the other attempt. Each attempt buffers its own incomplete event.

--- a/internal/decide/events/events.go
+++ b/internal/decide/events/events.go
@@ -50,10 +50,6 @@
 // PartialBytes returns the length of the incomplete event that is buffered.
 func (s *Splitter) PartialBytes() int { return len(s.partial) }
 
-// DropPartial discards the bytes after the last whole event, because another
-// upstream resumes the stream after that event.
-func (s *Splitter) DropPartial() { s.partial = nil }
-
 // LastID returns the id of the last whole event that had one.
 func (s *Splitter) LastID() string { return s.lastID }
 
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -181,7 +181,7 @@
 // updatePlan prepares the plan of the next attempt after what the earlier ones have
 // delivered.
 func (r *requestRun) updatePlan() {
-	if id := r.progress.Splitter.LastID(); id != "" {
+	if id := r.progress.LastID; id != "" {
 		r.plan.ResumeAfter = id
 	}
 	if r.progress.Events > 0 && r.plan.Software == nil {
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -86,7 +86,8 @@
 // Progress describes how much of a streamed answer was delivered to the caller,
 // over all attempts.
 type Progress struct {
-	Splitter events.Splitter
+	// LastID is the id of the last event delivered that had one.
+	LastID string
 	// Events is the number of whole events delivered.
 	Events int
 	// FirstEvent is the time when the first event was delivered, zero before.
@@ -132,6 +133,8 @@
 	// unbuffered is true once an answer that is no stream is forwarded as it
 	// arrives.
 	unbuffered bool
+	// splitter holds the part of an event that has arrived.
+	splitter events.Splitter
 	// events is the number of whole events that this attempt delivered.
 	events int
 }
@@ -173,17 +176,15 @@
 func (r *Attempt) end(outcome Outcome) {
 	r.Sent.End()
 	r.Memory.Close()
-	if r.streaming && outcome.Ending != Delivered {
-		r.Progress.Splitter.DropPartial()
-	}
 	r.observe(outcome)
 }
 
 // Events returns the number of whole events that the attempt delivered.
 func (r *Attempt) Events() int { return r.events }
 
-// Forwards reports whether the attempt writes its answer to the caller.
-func (r *Attempt) Forwards() bool { return r.streaming || r.unbuffered }
+// Forwards reports whether the attempt has written a part of its answer to the caller.
+// The head of a stream is written with its first event.
+func (r *Attempt) Forwards() bool { return r.events > 0 || r.unbuffered }
 
 // Repeatable reports whether another attempt may still answer the request: the rest of
 // an answer that is no stream can't be had from another upstream.
@@ -276,18 +277,21 @@
 		return Outcome{}, false
 	}
 	r.streaming = true
-	if !r.Answer.Begun() {
-		if err := r.Answer.Begin(head.Status, head.Fields); err != nil {
-			return r.outcome(CallerGone, err), true
-		}
-	}
 	return Outcome{}, false
 }
 
+// begin begins the answer unless an attempt has done so.
+func (r *Attempt) begin() error {
+	if r.Answer.Begun() {
+		return nil
+	}
+	return r.Answer.Begin(r.head.Status, r.head.Fields)
+}
+
 // forward writes the whole events received so far to the caller.
 func (r *Attempt) forward(data []byte) (Outcome, bool) {
-	whole, count := r.Progress.Splitter.Push(data)
-	if r.Progress.Splitter.PartialTooLong() || !r.Memory.Cover(int64(r.Progress.Splitter.PartialBytes())) {
+	whole, count := r.splitter.Push(data)
+	if r.splitter.PartialTooLong() || !r.Memory.Cover(int64(r.splitter.PartialBytes())) {
 		return r.outcome(Broke, errors.New("an event exceeds the size limit of this host")), true
 	}
 	if count == 0 {
@@ -296,9 +300,16 @@
 	if r.Progress.Events == 0 && r.Began != nil {
 		r.Began()
 	}
-	if err := r.Answer.Write(whole); err != nil {
+	err := r.begin()
+	if err == nil {
+		err = r.Answer.Write(whole)
+	}
+	if err != nil {
 		return r.outcome(CallerGone, err), true
 	}
+	if id := r.splitter.LastID(); id != "" {
+		r.Progress.LastID = id
+	}
 	now := r.Now()
 	if r.Progress.FirstEvent.IsZero() {
 		r.Progress.FirstEvent = now
@@ -344,7 +355,7 @@
 }
 
 func (r *Attempt) endStream(end *connpool.End) Outcome {
-	if r.Progress.Splitter.HasPartial() {
+	if r.splitter.HasPartial() {
 		err := errors.New("the stream ended with an incomplete event")
 		if !end.Framed {
 			err = fmt.Errorf("%w: %w", connpool.ErrClosed, err)
@@ -354,6 +365,9 @@
 	if !end.Framed && r.events == 0 {
 		return r.outcome(Broke, fmt.Errorf("%w: it delimits the stream and sent no event", connpool.ErrClosed))
 	}
+	if err := r.begin(); err != nil {
+		return r.outcome(CallerGone, err)
+	}
 	return r.endAnswer()
 }
 
