Keep a silent attempt in flight beside a third one

A request was answered 504 although its second upstream went on after 1.5 s, as the first never answered and the third refused.

No attempt is ended for its silence any more; up to four are in flight.

TestASilentUpstreamMayGoOnBesideTwoOthers failed before (504 instead of 200) and passes.

--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -13,18 +13,15 @@
 )
 
 const (
-	// maxInFlight is the number of attempts of a request that may be in flight at once:
-	// one that is silent, and one that may answer in its place.
-	maxInFlight = 2
+	// maxInFlight is the number of attempts of a request that may be in flight at once: all
+	// but the newest are silent.
+	maxInFlight = 4
 	// hedgeRetryInterval is the time after which another upstream is looked for again if
 	// none could be used.
 	hedgeRetryInterval = 250 * time.Millisecond
 )
 
-var (
-	errSilent     = errors.New("the upstream sent nothing within the silence limit")
-	errSuperseded = errors.New("another upstream answers the request")
-)
+var errSuperseded = errors.New("another upstream answers the request")
 
 // flight is the attempts of a request that are in flight. An upstream that is silent may
 // be sound and go on, so its attempt is not ended for that: the request is also sent to
@@ -87,6 +84,10 @@
 			f.handle(f.attempts[0], event)
 		case event := <-f.events(1):
 			f.handle(f.attempts[1], event)
+		case event := <-f.events(2):
+			f.handle(f.attempts[2], event)
+		case event := <-f.events(3):
+			f.handle(f.attempts[3], event)
 		case result := <-f.preparing:
 			f.preparing = nil
 			f.dispatch(ctx, result)
@@ -143,7 +144,7 @@
 		ending: outcome.Ending, status: outcome.Status, events: a.Events(),
 		duration: r.pipeline.Now().Sub(a.startedAt), err: outcome.Err,
 	})
-	if outcome.Ending != relay.Superseded && outcome.Ending != relay.Silent {
+	if outcome.Ending != relay.Superseded {
 		r.lastOutcome = outcome
 	}
 	if outcome.Ending == relay.Delivered {
@@ -196,7 +197,7 @@
 
 // mayAdd reports whether the request may be sent to one more upstream.
 func (f *flight) mayAdd() bool {
-	return f.silenceLimit() > 0 && f.request.retryState.MayAdd(len(f.attempts)) &&
+	return f.silenceLimit() > 0 && len(f.attempts) < maxInFlight && f.request.retryState.MayAdd(len(f.attempts)) &&
 		!slices.ContainsFunc(f.attempts, func(a *attemptInFlight) bool { return !a.Repeatable() })
 }
 
@@ -236,9 +237,6 @@
 	case !newest.Stalled() || !f.mayAdd():
 		result.prepared.Cancel()
 	default:
-		if len(f.attempts) == maxInFlight {
-			f.record(newest, newest.Stop(relay.Silent, errSilent))
-		}
 		f.add(result.prepared.Send(ctx), result.startedAt)
 	}
 	f.awaitSilence()
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -38,9 +38,6 @@
 	// Broke means that the answer was incomplete, invalid or missing; the
 	// request may have run.
 	Broke Ending = "broke"
-	// Silent means that nothing arrived for some time, and that another attempt was sent
-	// instead.
-	Silent Ending = "silent"
 	// Superseded means that another attempt of the request answers it.
 	Superseded Ending = "superseded"
 	// TimeUp means that the deadline passed.
@@ -381,9 +378,9 @@
 // signalByEnding maps endings to the signals that update the upstream's health.
 var signalByEnding = map[Ending]placement.Signal{
 	Delivered: placement.Succeeded, Failed: placement.Failed, Broke: placement.Broke,
-	// An attempt that was silent was reported as stalled.
-	Silent: placement.Abandoned, Superseded: placement.Abandoned,
-	TimeUp: placement.Silent, CallerGone: placement.Abandoned, HostStopping: placement.Abandoned,
+	// A superseded attempt that was silent was reported as stalled.
+	Superseded: placement.Abandoned,
+	TimeUp:     placement.Silent, CallerGone: placement.Abandoned, HostStopping: placement.Abandoned,
 }
 
 func (r *Attempt) observe(outcome Outcome) {
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -108,7 +108,7 @@
 
 // lostAttempt reports whether an attempt ended without a whole answer.
 func (r *requestRun) lostAttempt() bool {
-	return slices.ContainsFunc(r.attempts, func(a attemptRecord) bool { return a.ending == relay.Broke || a.ending == relay.Silent })
+	return slices.ContainsFunc(r.attempts, func(a attemptRecord) bool { return a.ending == relay.Broke })
 }
 
 // describeAttempts formats the attempts on one line.
