Return from an engine that never answers to the silent one before it

On the product's own path a stream moved from a silent engine to another that never answered, and then waited for that one until its deadline, although the first had gone on and held the answer. If no other engine is left, the stream now resumes at the one that was silent before.

The new case of TestASilentUpstreamMayGoOnWithItsAnswer failed before (deadline_exceeded) and passes.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -114,6 +114,12 @@
 		So(f.requests[2].NewConnection, ShouldBeTrue)
 		So(f.requests[2].After, ShouldEqual, 2)
 	})
+	Convey("Where the other upstream never answers, the stream resumes at it", t, func() {
+		f := &fakes{script: script{silentStream, silentStream, completeStream}, probeErr: noAnswer}
+		whole(f)
+		So(f.requests, ShouldHaveLength, 3)
+		So(f.requests[2].Target.Upstream, ShouldEqual, core.UpstreamID("u1"))
+	})
 	Convey("Work that must not run twice waits for it", t, func() {
 		f := &fakes{script: script{silentStream}, goOn: goOn, nonIdempotent: true}
 		whole(f)
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -227,28 +227,35 @@
 
 // planAfterSilence probes a silent upstream on a new connection. If the
 // upstream answers, only the old connection failed, and the stream resumes on
-// the same upstream; otherwise the upstream is excluded. It reports false if no attempt
-// can follow: the upstream may be sound and go on.
+// the same upstream; otherwise the upstream is excluded, and if no other is left, the
+// stream resumes at one that was silent before. It reports false if no attempt can
+// follow: the upstream may be sound and go on.
 func (e *exchange) planAfterSilence(ctx context.Context, plan *attemptPlan, target core.Target) bool {
 	plan.lastErr = fault.New(fault.UpstreamFailed, fault.Unknown,
 		"the upstream stopped sending; retry with the same Idempotency-Key").WithRetryAfter(upstreamRetry)
 	following := *plan
 	following.query.Excluded = slices.Clone(plan.query.Excluded)
-	if e.probe(ctx, target) == nil {
+	answers := e.probe(ctx, target) == nil
+	if answers {
 		following.newConnection = true
 		following.query.Resume = target.Upstream
 	} else {
 		following.newConnection = false
 		following.query.Resume = ""
 		following.query.Excluded = append(following.query.Excluded, target.Upstream)
-		following.silent = target.Upstream
 	}
 	attempts := e.attempts
 	next, err := e.pickTarget(ctx, &following)
+	if err != nil && !answers && plan.silent != "" && plan.silent != target.Upstream {
+		next, err = e.returnToSilent(ctx, &following)
+	}
 	if err != nil {
 		e.attempts = attempts
 		return false
 	}
+	if !answers {
+		following.silent = target.Upstream
+	}
 	*plan = following
 	plan.next = &next
 	return true
