Ask a silent engine again that refused the new connection

An engine that was silent and answered a probe was asked for the rest of its answer on a new connection, and the old one was closed. If it refused the new one, for example because its connections were all in use, the stream was given up although the engine held the answer, where no other engine was left.

Such an engine is now asked again, with the usual backoff and within the maximum number of attempts.

The new case of TestASilentUpstreamMayGoOnWithItsAnswer failed before ("the upstream took no work") and passes.

--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -219,6 +219,10 @@
 
 func silentStream(attempt.Request) []core.StreamResult { return nil }
 
+func refusedStream(attempt.Request) []core.StreamResult {
+	return []core.StreamResult{{Err: fault.Refuse(fault.UpstreamFailed, "the upstream took no work; retry")}}
+}
+
 func completionCall() *core.Call {
 	return &core.Call{Kind: core.KindCompletion, BearerKey: testKey, Completion: &core.Completion{
 		Model: "m", Messages: []core.Message{{Role: "user", Content: "hello"}}, Stream: true,
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -120,6 +120,12 @@
 		So(f.requests, ShouldHaveLength, 3)
 		So(f.requests[2].Target.Upstream, ShouldEqual, core.UpstreamID("u1"))
 	})
+	Convey("Where it answers a probe, but refuses a new connection, the stream resumes at it later", t, func() {
+		f := &fakes{script: script{silentStream, refusedStream, completeStream}, unlisted: []core.UpstreamID{"u2"}}
+		whole(f)
+		So(f.requests, ShouldHaveLength, 3)
+		So(f.requests[2].Target.Upstream, ShouldEqual, core.UpstreamID("u1"))
+	})
 	Convey("Work that must not run twice waits for it", t, func() {
 		f := &fakes{script: script{silentStream}, goOn: goOn, nonIdempotent: true}
 		whole(f)
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -109,6 +109,12 @@
 	return target, nil
 }
 
+// mayAskAgain reports whether an upstream that holds the answer may be asked for it once
+// more after it failed with err: it keeps the answer if it only refused the connection.
+func (e *exchange) mayAskAgain(err error) bool {
+	return fault.From(err).Run == fault.NotRun && e.attempts < maxAttempts
+}
+
 // pickTarget chooses the upstream of the next attempt without regard to one that was
 // silent.
 func (e *exchange) pickTarget(ctx context.Context, plan *attemptPlan) (core.Target, error) {
@@ -145,7 +151,7 @@
 			return e.partialResult(answer), e.interruptionError(ctx, outcome.Err)
 		case relay.Silent:
 		default:
-			if target.Upstream == plan.silent {
+			if target.Upstream == plan.silent && !e.mayAskAgain(outcome.Err) {
 				plan.silent = ""
 			}
 			plan.lastErr = outcome.Err
@@ -253,7 +259,7 @@
 		e.attempts = attempts
 		return false
 	}
-	if !answers {
+	if !answers || following.silent == "" {
 		following.silent = target.Upstream
 	}
 	*plan = following
