Do not lose a SIGTERM behind SIGHUPs

SIGHUP and SIGTERM shared a channel of four. os/signal drops what does not fit, so a SIGTERM that came while the settings were read, after SIGHUPs, was lost: the gateway went on until it was killed, and cut its requests.

Stops and reloads now have a channel each, with room for one signal.

--- a/cmd/peridotreel/gateway.go
+++ b/cmd/peridotreel/gateway.go
@@ -53,26 +53,44 @@
 	logGroup.Start(eventLog)
 	defer logGroup.Stop()
 	log := eventLog.Logger()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	received := notify()
 	log.Info("start", zap.String("event", "start"), zap.String("host", string(loaded.Host)), zap.String("zone", string(loaded.Zone)),
 		zap.String("store", loaded.Store))
 	gatewayHost, err := edge.New(edge.Options{Settings: loaded, Platform: platform.NewAdapter(loaded.Store), Log: log, Now: time.Now})
 	if err != nil {
 		return err
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			log.Info("stop", zap.String("event", "stop"), zap.String("signal", sig.String()))
-			break
-		}
-		reload(path, atomicLevel, log)
-	}
+	reloadUntilStopped(received, func() { reload(path, atomicLevel, log) }, log)
 	gatewayHost.Drain(ctx)
 	log.Info("stopped", zap.String("event", "stopped"))
 	return nil
 }
 
+// signals receives the signals of a gateway. Each kind has a channel of its own, as a
+// signal for which there is no room is dropped: a reload that is pending already reads the
+// newest settings, and a stop must not be lost behind reloads.
+type signals struct{ stop, reload chan os.Signal }
+
+func notify() signals {
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+// reloadUntilStopped reloads the settings on SIGHUP and returns on SIGTERM or SIGINT.
+func reloadUntilStopped(received signals, reload func(), log *zap.Logger) {
+	for {
+		select {
+		case sig := <-received.stop:
+			log.Info("stop", zap.String("event", "stop"), zap.String("signal", sig.String()))
+			return
+		case <-received.reload:
+			reload()
+		}
+	}
+}
+
 // reload reads the settings again and applies the log level, the only setting that
 // can change while the host runs.
 func reload(path string, level zap.AtomicLevel, log *zap.Logger) {
