Take signals before the settings of a gateway are read

SIGHUP ended a gateway that had not yet read its settings, as the program received signals only after that. The command now receives them first; what remains is the time in which the program itself is loaded.

TestAGatewayTakesSIGHUPBeforeItHasReadItsSettings failed before ("signal: hangup") and passes, three runs of three.

--- a/cmd/peridotreel/gateway.go
+++ b/cmd/peridotreel/gateway.go
@@ -30,19 +30,21 @@
 			Name: "config", Usage: "path of the host's YAML settings", Required: true, Sources: cli.EnvVars(settingsPathVariable),
 		}},
 		Action: func(ctx context.Context, command *cli.Command) error {
+			// Signals that come before this end the process.
+			received := notify()
 			path := command.String("config")
 			loaded, err := settings.LoadGateway(path)
 			if err != nil {
 				return err
 			}
-			return runGateway(ctx, path, loaded)
+			return runGateway(ctx, path, loaded, received)
 		},
 	}
 }
 
 // runGateway runs a gateway host until SIGTERM or SIGINT. SIGHUP reloads the
 // settings.
-func runGateway(ctx context.Context, path string, loaded *settings.Gateway) error {
+func runGateway(ctx context.Context, path string, loaded *settings.Gateway, received signals) error {
 	level, err := zapcore.ParseLevel(loaded.Log.Level)
 	if err != nil {
 		return &settings.Error{Field: "log.level", Remedy: err.Error()}
@@ -53,7 +55,6 @@
 	logGroup.Start(eventLog)
 	defer logGroup.Stop()
 	log := eventLog.Logger()
-	received := notify()
 	log.Info("start", zap.String("event", "start"), zap.String("host", string(loaded.Host)), zap.String("zone", string(loaded.Zone)),
 		zap.String("store", loaded.Store))
 	gatewayHost, err := edge.New(edge.Options{Settings: loaded, Platform: platform.NewAdapter(loaded.Store), Log: log, Now: time.Now})
--- a/cmd/peridotreel/gateway_test.go
+++ b/cmd/peridotreel/gateway_test.go
@@ -74,3 +74,25 @@
 		}
 	})
 }
+
+// Guards against a host that ends without a drain, or that does not start, because it gets
+// SIGHUP before it has read its settings.
+func TestAGatewayTakesSIGHUPBeforeItHasReadItsSettings(t *testing.T) {
+	Convey("Given a gateway that waits for its settings", t, func() {
+		path := filepath.Join(t.TempDir(), "settings.yaml")
+		So(syscall.Mkfifo(path, 0o600), ShouldBeNil)
+		gateway := exec.CommandContext(t.Context(), os.Args[0], "gateway", "--config", path) //nolint:gosec // this test
+		gateway.Env = append(os.Environ(), runMainVariable+"=1")
+		So(gateway.Start(), ShouldBeNil)
+		file, err := os.OpenFile(path, os.O_WRONLY, 0)
+		So(err, ShouldBeNil)
+		So(gateway.Process.Signal(syscall.SIGHUP), ShouldBeNil)
+		So(gateway.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+		So(os.Remove(path), ShouldBeNil)
+		So(os.WriteFile(path, []byte(gatewaySettings), 0o600), ShouldBeNil)
+		_, err = file.WriteString(gatewaySettings)
+		So(err, ShouldBeNil)
+		So(file.Close(), ShouldBeNil)
+		So(gateway.Wait(), ShouldBeNil)
+	})
+}
