Deliver a whole answer before its upstream has read the body

An upstream may answer before it has read a long body and read on later. The end of its answer was held back until the body was written: for as long as the upstream was silent, or until the socket gave up after 4 s and was closed in the middle of the body. A caller whose time was up before got 504 although the whole answer had arrived, and other requests were sent to a second upstream.

A body that may not fit into the buffers of the socket is now written beside the wait for the answer. A whole answer is delivered at once; the connection is used again once the body is written.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -37,6 +37,9 @@
 	// tcpUserTimeout is the number of the socket option TCP_USER_TIMEOUT, which
 	// package syscall lacks.
 	tcpUserTimeout = 0x12
+	// maxBufferedBody is the length up to which a body fits into the buffers of a socket,
+	// so that its write does not wait for the upstream.
+	maxBufferedBody = 16 << 10
 	// readBuffer is enough for the head of an answer and several events.
 	readBuffer = 4096
 	// maxIdle is how long an unused connection is kept. It is below the idle
@@ -155,6 +158,9 @@
 	reusable bool
 }
 
+// whole reports whether the answer is complete, whatever becomes of the connection.
+func (o outcome) whole() bool { return o.exchange != nil && o.end.Err == nil && o.end.Framed }
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
@@ -254,11 +260,18 @@
 	}
 	stopWatching := context.AfterFunc(exchange.Context, func() { _ = c.socket.Close() })
 	c.dispatched <- exchange
-	_, err := c.socket.Write(exchange.Payload)
-	if err == nil && len(exchange.Body) > 0 {
-		_, err = c.socket.Write(exchange.Body)
+	written := c.write(exchange)
+	var err error
+	var result outcome
+	select {
+	case err = <-written:
+		result = <-c.results
+	case result = <-c.results:
+		if result.whole() && len(written) == 0 {
+			return c.finishWriting(exchange, result, written, stopWatching)
+		}
+		err = <-written
 	}
-	result := <-c.results
 	// The requester cancels the context once it has the end of the answer, so
 	// the context must no longer close the socket by then.
 	stillOpen := stopWatching()
@@ -287,6 +300,37 @@
 	return reusable
 }
 
+// write writes a request. The rest of a long one is written while its answer is awaited,
+// as the upstream may answer before it reads on.
+func (c *Connection) write(exchange *Exchange) <-chan error {
+	written := make(chan error, 1)
+	_, err := c.socket.Write(exchange.Payload)
+	if err == nil && len(exchange.Body) > maxBufferedBody {
+		go func() {
+			_, err := c.socket.Write(exchange.Body)
+			written <- err
+		}()
+		return written
+	}
+	if err == nil && len(exchange.Body) > 0 {
+		_, err = c.socket.Write(exchange.Body)
+	}
+	written <- err
+	return written
+}
+
+// finishWriting delivers the end of a whole answer, and writes what its upstream has not
+// read of the request. It reports whether the connection can be used again.
+func (c *Connection) finishWriting(exchange *Exchange, result outcome, written <-chan error, stopWatching func() bool) bool {
+	stillOpen := stopWatching()
+	exchange.deliver(Event{End: &result.end})
+	if err := <-written; err != nil || !result.reusable || !stillOpen {
+		return false
+	}
+	c.pool.release(c)
+	return true
+}
+
 // deliver sends an event unless the exchange's context has ended.
 func (e *Exchange) deliver(event Event) {
 	select {
