Try an unreachable upstream again beside a silent one

An upstream that could not be reached at first was passed over for the rest of the request. If the next one never answered, no other was left, and the request ended with 504 although the first could be reached by then.

An attempt beside a silent one may now use it again; its cooldown and the limit of unreached attempts still hold.

TestAnUpstreamThatWasUnreachableIsTriedAgain failed before (504 instead of 200, three runs of three) and passes.

--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,6 +83,9 @@
 	retryState retrypolicy.State
 	progress   relay.Progress
 	plan       attempt.Plan
+	// unreached are the upstreams that could not be reached. Another attempt beside a
+	// silent one may still try them, as they may be reached by then.
+	unreached []core.UpstreamID
 	// resumed is the software that began the stream which the request resumes, nil if
 	// it resumes none.
 	resumed *string
@@ -148,7 +152,9 @@
 	r.retryState = retrypolicy.New(r.matched.Route.Retry, r.matched.Route.MaxAttempts)
 	for {
 		startedAt := r.pipeline.Now()
-		sent, err := r.pipeline.Attempt.Apply(ctx, r.matched, r.plan)
+		plan := r.plan
+		plan.Excluded = slices.Concat(r.plan.Excluded, r.unreached)
+		sent, err := r.pipeline.Attempt.Apply(ctx, r.matched, plan)
 		r.plan.First = false
 		if err != nil {
 			if ctx.Err() == nil && r.passOver(err, startedAt) {
@@ -174,7 +180,7 @@
 		return false
 	}
 	r.attempts = append(r.attempts, attemptRecord{upstream: unreached.Upstream, ending: relay.NotRun, duration: r.pipeline.Now().Sub(startedAt), err: unreached.Cause})
-	r.plan.Excluded = append(r.plan.Excluded, unreached.Upstream)
+	r.unreached = append(r.unreached, unreached.Upstream)
 	return true
 }
 
