--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -109,6 +109,12 @@
 	return target, nil
 }
 
+// mayAskAgain reports whether an upstream that holds the answer may be asked for it once
+// more after it failed with err: it keeps the answer if it only refused the connection.
+func (e *exchange) mayAskAgain(err error) bool {
+	return fault.From(err).Run == fault.NotRun && e.attempts < maxAttempts
+}
+
 // pickTarget chooses the upstream of the next attempt without regard to one that was
 // silent.
 func (e *exchange) pickTarget(ctx context.Context, plan *attemptPlan) (core.Target, error) {
@@ -145,7 +151,7 @@
 			return e.partialResult(answer), e.interruptionError(ctx, outcome.Err)
 		case relay.Silent:
 		default:
-			if target.Upstream == plan.silent {
+			if target.Upstream == plan.silent && !e.mayAskAgain(outcome.Err) {
 				plan.silent = ""
 			}
 			plan.lastErr = outcome.Err
@@ -227,28 +233,35 @@
 
 // planAfterSilence probes a silent upstream on a new connection. If the
 // upstream answers, only the old connection failed, and the stream resumes on
-// the same upstream; otherwise the upstream is excluded. It reports false if no attempt
-// can follow: the upstream may be sound and go on.
+// the same upstream; otherwise the upstream is excluded, and if no other is left, the
+// stream resumes at one that was silent before. It reports false if no attempt can
+// follow: the upstream may be sound and go on.
 func (e *exchange) planAfterSilence(ctx context.Context, plan *attemptPlan, target core.Target) bool {
 	plan.lastErr = fault.New(fault.UpstreamFailed, fault.Unknown,
 		"the upstream stopped sending; retry with the same Idempotency-Key").WithRetryAfter(upstreamRetry)
 	following := *plan
 	following.query.Excluded = slices.Clone(plan.query.Excluded)
-	if e.probe(ctx, target) == nil {
+	answers := e.probe(ctx, target) == nil
+	if answers {
 		following.newConnection = true
 		following.query.Resume = target.Upstream
 	} else {
 		following.newConnection = false
 		following.query.Resume = ""
 		following.query.Excluded = append(following.query.Excluded, target.Upstream)
-		following.silent = target.Upstream
 	}
 	attempts := e.attempts
 	next, err := e.pickTarget(ctx, &following)
+	if err != nil && !answers && plan.silent != "" && plan.silent != target.Upstream {
+		next, err = e.returnToSilent(ctx, &following)
+	}
 	if err != nil {
 		e.attempts = attempts
 		return false
 	}
+	if !answers || following.silent == "" {
+		following.silent = target.Upstream
+	}
 	*plan = following
 	plan.next = &next
 	return true
