Name the cause of each refusal for want of tokens

An owner that refuses now divides the prepaid total into parts that add up to it (allowance.Shortage, a pure function). The asking host divides what other holders have by their answers to the same request and by whether they could be reached, and logs the parts and the cause; a counter has the refusals by cause.

The parts travel in a new field of the answers between hosts, which builds without it ignore or leave empty. Granted requests have neither the field nor the log fields. No rule of the balances changes.

--- a/cmd/peridotreel/explain.go
+++ b/cmd/peridotreel/explain.go
@@ -18,13 +18,23 @@
 		ArgsUsage: "[ID] [FILE ...]",
 		Description: "Reads log files, or standard input if no file is given, and prints a request's route, balance, attempts and\n" +
 			"answer, and what its host knew at the time. With --since or --event, there is no ID, and events are printed\n" +
-			"instead, in the order of time.",
+			"instead, in the order of time. With --refusals, the requests that were refused for want of tokens are counted by cause,\n" +
+			"team and time.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "since", Usage: "print the events from this time on, in RFC 3339"},
 			&cli.StringFlag{Name: "event", Usage: "print only events with this name"},
+			&cli.BoolFlag{Name: "refusals", Usage: "count the requests that were refused for want of tokens"},
+			&cli.DurationFlag{Name: "period", Usage: "the period by which --refusals counts", Value: time.Second},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
 			arguments := command.Args().Slice()
+			if command.Bool("refusals") {
+				lines, err := readLogs(arguments)
+				if err != nil {
+					return err
+				}
+				return explain.WriteRefusals(os.Stdout, lines, max(command.Duration("period"), time.Millisecond))
+			}
 			listEvents := command.IsSet("since") || command.IsSet("event")
 			id := ""
 			if !listEvents {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,6 +124,10 @@
 	if err != nil {
 		return nil, err
 	}
+	refusals, err := telemetry.NewRefusalCounter(e.telemetry.Meter())
+	if err != nil {
+		return nil, err
+	}
 	callers, err := settings.OpenListener("listen.callers", s.Listen.Callers)
 	if err != nil {
 		return nil, err
@@ -198,7 +202,7 @@
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
 		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, Now: options.Now},
-		Log:     options.Log, Now: options.Now, Recorder: recorder{requests}, Began: e.origins.Began, Buffers: memory,
+		Log:     options.Log, Now: options.Now, Recorder: recorder{requests, refusals}, Began: e.origins.Began, Buffers: memory,
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
@@ -283,9 +287,15 @@
 
 // recorder records the summaries of requests as metrics, with the route as the
 // class.
-type recorder struct{ requests *telemetry.RequestHistograms }
+type recorder struct {
+	requests *telemetry.RequestHistograms
+	refusals *telemetry.RefusalCounter
+}
 
 // Done implements opaque.Recorder.
-func (r recorder) Done(_ context.Context, summary opaque.Summary) {
+func (r recorder) Done(ctx context.Context, summary opaque.Summary) {
+	if summary.RefusalCause != "" {
+		r.refusals.Count(ctx, string(summary.RefusalCause))
+	}
 	r.requests.Record(summary.Team, core.ClassName(summary.Route), summary.Outcome, summary.FirstEvent, summary.Total)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -77,6 +77,7 @@
 	{"request", []string{"request", "route", "service", "team", "time_ms", "fingerprint", "prompt_parts"}},
 	{"configuration", []string{"config_version", "config_age_ms"}},
 	{"balance", []string{"balance", "reserved", "spent", "available", "unallocated", "elsewhere", "unsure", "prepaid", "store_away", "ledger_version", "owner"}},
+	{"refusal", append([]string{"cause"}, partFields()...)},
 	{"attempts", []string{"attempts", "not_repeated"}},
 	{"answer", []string{"outcome", "status", "reason", "total_ms", "first_event_ms", "events", "longest_pause_ms"}},
 }
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/retrypolicy"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/attempt"
@@ -36,6 +37,8 @@
 	FirstEvent time.Duration
 	Total      time.Duration
 	Attempts   int
+	// RefusalCause is why tokens could not be reserved, empty for other outcomes.
+	RefusalCause allowance.Cause
 }
 
 // Recorder receives the summary of each finished request.
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/relay"
+	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 )
 
 // outcomeAnswered is the outcome of a request that got an upstream's answer. The
@@ -48,6 +49,10 @@
 			zap.Int64("elsewhere", int64(r.reserved.Grant.Elsewhere)), zap.Int64("prepaid", int64(r.reserved.Grant.Prepaid)), zap.Int64("spent", int64(r.spent)),
 			zap.Int64("ledger_version", r.reserved.Grant.Version), zap.String("owner", string(r.reserved.Owner.Host)))
 	}
+	if refusal != nil && (refusal.Kind == gateway.BalanceUnavailable || refusal.Kind == gateway.BalanceSpent) && r.reserved.Refusal != nil {
+		summary.RefusalCause = r.reserved.Refusal.Cause
+		fields = append(fields, refusalFields(r.reserved.Refusal)...)
+	}
 	if r.request.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", r.request.Resumes), zap.String("resume_after", r.request.ResumeAfter))
 	}
@@ -72,6 +77,15 @@
 	r.pipeline.Recorder.Done(ctx, summary)
 }
 
+// refusalFields returns the fields that tell why tokens could not be reserved.
+func refusalFields(refused *owners.Refusal) []zap.Field {
+	fields := []zap.Field{zap.String("cause", string(refused.Cause))}
+	for _, part := range refused.Parts.Named() {
+		fields = append(fields, zap.Int64("part_"+part.Name, int64(part.Tokens)))
+	}
+	return fields
+}
+
 // logOutcome selects the message by outcome, because log lines are sampled by
 // message: successful requests must not displace failures.
 func (r *requestRun) logOutcome(outcome string, refusal *gateway.Refusal, fields []zap.Field) {
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -138,6 +138,10 @@
 	// StoreAway is true if a recent call to the store failed.
 	StoreAway bool
 	Version   int64
+	// Shortage divides the balance if the request is refused. It is nil for a granted
+	// request, for a team that the owner does not know, and in the answer of a host of a
+	// build without it.
+	Shortage *allowance.Shortage
 }
 
 // Outcome is the outcome of a Request.
--- a/internal/tasks/balances/waiting.go
+++ b/internal/tasks/balances/waiting.go
@@ -67,11 +67,17 @@
 }
 
 func (b *Balances) newGrant(a *account, outcome Outcome) Grant {
-	return Grant{
-		Outcome: outcome, Available: a.holder.Available(b.config.Now()), Unallocated: a.holder.Unallocated(),
+	now := b.config.Now()
+	grant := Grant{
+		Outcome: outcome, Available: a.holder.Available(now), Unallocated: a.holder.Unallocated(),
 		Elsewhere: a.holder.Elsewhere(), Prepaid: a.holder.Prepaid(), Unsure: a.holder.Unsure(),
-		StoreAway: b.config.Now().Before(b.storeAwayUntil), Version: a.holder.Revision().Number,
+		StoreAway: now.Before(b.storeAwayUntil), Version: a.holder.Revision().Number,
+	}
+	if outcome != Granted {
+		shortage := a.holder.Shortage(now)
+		grant.Shortage = &shortage
 	}
+	return grant
 }
 
 // grantWaiters grants what is available in order of arrival. A smaller amount may
--- a/internal/tasks/owners/owners.go
+++ b/internal/tasks/owners/owners.go
@@ -147,6 +147,8 @@
 		o.config.Balances.Retire()
 	case chooseOwners:
 		m.reply <- o.choose(m.team, now)
+	case findUnreachable:
+		m.reply <- o.unreachable(m, now)
 	case ownerFailed:
 		o.backOff(m, now)
 	case ownerLeaving:
--- a/internal/tasks/owners/owners_test.go
+++ b/internal/tasks/owners/owners_test.go
@@ -24,13 +24,15 @@
 	reserved core.Tokens
 	members  []allowance.Member
 	retired  bool
+	// shortage is the one in refusals.
+	shortage *allowance.Shortage
 }
 
 func (p *fakeBalance) Reserve(_ context.Context, request balances.Request) (balances.Grant, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if request.Amount > p.left {
-		return balances.Grant{Outcome: balances.Away}, nil
+		return balances.Grant{Outcome: balances.Away, Shortage: p.shortage}, nil
 	}
 	p.left -= request.Amount
 	p.reserved += request.Amount
--- a/internal/tasks/owners/reserve.go
+++ b/internal/tasks/owners/reserve.go
@@ -17,7 +17,9 @@
 	Grant  balances.Grant
 	// Owner is the host that was asked last; it holds the amount if it was granted.
 	Owner allowance.Member
-	id    allowance.ReservationID
+	// Refusal tells why the amount was not granted; nil if it was.
+	Refusal *Refusal
+	id      allowance.ReservationID
 }
 
 // Reserve reserves an amount of a team's balance at the owner in this zone, or else
@@ -32,18 +34,28 @@
 	// retryOwner is the first owner that answered. It is asked again after all
 	// others and may then let the request wait longer.
 	var retryOwner *allowance.Member
+	var seen attempts
 	for i, owner := range chosen.owners {
 		err = o.tryOwner(ctx, &r, owner, chosen.firstNumber+uint64(i), min(firstAttemptWait, deadline.Sub(o.config.Now())), false)
-		if err == nil && r.Grant.Outcome != balances.Away {
+		if err == nil && r.Grant.Outcome == balances.Granted {
 			return r, nil
 		}
+		seen.add(owner.Host, r.Grant, err)
+		if err == nil && r.Grant.Outcome == balances.Spent {
+			return o.refused(ctx, r, seen), nil
+		}
 		if err == nil && retryOwner == nil {
 			retryOwner = &chosen.owners[i]
 		}
 	}
 	if retryOwner != nil {
 		err = o.tryOwner(ctx, &r, *retryOwner, chosen.firstNumber+uint64(len(chosen.owners)), deadline.Sub(o.config.Now()), true)
+		if err == nil && r.Grant.Outcome == balances.Granted {
+			return r, nil
+		}
+		seen.add(retryOwner.Host, r.Grant, err)
 	}
+	r = o.refused(ctx, r, seen)
 	if retryOwner == nil && err != nil {
 		return r, err
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -22,6 +22,7 @@
 	meterName      = "github.com/peridotreel/peridotreel"
 	firstTokenName = "peridotreel_first_token"
 	totalName      = "peridotreel_request"
+	refusalsName   = "peridotreel_token_refusals"
 	// cardinalityLimit limits the attribute sets of an instrument, because
 	// 12,000 teams with four classes each would need about 50 MB of histogram
 	// buckets. Measurements of further sets are added up under
@@ -104,3 +105,21 @@
 	}
 	r.total.Record(ctx, total.Seconds(), metric.WithAttributes(append(attributes, attribute.String("outcome", outcome))...))
 }
+
+// RefusalCounter counts requests that were refused for want of tokens.
+type RefusalCounter struct{ refusals metric.Int64Counter }
+
+// NewRefusalCounter creates the counter.
+func NewRefusalCounter(meter metric.Meter) (*RefusalCounter, error) {
+	refusals, err := meter.Int64Counter(refusalsName,
+		metric.WithDescription("Requests whose tokens could not be reserved, by cause."))
+	if err != nil {
+		return nil, fmt.Errorf("create the counter of refusals for want of tokens: %w", err)
+	}
+	return &RefusalCounter{refusals}, nil
+}
+
+// Count counts one refusal.
+func (c *RefusalCounter) Count(ctx context.Context, cause string) {
+	c.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("cause", cause)))
+}
