Tell tokens barred by the room for new owners from those withheld

What an owner may not grant because the ledger has had it for too short a time, or because the store has just returned, is a part of its own, and so is what is held by hosts that were not asked for the request.

--- a/internal/decide/allowance/shortage.go
+++ b/internal/decide/allowance/shortage.go
@@ -22,16 +22,22 @@
 	Unallocated core.Tokens
 	// Returning is given back by a write of the ledger whose outcome is not known.
 	Returning core.Tokens
-	// HeldReachable is held by other owners that could be reached.
+	// HeldReachable is held by other owners that answered the same request.
 	HeldReachable core.Tokens
+	// HeldUnasked is held by other hosts that were not asked and are not known to be
+	// unreachable. It includes what they have reserved, and spent since their last commit.
+	HeldUnasked core.Tokens
 	// Reserved is reserved for requests under way, at their maxima: at the owner and at
 	// those other owners that were asked for the same request.
 	Reserved core.Tokens
 	// HeldUnreachable is held by other owners that could not be reached.
 	HeldUnreachable core.Tokens
-	// Withheld is unallocated, but the rules for returns of the store do not let the
-	// owner grant it yet.
+	// Withheld is unallocated and withheld from all grants, in case the store returns to an
+	// older copy.
 	Withheld core.Tokens
+	// Barred is unallocated beside that, but the owner may not grant it yet: a return of
+	// the store would miss the owner, or was too short ago.
+	Barred core.Tokens
 	// Lost may have been granted, before a return of the store, to processes that nobody
 	// knows of.
 	Lost core.Tokens
@@ -56,8 +62,8 @@
 func (p Parts) Named() []NamedPart {
 	return []NamedPart{
 		{"spent", p.Spent}, {"available", p.Available}, {"unpledged", p.Unpledged}, {"unallocated", p.Unallocated},
-		{"returning", p.Returning}, {"held_reachable", p.HeldReachable}, {"reserved", p.Reserved},
-		{"held_unreachable", p.HeldUnreachable}, {"withheld", p.Withheld}, {"lost", p.Lost}, {"unsettled", p.Unsettled},
+		{"returning", p.Returning}, {"held_reachable", p.HeldReachable}, {"held_unasked", p.HeldUnasked},
+		{"reserved", p.Reserved}, {"held_unreachable", p.HeldUnreachable}, {"withheld", p.Withheld}, {"barred", p.Barred}, {"lost", p.Lost}, {"unsettled", p.Unsettled},
 		{"unsure", p.Unsure}, {"unread", p.Unread}, {"overdrawn", p.Overdrawn},
 	}
 }
@@ -74,14 +80,17 @@
 	// CauseStoreAway means that the store was away, and a write or a return of tokens by
 	// other owners would have been enough.
 	CauseStoreAway Cause = "store_away"
-	// CauseReachable means that tokens of owners that could be reached were missing.
+	// CauseReachable means that tokens of owners that answered were missing.
 	CauseReachable Cause = "held_reachable"
+	// CauseUnasked means that tokens of hosts were missing that were not asked, and that
+	// are not known to be unreachable.
+	CauseUnasked Cause = "held_unasked"
 	// CauseReserved means that tokens reserved for requests under way were missing.
 	CauseReserved Cause = "reserved"
 	// CauseUnreachable means that tokens of owners that could not be reached were missing.
 	CauseUnreachable Cause = "held_unreachable"
 	// CauseStoreReturn means that tokens were missing that the rules for returns of the
-	// store withhold or count as lost.
+	// store withhold, bar from grants or count as lost.
 	CauseStoreReturn Cause = "store_return"
 	// CauseInDoubt means that tokens were missing that dead processes may have spent.
 	CauseInDoubt Cause = "in_doubt"
@@ -113,9 +122,10 @@
 		{CausePledge, p.Unpledged, true},
 		{CauseLedger, p.Unallocated + p.Returning, true},
 		{CauseReachable, p.HeldReachable, true},
+		{CauseUnasked, p.HeldUnasked, true},
 		{CauseReserved, p.Reserved, false},
 		{CauseUnreachable, p.HeldUnreachable, false},
-		{CauseStoreReturn, p.Withheld + p.Lost, false},
+		{CauseStoreReturn, p.Withheld + p.Barred + p.Lost, false},
 		{CauseInDoubt, p.Unsettled + p.Unsure, false},
 	} {
 		if missing -= source.tokens; missing > 0 {
@@ -170,7 +180,9 @@
 	free := h.prepaid - (ledger.Allocated() - ledger.Holdings[own].Granted + h.granted())
 	parts.Overdrawn = max(-free, 0)
 	parts.Unallocated = min(h.grantable(now), max(free, 0))
-	parts.Withheld = max(free, 0) - parts.Unallocated
+	barred := max(free, 0) - parts.Unallocated
+	parts.Withheld = min(h.withheldNow(now), barred)
+	parts.Barred = barred - parts.Withheld
 	return Shortage{Parts: parts, Holders: sortedHolders(holders)}
 }
 
@@ -201,7 +213,7 @@
 		case unreachable[holder.Host]:
 			parts.HeldUnreachable += rest
 		case !answered || answer.Unread > 0:
-			parts.HeldReachable += rest
+			parts.HeldUnasked += rest
 		default:
 			parts.HeldReachable += take(answer.Available + answer.Unpledged)
 			parts.Reserved += take(answer.Reserved)
--- a/internal/decide/allowance/shortage_test.go
+++ b/internal/decide/allowance/shortage_test.go
@@ -33,9 +33,11 @@
 			{Parts{Unallocated: 60}, CauseLedger, CauseStoreAway},
 			{Parts{Returning: 60}, CauseLedger, CauseStoreAway},
 			{Parts{HeldReachable: 60}, CauseReachable, CauseStoreAway},
+			{Parts{HeldUnasked: 60}, CauseUnasked, CauseStoreAway},
 			{Parts{Reserved: 60}, CauseReserved, CauseReserved},
 			{Parts{HeldUnreachable: 60}, CauseUnreachable, CauseUnreachable},
 			{Parts{Withheld: 60}, CauseStoreReturn, CauseStoreReturn},
+			{Parts{Barred: 60}, CauseStoreReturn, CauseStoreReturn},
 			{Parts{Lost: 60}, CauseStoreReturn, CauseStoreReturn},
 			{Parts{Unsettled: 60}, CauseInDoubt, CauseInDoubt},
 			{Parts{Unsure: 60}, CauseInDoubt, CauseInDoubt},
@@ -66,7 +68,7 @@
 		answers := map[core.HostID]Parts{"answered": {Available: 7, Unpledged: 20, Reserved: 30, Returning: 2, Unsettled: 11, Spent: 1_000}}
 		parts := s.Locate(answers, map[core.HostID]bool{"failed": true})
 		So(parts, ShouldResemble, Parts{
-			Spent: 10 + 30, Available: 5, HeldReachable: 27 + 300, Reserved: 30, Returning: 2, Unsettled: 11, HeldUnreachable: 200,
+			Spent: 10 + 30, Available: 5, HeldReachable: 27, HeldUnasked: 300, Reserved: 30, Returning: 2, Unsettled: 11, HeldUnreachable: 200,
 		})
 		Convey("An answer that was given after new grants takes no more than the holding", func() {
 			answers["answered"] = Parts{Available: 70, Reserved: 500}
@@ -76,7 +78,7 @@
 		})
 		Convey("An answer without a ledger says nothing about the holding", func() {
 			answers["answered"] = Parts{Unread: 50}
-			So(s.Locate(answers, nil).HeldReachable, ShouldEqual, 600)
+			So(s.Locate(answers, nil).HeldUnasked, ShouldEqual, 600)
 		})
 	})
 }
@@ -147,3 +149,30 @@
 		}
 	})
 }
+
+// Guards against unallocated tokens that are called grantable, or named by the wrong rule.
+func TestTokensThatMayNotBeGrantedAreNamedByTheirRule(t *testing.T) {
+	Convey("Given an owner that the ledger has had for less than the age of a copy", t, func() {
+		now, room := time.Unix(1000, 0), core.Tokens(100)
+		own, earlier := Process{Host: "host", Start: "2"}, Process{Host: "host", Start: "1"}
+		ledger := Ledger{
+			Mark: Mark{Era: 1, Sequence: 1}, Withheld: &Withheld{Amount: 500}, Room: &room, Settled: 300, Unsure: 200,
+			Holdings: map[string]Holding{
+				earlier.String(): {Host: "host", Granted: 50, Spent: 10},
+				"other/1":        {Host: "other", Granted: 1_000, Spent: 400, EnteredAt: 1},
+			},
+		}
+		h := NewHolder(own)
+		h.SetBalance(10_000, 1, true)
+		h.SetLedger(ledger, core.Revision{Era: 1, Number: 1}, time.Hour, now)
+		s := h.Shortage(now)
+		So(s.Parts, ShouldResemble, Parts{Spent: 100 + 10 + 400, Unsettled: 40, Unsure: 200, Unallocated: 100, Withheld: 500, Barred: 8_050})
+		So(s.Holders, ShouldResemble, []HostTokens{{"other", 600}})
+		Convey("An owner that each copy has may grant all but what is withheld", func() {
+			ledger.Holdings[own.String()] = Holding{Host: "host", EnteredAt: 1}
+			h.SetLedger(ledger, core.Revision{Era: 1, Number: 2}, time.Hour, now)
+			So(h.Shortage(now).Parts.Barred, ShouldEqual, 0)
+			So(h.Shortage(now).Parts.Unallocated, ShouldEqual, 8_150)
+		})
+	})
+}
