--- a/internal/decide/allowance/shortage.go
+++ b/internal/decide/allowance/shortage.go
@@ -143,6 +143,8 @@
 type HostTokens struct {
 	Host   core.HostID
 	Tokens core.Tokens
+	// Unreachable is true if the host did not answer the owner.
+	Unreachable bool
 }
 
 // Shortage is what an owner knows of a balance when it cannot reserve an amount.
@@ -190,7 +192,7 @@
 	sorted := make([]HostTokens, 0, len(holders))
 	for _, host := range slices.SortedFunc(maps.Keys(holders), cmp.Compare[core.HostID]) {
 		if holders[host] != 0 {
-			sorted = append(sorted, HostTokens{host, holders[host]})
+			sorted = append(sorted, HostTokens{Host: host, Tokens: holders[host]})
 		}
 	}
 	return sorted
@@ -210,7 +212,7 @@
 		}
 		answer, answered := answers[holder.Host]
 		switch {
-		case unreachable[holder.Host]:
+		case unreachable[holder.Host] || (holder.Unreachable && !answered):
 			parts.HeldUnreachable += rest
 		case !answered || answer.Unread > 0:
 			parts.HeldUnasked += rest
--- a/internal/decide/allowance/shortage_test.go
+++ b/internal/decide/allowance/shortage_test.go
@@ -64,17 +64,20 @@
 // the holder's answer tells that they are spent or reserved.
 func TestHoldersTokensAreLocatedByTheirAnswers(t *testing.T) {
 	Convey("Given holders of which one answered, one failed and one was not asked", t, func() {
-		s := Shortage{Parts: Parts{Spent: 10, Available: 5}, Holders: []HostTokens{{"answered", 100}, {"failed", 200}, {"other", 300}}}
+		s := Shortage{Parts: Parts{Spent: 10, Available: 5}, Holders: []HostTokens{
+			{Host: "answered", Tokens: 100, Unreachable: true}, {Host: "failed", Tokens: 200}, {Host: "other", Tokens: 300},
+			{Host: "unanswered", Tokens: 40, Unreachable: true},
+		}}
 		answers := map[core.HostID]Parts{"answered": {Available: 7, Unpledged: 20, Reserved: 30, Returning: 2, Unsettled: 11, Spent: 1_000}}
 		parts := s.Locate(answers, map[core.HostID]bool{"failed": true})
 		So(parts, ShouldResemble, Parts{
-			Spent: 10 + 30, Available: 5, HeldReachable: 27, HeldUnasked: 300, Reserved: 30, Returning: 2, Unsettled: 11, HeldUnreachable: 200,
+			Spent: 10 + 30, Available: 5, HeldReachable: 27, HeldUnasked: 300, Reserved: 30, Returning: 2, Unsettled: 11, HeldUnreachable: 200 + 40,
 		})
 		Convey("An answer that was given after new grants takes no more than the holding", func() {
 			answers["answered"] = Parts{Available: 70, Reserved: 500}
 			parts := s.Locate(answers, nil)
 			So(parts.Reserved, ShouldEqual, 30)
-			So(parts.total(), ShouldEqual, 615)
+			So(parts.total(), ShouldEqual, 655)
 		})
 		Convey("An answer without a ledger says nothing about the holding", func() {
 			answers["answered"] = Parts{Unread: 50}
@@ -167,7 +170,7 @@
 		h.SetLedger(ledger, core.Revision{Era: 1, Number: 1}, time.Hour, now)
 		s := h.Shortage(now)
 		So(s.Parts, ShouldResemble, Parts{Spent: 100 + 10 + 400, Unsettled: 40, Unsure: 200, Unallocated: 100, Withheld: 500, Barred: 8_050})
-		So(s.Holders, ShouldResemble, []HostTokens{{"other", 600}})
+		So(s.Holders, ShouldResemble, []HostTokens{{Host: "other", Tokens: 600}})
 		Convey("An owner that each copy has may grant all but what is withheld", func() {
 			ledger.Holdings[own.String()] = Holding{Host: "host", EnteredAt: 1}
 			h.SetLedger(ledger, core.Revision{Era: 1, Number: 2}, time.Hour, now)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -142,7 +142,7 @@
 	process := allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	e.balances = balances.New(balances.Config{
 		Store: options.Platform.Store, Process: process, Zone: s.Zone, Log: options.Log, Now: options.Now,
-		Recall: func(host core.HostID, team core.TeamName, amount core.Tokens, done func(core.Tokens)) {
+		Recall: func(host core.HostID, team core.TeamName, amount core.Tokens, done func(returned core.Tokens, answered bool)) {
 			e.peers.Recall(host, team, amount, done)
 		},
 	})
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -46,9 +46,9 @@
 	Store   rowstore.Store
 	Process allowance.Process
 	Zone    core.ZoneName
-	// Recall asks another host to return tokens. When that host has answered, it
-	// calls done with the amount that was returned.
-	Recall func(host core.HostID, team core.TeamName, amount core.Tokens, done func(returned core.Tokens))
+	// Recall asks another host to return tokens. It calls done with the amount that was
+	// returned, and with whether that host answered.
+	Recall func(host core.HostID, team core.TeamName, amount core.Tokens, done func(returned core.Tokens, answered bool))
 	Log    *zap.Logger
 	Now    func() time.Time
 }
@@ -92,6 +92,8 @@
 	ledgerAt time.Time
 	// pendingRecalls is the number of recalls that other hosts have not answered.
 	pendingRecalls int
+	// unansweredAt is when a recall got no answer from a host, until one does.
+	unansweredAt map[core.HostID]time.Time
 	// returnReply gets the result of the commit that returns tokens for another
 	// host: returnAmount if it was applied.
 	returnReply  chan<- core.Tokens
@@ -320,7 +322,7 @@
 		}
 		a, found := b.teams[name]
 		if !found {
-			a = &account{name: name, holder: allowance.NewHolder(b.config.Process), rowKey: ledgerKey}
+			a = &account{name: name, holder: allowance.NewHolder(b.config.Process), rowKey: ledgerKey, unansweredAt: make(map[core.HostID]time.Time)}
 			b.teams[name] = a
 			b.boundEarlierProcess(ctx, a)
 			if b.retired {
--- a/internal/tasks/balances/recall.go
+++ b/internal/tasks/balances/recall.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
 
@@ -21,7 +22,9 @@
 // recallResult has the amount that another host has returned.
 type recallResult struct {
 	team     core.TeamName
+	host     core.HostID
 	returned core.Tokens
+	answered bool
 }
 
 // Return returns tokens of this host to the balance, for another host that lacks
@@ -71,8 +74,8 @@
 	for _, host := range hosts {
 		a.pendingRecalls++
 		team := a.name
-		b.config.Recall(host, team, shortfall, func(returned core.Tokens) {
-			_ = b.inbox.Send(context.Background(), recallResult{team, returned})
+		b.config.Recall(host, team, shortfall, func(returned core.Tokens, answered bool) {
+			_ = b.inbox.Send(context.Background(), recallResult{team, host, returned, answered})
 		})
 	}
 	return true
@@ -81,6 +84,11 @@
 func (b *Balances) handleRecallResult(ctx context.Context, m recallResult) {
 	a := b.teams[m.team]
 	a.pendingRecalls--
+	if m.answered {
+		delete(a.unansweredAt, m.host)
+	} else {
+		a.unansweredAt[m.host] = b.config.Now()
+	}
 	switch {
 	case a.busy:
 	case m.returned > 0:
@@ -89,3 +97,17 @@
 		b.refuseIf(a, Away, func(waiter) bool { return true })
 	}
 }
+
+// recallMemory is how long a host that did not answer a recall counts as unreachable. The
+// largest holders are asked again with each request that no owner can serve.
+const recallMemory = 3 * time.Second
+
+// shortage returns what is known of a balance, for a request that is refused.
+func (b *Balances) shortage(a *account, now time.Time) *allowance.Shortage {
+	shortage := a.holder.Shortage(now)
+	for i, holder := range shortage.Holders {
+		at, unanswered := a.unansweredAt[holder.Host]
+		shortage.Holders[i].Unreachable = unanswered && now.Sub(at) < recallMemory
+	}
+	return &shortage
+}
--- a/internal/tasks/balances/waiting.go
+++ b/internal/tasks/balances/waiting.go
@@ -74,8 +74,7 @@
 		StoreAway: now.Before(b.storeAwayUntil), Version: a.holder.Revision().Number,
 	}
 	if outcome != Granted {
-		shortage := a.holder.Shortage(now)
-		grant.Shortage = &shortage
+		grant.Shortage = b.shortage(a, now)
 	}
 	return grant
 }
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -103,7 +103,7 @@
 type recallRequest struct {
 	host core.HostID
 	args RecallArgs
-	done func(core.Tokens)
+	done func(returned core.Tokens, answered bool)
 }
 
 // RecallArgs asks a peer to return a team's tokens.
@@ -190,11 +190,11 @@
 	return err
 }
 
-// Recall asks a host to return tokens and calls done with the amount returned, 0
-// after a failure.
-func (p *Peers) Recall(host core.HostID, team core.TeamName, amount core.Tokens, done func(core.Tokens)) {
+// Recall asks a host to return tokens. It calls done with the amount returned, and with
+// whether the host answered.
+func (p *Peers) Recall(host core.HostID, team core.TeamName, amount core.Tokens, done func(returned core.Tokens, answered bool)) {
 	if !p.inbox.TrySend(recallRequest{host, RecallArgs{team, amount}, done}) {
-		go done(0)
+		go done(0, false)
 	}
 }
 
@@ -239,7 +239,7 @@
 	case recallRequest:
 		entry, found := p.hosts.Entry(m.host)
 		if !found || p.config.Now().Before(p.backoffUntil[entry.Address]) {
-			go m.done(0)
+			go m.done(0, false)
 			return
 		}
 		go p.callRecall(ctx, entry.Address, m)
@@ -385,9 +385,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var returned core.Tokens
-	if err := p.config.Caller.Call(ctx, core.Peer{Address: address}, recallMethod, m.args, &returned); err != nil {
+	err := p.config.Caller.Call(ctx, core.Peer{Address: address}, recallMethod, m.args, &returned)
+	if err != nil {
 		p.config.Log.Warn("could not recall tokens from a peer", zap.String("event", "recall_failed"), zap.String("peer", string(m.host)),
 			zap.String("team", string(m.args.Team)), zap.Error(err))
 	}
-	m.done(returned)
+	m.done(returned, err == nil)
 }
