Ask slow peers again while an answer waits for a copy of its bill

Cause: a peer had 22 ms to take the copy of a bill. Once all peers had exceeded that, they were in backoff for 1 s or longer, and for that time every answer went out at once without a copy, 44 ms after the first. A host that was killed then lost these bills, although its peers were only slow.

Change: as long as an answer waits, peers that gave no answer are asked again, the one whose failure is the longest ago first, with timeouts that grow with the wait. The wait ends with a copy, with the bill in the table, after 1 s (before: 250 ms, in filter/settle), or at once if there is no peer or all of them refuse copies.

--- a/internal/decide/billing/pending_bills_test.go
+++ b/internal/decide/billing/pending_bills_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,7 +62,7 @@
 		pending := NewPendingBills(core.HostRef{Host: "a"})
 		recordBills(pending, 5, now)
 		batch, _ := pending.NextBatch([]core.Peer{peer}, now)
-		pending.FinishBatch(batch, true, now)
+		pending.FinishBatch(batch, CopyHeld, now)
 		return pending
 	}
 	due := func(pending *PendingBills, after time.Duration) bool {
@@ -83,7 +84,7 @@
 		refused := copied()
 		refused.Record(core.Bill{Request: core.RequestID{15: 1}}, now)
 		batch, _ := refused.NextBatch([]core.Peer{peer}, now)
-		refused.FinishBatch(batch, false, now)
+		refused.FinishBatch(batch, CopyRefused, now)
 		So(due(refused, SealUncopiedAfter), ShouldBeTrue)
 	})
 	Convey("A commit has at most 100 conditions on bills of keyed requests", t, func() {
@@ -109,10 +110,72 @@
 		binary.BigEndian.PutUint64(bill.Request[:], uint64(i))
 		pending.Record(bill, now)
 		if batch, _ := pending.NextBatch(peers, now); batch != nil {
-			pending.FinishBatch(batch, true, now)
+			pending.FinishBatch(batch, CopyHeld, now)
 		}
 		if step := pending.NextOwnStep(now, false); step != nil {
 			pending.FinishWrite(step)
 		}
 	}
 }
+
+// askPeers lets the peers leave a bill's batches unanswered until its answer waits no
+// longer. It returns the peers asked with the timeouts.
+func askPeers(pending *PendingBills, peers []core.Peer, start time.Time) (asked []string) {
+	for now := start; now.Sub(start) < MaxCopyWait; {
+		batch, reachable := pending.NextBatch(peers, now)
+		switch {
+		case !reachable:
+			return append(asked, "none reachable")
+		case batch == nil:
+			now = now.Add(time.Millisecond)
+		default:
+			asked = append(asked, fmt.Sprint(batch.Peer.Ref.Host, " ", batch.Timeout))
+			now = now.Add(batch.Timeout)
+			pending.FinishBatch(batch, CopyUnanswered, now)
+		}
+	}
+	return asked
+}
+
+// Guards against giving up on slow peers while an answer waits, against asking them
+// again with a timeout that they exceed again, and against asking them for bills
+// whose answers have gone out.
+func TestSlowPeersAreAskedAgainWhileAnAnswerWaits(t *testing.T) {
+	now := time.Unix(0, 0)
+	peers := []core.Peer{{Ref: core.HostRef{Host: "b"}}, {Ref: core.HostRef{Host: "c"}}}
+	Convey("The timeouts double up to their maximum while the answer waits", t, func() {
+		pending := NewPendingBills(core.HostRef{Host: "a"})
+		recordBills(pending, 1, now)
+		So(askPeers(pending, peers, now), ShouldResemble,
+			[]string{"b 22ms", "c 22ms", "b 44ms", "c 88ms", "b 176ms", "c 250ms", "b 250ms", "c 250ms"})
+		early, _ := pending.NextBatch(peers[1:], now.Add(MaxCopyWait+reaskDelay))
+		So(early, ShouldBeNil)
+	})
+	Convey("Without an answer that waits, a slow peer is asked after its backoff and has time to answer", t, func() {
+		pending := NewPendingBills(core.HostRef{Host: "a"})
+		recordBills(pending, 1, now)
+		askPeers(pending, peers, now)
+		batch, _ := pending.NextBatch(peers, now.Add(MaxCopyWait+2*firstPeerBackoff))
+		So(batch.Timeout, ShouldEqual, maxAskTimeout)
+	})
+	Convey("A peer that refuses is not asked again, and no answer waits for it", t, func() {
+		pending := NewPendingBills(core.HostRef{Host: "a"})
+		recordBills(pending, 1, now)
+		for range peers {
+			batch, _ := pending.NextBatch(peers, now)
+			pending.FinishBatch(batch, CopyRefused, now)
+		}
+		So(askPeers(pending, peers, now), ShouldResemble, []string{"none reachable"})
+	})
+	Convey("A peer whose calls fail at once is not asked in a busy loop", t, func() {
+		pending := NewPendingBills(core.HostRef{Host: "a"})
+		recordBills(pending, 1, now)
+		batch, _ := pending.NextBatch(peers[:1], now)
+		pending.FinishBatch(batch, CopyUnanswered, now)
+		early, reachable := pending.NextBatch(peers[:1], now.Add(reaskDelay-1))
+		due, _ := pending.NextBatch(peers[:1], now.Add(reaskDelay))
+		So(early, ShouldBeNil)
+		So(reachable, ShouldBeTrue)
+		So(due, ShouldNotBeNil)
+	})
+}
--- a/internal/decide/billing/replicator.go
+++ b/internal/decide/billing/replicator.go
@@ -9,6 +9,20 @@
 )
 
 const (
+	// MaxCopyWait limits how long the last event of an answer waits for a copy of
+	// its bill. It exceeds SealUncopiedAfter by the time in which a segment is
+	// written, so that an answer goes out without a durable bill only if neither a
+	// peer nor the platform has taken the bill.
+	MaxCopyWait = time.Second
+	// minAskTimeout limits the wait for a peer's answer to a batch, so that a second
+	// peer is asked within the interval between two tokens. If all peers exceed it,
+	// they are asked again with longer timeouts, up to maxAskTimeout, which is also
+	// the timeout of batches that no answer waits for.
+	minAskTimeout = 22 * time.Millisecond
+	maxAskTimeout = 250 * time.Millisecond
+	// reaskDelay is the minimum delay before a peer that failed is asked again, so
+	// that calls which fail at once are not repeated in a busy loop.
+	reaskDelay = 20 * time.Millisecond
 	// maxBatchCopies limits a message with copies to about 100 KB.
 	maxBatchCopies = 500
 	// firstPeerBackoff is how long a host sends no copies to a peer that did
@@ -52,28 +66,106 @@
 type peerBackoff struct {
 	until    time.Time
 	failures int
+	// failedAt is when the peer last failed to take copies, and refused is true if
+	// it answered that it takes none.
+	failedAt time.Time
+	refused  bool
 }
 
+// CopyOutcome is the outcome of sending a batch to a peer.
+type CopyOutcome uint8
+
+// The outcomes of a batch.
+const (
+	// CopyUnanswered means that the peer gave no answer in time. It may hold the
+	// copies, and may answer if it is asked again.
+	CopyUnanswered CopyOutcome = iota
+	// CopyHeld means that the peer holds the copies.
+	CopyHeld
+	// CopyRefused means that the peer takes no copies, because it has no room or is
+	// stopping.
+	CopyRefused
+)
+
 func newReplicator() replicator {
 	return replicator{holders: make(map[core.HostRef]*copyHolder), backoffs: make(map[core.HostRef]peerBackoff)}
 }
 
-// backOff extends the backoff of a peer after a failure.
-func (r *replicator) backOff(ref core.HostRef, now time.Time) {
-	previous := r.backoffs[ref]
-	delay := min(firstPeerBackoff<<min(previous.failures, 10), maxPeerBackoff)
-	r.backoffs[ref] = peerBackoff{until: now.Add(delay), failures: previous.failures + 1}
+// backOff extends the backoff of a peer after a failure. A failure during a backoff
+// does not lengthen later backoffs: it says that all peers are slow, not that this
+// one is worse than others.
+func (r *replicator) backOff(ref core.HostRef, refused bool, now time.Time) {
+	next := r.backoffs[ref]
+	if r.backingOff(ref, now) {
+		next.until = maxTime(next.until, now.Add(firstPeerBackoff))
+	} else {
+		next.until = now.Add(min(firstPeerBackoff<<min(next.failures, 10), maxPeerBackoff))
+		next.failures++
+	}
+	next.failedAt, next.refused = now, refused
+	r.backoffs[ref] = next
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (r *replicator) backingOff(ref core.HostRef, now time.Time) bool {
 	return now.Before(r.backoffs[ref].until)
 }
 
+// firstWithoutBackoff returns the best candidate without a backoff.
+func (r *replicator) firstWithoutBackoff(candidates []core.Peer, now time.Time) (core.Peer, bool) {
+	for _, peer := range candidates {
+		if !r.backingOff(peer.Ref, now) {
+			return peer, true
+		}
+	}
+	return core.Peer{}, false
+}
+
+// leastRecentlyFailed returns the candidate that gave no answer and whose last
+// failure is the longest ago. All candidates have a backoff; it returns false if all
+// of them refused.
+func (r *replicator) leastRecentlyFailed(candidates []core.Peer) (found core.Peer, ok bool) {
+	for _, peer := range candidates {
+		backoff := r.backoffs[peer.Ref]
+		if backoff.refused {
+			continue
+		}
+		if !ok || backoff.failedAt.Before(r.backoffs[found.Ref].failedAt) {
+			found, ok = peer, true
+		}
+	}
+	return found, ok
+}
+
+// longestCopyWait returns how long the oldest queued bill whose answer still waits
+// for a copy has waited, or false if no answer waits. Bills are queued in the order
+// of recording, but for those whose copy was lost, which no answer waits for.
+func (r *replicator) longestCopyWait(own *journal, now time.Time) (longest time.Duration, waiting bool) {
+	for _, queued := range slices.Backward(r.queue) {
+		waited := now.Sub(queued.addedAt)
+		if waited >= MaxCopyWait {
+			break
+		}
+		if own.requests[queued.Bill.Request] {
+			longest, waiting = waited, true
+		}
+	}
+	return longest, waiting
+}
+
 // Batch is a set of copies that is sent to one peer in one message.
 type Batch struct {
 	Peer    core.Peer
 	Settled uint64
 	Copies  []Copy
+	// Timeout is how long to wait for the peer's answer.
+	Timeout time.Duration
 	bills   []*pendingBill
 }
 
@@ -98,27 +190,47 @@
 }
 
 // NextBatch returns copies for the first candidate without a backoff, or nil if
-// there is nothing to send or a batch is in flight. reachable is false if all
-// candidates have a backoff.
+// there is nothing to send or a batch is in flight. If all candidates have a backoff
+// and an answer waits for a copy, it returns copies for a candidate that gave no
+// answer before, with a longer timeout: a slow peer is not a lost one. reachable is
+// false if there is no candidate, or if all candidates refused copies.
 func (b *PendingBills) NextBatch(candidates []core.Peer, now time.Time) (batch *Batch, reachable bool) {
 	if b.replicator.sending {
 		return nil, true
 	}
 	b.replicator.dropWritten(b.own)
-	for _, peer := range candidates {
-		if b.replicator.backingOff(peer.Ref, now) {
-			continue
-		}
+	waited, waiting := b.replicator.longestCopyWait(b.own, now)
+	if peer, found := b.replicator.firstWithoutBackoff(candidates, now); found {
 		if len(b.replicator.queue) == 0 {
 			return nil, true
 		}
-		return b.fillBatch(b.replicator.holder(peer)), true
+		timeout := maxAskTimeout
+		if waiting {
+			timeout = minAskTimeout
+		}
+		return b.fillBatch(b.replicator.holder(peer), timeout), true
 	}
-	return nil, false
+	peer, found := b.replicator.leastRecentlyFailed(candidates)
+	if !found {
+		return nil, false
+	}
+	if !waiting || now.Sub(b.replicator.backoffs[peer.Ref].failedAt) < reaskDelay {
+		return nil, true
+	}
+	// The time waited so far doubles with each ask that is not answered.
+	timeout := min(max(waited, minAskTimeout), maxAskTimeout)
+	return b.fillBatch(b.replicator.holder(peer), timeout), true
+}
+
+// Uncopied returns the number of pending bills of this host that no peer is known to
+// hold. It may include bills that have reached the table in the meantime.
+func (b *PendingBills) Uncopied() int {
+	b.replicator.dropWritten(b.own)
+	return len(b.replicator.queue) + len(b.replicator.inFlight)
 }
 
-func (b *PendingBills) fillBatch(holder *copyHolder) *Batch {
-	batch := &Batch{Peer: holder.peer, Settled: b.Settled()}
+func (b *PendingBills) fillBatch(holder *copyHolder, timeout time.Duration) *Batch {
+	batch := &Batch{Peer: holder.peer, Settled: b.Settled(), Timeout: timeout}
 	batch.bills = b.replicator.queue[:min(len(b.replicator.queue), maxBatchCopies)]
 	b.replicator.queue = b.replicator.queue[len(batch.bills):]
 	for _, pending := range batch.bills {
@@ -132,10 +244,10 @@
 // FinishBatch ends a batch. If the peer did not confirm it, the copies are
 // queued again for another peer. The unconfirmed peer may hold them as well, so
 // it gets an acknowledgement once they are settled.
-func (b *PendingBills) FinishBatch(batch *Batch, held bool, now time.Time) {
+func (b *PendingBills) FinishBatch(batch *Batch, outcome CopyOutcome, now time.Time) {
 	b.replicator.sending, b.replicator.inFlight = false, nil
 	holder := b.replicator.holder(batch.Peer)
-	if held {
+	if outcome == CopyHeld {
 		delete(b.replicator.backoffs, batch.Peer.Ref)
 		for _, pending := range batch.bills {
 			pending.copyHolder = batch.Peer.Ref
@@ -146,7 +258,7 @@
 		holder.goneSince = time.Time{}
 		return
 	}
-	b.replicator.backOff(batch.Peer.Ref, now)
+	b.replicator.backOff(batch.Peer.Ref, outcome == CopyRefused, now)
 	b.replicator.queue = slices.Concat(batch.bills, b.replicator.queue)
 }
 
--- a/internal/filter/settle/settle.go
+++ b/internal/filter/settle/settle.go
@@ -9,11 +9,6 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
-// replicationTimeout limits how long the last event of an answer waits until a
-// peer holds a copy of the bill. Copying takes a few milliseconds, but with a
-// timeout of 50 ms busy hosts timed out, and one host failure could lose a bill.
-const replicationTimeout = 250 * time.Millisecond
-
 // Shares settles reservations.
 type Shares interface {
 	// Settle ends a reservation: cost is spent, and the rest becomes available again.
@@ -22,8 +17,8 @@
 
 // Bills records bills.
 type Bills interface {
-	// Record accepts a bill and waits until a peer holds a copy or ctx ends.
-	// The bill is kept in either case.
+	// Record accepts a bill and waits, for a bounded time, until a peer holds a copy.
+	// The bill is kept in any case.
 	Record(ctx context.Context, bill core.Bill)
 }
 
@@ -46,9 +41,8 @@
 		cost = min(work.MaxCost, reservation.Amount)
 	}
 	f.shares.Settle(reservation, cost)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), replicationTimeout)
-	defer cancel()
-	f.bills.Record(ctx, core.Bill{
+	// The copy protects the bill even if the caller has left.
+	f.bills.Record(context.WithoutCancel(ctx), core.Bill{
 		Request: work.ID, Keyed: work.Keyed,
 		Team: work.Caller.Team.Team, Class: work.Class.Name,
 		Share: reservation.Share, Usage: usage, Cost: cost, Finished: now,
--- a/internal/tasks/bills/counters.go
+++ b/internal/tasks/bills/counters.go
@@ -10,11 +10,12 @@
 	// sameZone counts copies sent to a peer in this host's zone because no
 	// peer in another zone was reachable.
 	sameZone metric.Int64Counter
-	// uncopied counts bills of which no peer could take a copy.
+	// uncopied counts answers released without a copy of their bill at a peer, and
+	// before the bill was in the table.
 	uncopied metric.Int64Counter
 	// duplicates counts bills dropped because their request is already billed.
 	duplicates metric.Int64Counter
-	// lost counts bills recorded after the task had stopped.
+	// lost counts bills that the task had not secured when it stopped.
 	lost metric.Int64Counter
 	// unanswered counts batches of copies that a peer did not confirm.
 	unanswered metric.Int64Counter
@@ -25,6 +26,8 @@
 	// pending is the number of bills that are not known to be in the table,
 	// heldCopies that of copies held for peers.
 	pending, heldCopies metric.Int64Gauge
+	// onlyHere is the number of pending bills without a copy at a peer.
+	onlyHere metric.Int64Gauge
 	// retries counts repeated steps.
 	retries metric.Int64Counter
 }
@@ -43,7 +46,7 @@
 		return created
 	}
 	return counters{
-		pending: gauge("pending"), heldCopies: gauge("kept"),
+		pending: gauge("pending"), heldCopies: gauge("kept"), onlyHere: gauge("pending_uncopied"),
 		sameZone: counter("copied_same_zone"), uncopied: counter("uncopied"), duplicates: counter("duplicate"),
 		lost: counter("lost"), unanswered: counter("copy_unanswered"), conflicts: counter("segment_conflicts"),
 		takeovers: counter("takeover_steps"), retries: counter("step_retries"),
--- a/internal/tasks/bills/peers.go
+++ b/internal/tasks/bills/peers.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// replicateTimeout is the timeout of a Replicate call. It leaves time to
-	// try several peers within the 250 ms that a request waits for the copy of
-	// its bill, and a second peer within the interval between two tokens.
-	replicateTimeout = 22 * time.Millisecond
 	// acknowledgeTimeout is the timeout of an Acknowledge call, which no
 	// request waits for.
 	acknowledgeTimeout = time.Second
@@ -111,27 +107,38 @@
 func (s *state) sendCopies(ctx context.Context, batch *billing.Batch) {
 	args := ReplicateArgs{Wire: peerrpc.WireVersion, Owner: s.config.Self, Settled: batch.Settled, Copies: batch.Copies}
 	go func() {
-		limited, cancel := context.WithTimeout(ctx, replicateTimeout)
+		limited, cancel := context.WithTimeout(ctx, batch.Timeout)
 		defer cancel()
 		var reply ReplicateReply
 		err := s.config.Caller.Call(limited, batch.Peer, serviceName+".Replicate", args, &reply)
-		_ = s.inbox.Send(ctx, replicatedMessage{batch, err == nil && reply.Held})
+		_ = s.inbox.Send(ctx, replicatedMessage{batch, copyOutcome(&reply, err)})
 	}()
 }
 
+func copyOutcome(reply *ReplicateReply, err error) billing.CopyOutcome {
+	switch {
+	case err != nil:
+		return billing.CopyUnanswered
+	case reply.Held:
+		return billing.CopyHeld
+	default:
+		return billing.CopyRefused
+	}
+}
+
 type replicatedMessage struct {
-	batch *billing.Batch
-	held  bool
+	batch   *billing.Batch
+	outcome billing.CopyOutcome
 }
 
 func (m replicatedMessage) handle(ctx context.Context, owned *state) {
-	owned.pending.FinishBatch(m.batch, m.held, owned.config.Now())
-	if !m.held {
+	owned.pending.FinishBatch(m.batch, m.outcome, owned.config.Now())
+	if m.outcome != billing.CopyHeld {
 		owned.counters.unanswered.Add(ctx, 1)
 		return
 	}
 	for _, sequence := range m.batch.Sequences() {
-		owned.endCopyWait(sequence)
+		owned.waits.endDurable(sequence)
 	}
 }
 
--- a/internal/tasks/bills/simulation_test.go
+++ b/internal/tasks/bills/simulation_test.go
@@ -170,7 +170,11 @@
 		s.delayedMessages = append(s.delayedMessages, func() { hold() })
 	}
 	from.results = append(from.results, func() {
-		from.pending.FinishBatch(batch, held, s.now)
+		outcome := billing.CopyUnanswered
+		if held {
+			outcome = billing.CopyHeld
+		}
+		from.pending.FinishBatch(batch, outcome, s.now)
 		for _, entry := range s.recorded {
 			for i := range batch.Copies {
 				if held && batch.Copies[i].Bill.Cost == entry.bill.Cost {
--- a/internal/tasks/bills/state.go
+++ b/internal/tasks/bills/state.go
@@ -14,9 +14,8 @@
 type state struct {
 	*Task
 	pending *billing.PendingBills
-	// copyWaiters holds the callers of Record that wait for a copy of their
-	// bill, by sequence number.
-	copyWaiters map[uint64]chan<- struct{}
+	// waits holds the answers that wait for a copy of their bill.
+	waits *copyWaits
 	// drainWaiters holds the callers of Drain.
 	drainWaiters []chan<- struct{}
 	// drainingSince is when this host began to drain, or zero. From then on it
@@ -30,7 +29,7 @@
 func newState(t *Task) *state {
 	return &state{
 		Task: t, pending: billing.NewPendingBills(t.config.Self),
-		copyWaiters: make(map[uint64]chan<- struct{}), acknowledging: make(map[core.HostRef]bool),
+		waits: newCopyWaits(t), acknowledging: make(map[core.HostRef]bool),
 		view: fleetView{absentSince: make(map[core.HostRef]int64)},
 	}
 }
@@ -44,12 +43,7 @@
 	s.pending.RemoveEmptyJournals(s.view.gone)
 	s.counters.pending.Record(ctx, int64(s.pending.OwnCount()))
 	s.counters.heldCopies.Record(ctx, int64(s.pending.HeldCopies()))
-	// A bill can be in the table before a peer has confirmed its copy.
-	for sequence := range s.copyWaiters {
-		if sequence < s.pending.Settled() {
-			s.endCopyWait(sequence)
-		}
-	}
+	s.waits.endExpired(ctx)
 	for _, ack := range s.pending.Acknowledgements(now) {
 		if !s.acknowledging[ack.Peer.Ref] {
 			s.acknowledging[ack.Peer.Ref] = true
@@ -69,6 +63,9 @@
 		s.counters.takeovers.Add(ctx, 1)
 		s.runStep(ctx, step)
 	}
+	// The gauge is set before any wait for a copy ends, so that it is not below the
+	// number of answers that have gone out without one.
+	s.counters.onlyHere.Record(ctx, int64(s.pending.Uncopied()))
 	s.replicate(ctx)
 	if s.pending.OwnCount() == 0 && s.pending.HeldCopies() == 0 {
 		for _, done := range s.drainWaiters {
@@ -93,15 +90,12 @@
 	return leaving || s.view.gone(owner)
 }
 
-// replicate sends the next batch of copies. If no peer can take copies, requests
+// replicate sends the next batch of copies. If no peer can take copies, answers
 // do not wait for them.
 func (s *state) replicate(ctx context.Context) {
 	batch, reachable := s.pending.NextBatch(s.view.candidates, s.config.Now())
 	if !reachable {
-		s.counters.uncopied.Add(ctx, int64(len(s.copyWaiters)))
-		for sequence := range s.copyWaiters {
-			s.endCopyWait(sequence)
-		}
+		s.waits.endAll(ctx)
 	}
 	if batch != nil {
 		if batch.Peer.Zone == s.config.Zone {
@@ -111,14 +105,6 @@
 	}
 }
 
-// endCopyWait ends the wait of a caller of Record.
-func (s *state) endCopyWait(sequence uint64) {
-	if done, found := s.copyWaiters[sequence]; found {
-		done <- struct{}{}
-		delete(s.copyWaiters, sequence)
-	}
-}
-
 // refund returns the cost of a bill whose request is already billed.
 func (s *state) refund(ctx context.Context, bill core.Bill) {
 	s.counters.duplicates.Add(ctx, 1)
@@ -141,7 +127,7 @@
 		m.done <- struct{}{}
 		return
 	}
-	owned.copyWaiters[sequence] = m.done
+	owned.waits.begin(sequence, m.done)
 }
 
 type drainMessage struct{ done chan<- struct{} }
--- a/internal/tasks/bills/steps.go
+++ b/internal/tasks/bills/steps.go
@@ -169,6 +169,8 @@
 
 // handle applies the outcome of a step.
 func (r stepResult) handle(ctx context.Context, owned *state) {
+	// A bill can be in the table before a peer has confirmed its copy.
+	defer func() { owned.waits.endSettled(owned.pending.Settled()) }()
 	switch {
 	case r.conflict != nil:
 		owned.counters.conflicts.Add(ctx, 1)
--- a/internal/tasks/bills/task.go
+++ b/internal/tasks/bills/task.go
@@ -100,20 +100,18 @@
 }
 
 // Record implements settle.Bills. It returns once a peer holds a copy of the
-// bill, the bill is in the table, no peer is reachable, or ctx ends.
+// bill, the bill is in the table, no peer can take a copy, the bill has waited for
+// billing.MaxCopyWait, or the task has stopped. The end of ctx does not end it, as the
+// copy protects the bill of a caller that has left as well.
 func (t *Task) Record(ctx context.Context, bill core.Bill) {
-	done := make(chan struct{}, 1)
-	// The bill must be recorded even if ctx has ended, so this send ignores ctx.
-	if err := t.inbox.Send(context.WithoutCancel(ctx), recordMessage{bill, done}); err != nil {
-		t.counters.lost.Add(context.WithoutCancel(ctx), 1)
-		t.config.Log.Error("lost a bill because the bills task has stopped; its cost remains deducted from the share",
-			zap.Stringer("request", bill.Request), zap.Int64("tokens", int64(bill.Cost)))
+	ctx = context.WithoutCancel(ctx)
+	_, err := task.Ask(ctx, t.inbox, func(done chan<- struct{}) message { return recordMessage{bill, done} })
+	if err == nil {
 		return
 	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	t.counters.lost.Add(ctx, 1)
+	t.config.Log.Error("lost a bill because the bills task has stopped; unless a peer holds a copy, its cost remains deducted from the share",
+		zap.Stringer("request", bill.Request), zap.Int64("tokens", int64(bill.Cost)))
 }
 
 // Backlogged reports whether this host has so many pending bills that it must
