--- a/internal/tasks/bills/copywaits.go
+++ b/internal/tasks/bills/copywaits.go
@@ -36,11 +36,11 @@
 	if _, found := w.waits[sequence]; !found {
 		return
 	}
-	w.end(sequence)
 	if w.releasing {
 		w.releasing = false
 		w.task.config.Log.Info("answers wait for copies of their bills again")
 	}
+	w.end(sequence)
 }
 
 // endSettled ends the waits for bills that are in the table.
