Wait for the copies before the host of TestBillCopies is killed

Cause: the test took it for granted that an answer goes out only with a copy of its bill at a peer.

Change: the preparation waits until the host has no bill without a copy (peridotreel_bills_pending_uncopied) and then kills it. What the test guards, the drain of copies after a kill, is checked as before. That a host may be killed as soon as an answer is out is checked on a fake clock by TestAnswersWaitForCopiesAtSlowPeers of tasks/bills, with peers that are slow. Callers' deadline of 10 s and the harness's limit of 40 s still are wall-clock bounds.

--- a/internal/localfleet/billcopies_test.go
+++ b/internal/localfleet/billcopies_test.go
@@ -21,6 +21,12 @@
 			Operations: []platformstandin.Operation{platformstandin.OperationPutObject}}), ShouldBeNil)
 		answers := collect(runConcurrently(12, func(number int) result { return f.complete(700+number, 10, victim.CallerAddress()) }))
 		So(f.record(answers...), ShouldBeEmpty)
+		// On a slow machine, answers go out without copies after a bounded wait, and
+		// their copies follow. TestAnswersWaitForCopiesAtSlowPeers of tasks/bills checks
+		// within that bound that a host may be killed as soon as an answer is out.
+		f.waitUntil("a peer holds a copy of each bill", func() bool {
+			return f.metric(victim, "peridotreel_bills_pending_uncopied") == 0
+		})
 		f.KillHost(victim)
 		f.Platform.SetMode(platformstandin.ModeNone)
 		for _, other := range others {
--- a/internal/localfleet/harness_test.go
+++ b/internal/localfleet/harness_test.go
@@ -1,11 +1,13 @@
 package localfleet_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -111,6 +113,24 @@
 	return response.StatusCode
 }
 
+// metric returns the value of a host's metric without attributes.
+func (f *testFleet) metric(running *localfleet.RunningHost, name string) float64 {
+	request, err := http.NewRequestWithContext(f.ctx, http.MethodGet, "http://"+running.AdminAddress()+"/metrics", http.NoBody)
+	So(err, ShouldBeNil)
+	response, err := http.DefaultClient.Do(request)
+	So(err, ShouldBeNil)
+	defer response.Body.Close()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if value, found := strings.CutPrefix(lines.Text(), name+" "); found {
+			parsed, err := strconv.ParseFloat(value, 64)
+			So(err, ShouldBeNil)
+			return parsed
+		}
+	}
+	So(name, ShouldEqual, "a metric of the host")
+	return 0
+}
+
 // countAlive returns the number of hosts that a host sees as alive, including
 // itself.
 func (f *testFleet) countAlive(running *localfleet.RunningHost) int {
