Write one ledger an era after a return of the store

The process that starts knows no ledger. Either it wrote a new one under the old key beside ledger.2, which a live process had reopened, and both were granted from; or it wrote first, and the others took its ledger, which has no base, and added their own grants only, so that what the killed process had was granted again.

The first ledger of an era after the first now goes under the key of that era, whether its writer knows an earlier one or not, so that of two writers the later conflicts. A process that knows an earlier ledger corrects one without a base: it carries over the holdings, and all that the earlier ledger does not guarantee is lost, as if it had been reopened. Nothing is granted from it meanwhile. It guarantees no more than a reopened one, and a prepaid total that rises between both writes is lost once. The fields of the rows are unchanged.

Not covered: no process that knew the ledger lives or reaches the store within 3 s, and fleets with builds before this one.

--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -55,10 +55,11 @@
 	// Mark orders the ledger among all that the team has had.
 	Mark Mark `json:"mark"`
 	// Base is the ledger of an earlier era from which this one was reopened after a
-	// return of the store.
+	// return of the store. It is empty in a ledger of the first era, and in a later one
+	// that was begun while its writer knew no earlier ledger.
 	Base Base `json:"base"`
 	// ReopenedAt is a time of the store's clock, in milliseconds, shortly before the
-	// ledger was reopened; 0 if it never was.
+	// ledger was reopened, or begun in an era after the first; 0 if neither is the case.
 	ReopenedAt int64 `json:"reopened_at,omitempty"`
 	// Withheld is the part of the balance that may not be granted; nil in a ledger of a
 	// build that does not know it.
--- a/internal/decide/allowance/model_test.go
+++ b/internal/decide/allowance/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,24 +30,43 @@
 	starts     int
 	// lastStep is the last of the steps that are drawn.
 	lastStep int
+	// emptyCopies is true if copies may be from before the first ledger. At least one
+	// process that knows a ledger then lives through a return to such a copy, and reaches
+	// the store within settlementTime.
+	emptyCopies bool
+	// written is true once a ledger was written.
+	written bool
 }
 
 // stored is what the store keeps.
 type stored struct {
 	era     int64
 	counter int64
-	ledger  versioned[Ledger]
-	// reopened is the era in the key of the ledger's row.
-	reopened int64
-	records  map[core.HostID]versioned[PledgeRecord]
+	// ledgers are the rows of the team's part by the era in the key, 0 for the key
+	// without one.
+	ledgers map[int64]versioned[Ledger]
+	records map[core.HostID]versioned[PledgeRecord]
 }
 
 func (s stored) clone() *stored {
-	s.records = maps.Clone(s.records)
-	s.ledger.value = s.ledger.value.clone()
+	s.records, s.ledgers = maps.Clone(s.records), maps.Clone(s.ledgers)
+	for key, row := range s.ledgers {
+		row.value = row.value.clone()
+		s.ledgers[key] = row
+	}
 	return &s
 }
 
+// current returns the ledger that counts and the era in its key: of several rows, the
+// one that was reopened last.
+func (s stored) current() (int64, versioned[Ledger]) {
+	latest := int64(0)
+	for key := range s.ledgers {
+		latest = max(latest, key)
+	}
+	return latest, s.ledgers[latest]
+}
+
 type versioned[T any] struct {
 	value   T
 	version int64
@@ -100,8 +120,15 @@
 
 // learnLedger tells the holder what the store has.
 func (w *simulation) learnLedger(p *process) {
-	p.holder.SetLedger(w.ledger.value.clone(), core.Revision{Era: w.era, Number: w.ledger.version}, w.clock(), w.now)
-	p.reopened = w.reopened
+	key, _ := w.current()
+	w.learnRow(p, key)
+}
+
+// learnRow tells the holder the ledger of one row.
+func (w *simulation) learnRow(p *process, key int64) {
+	row := w.ledgers[key]
+	p.holder.SetLedger(row.value.clone(), core.Revision{Era: w.era, Number: row.version}, w.clock(), w.now)
+	p.reopened = key
 }
 
 // applyLedger returns the write of a proposal. It is applied if the row that the
@@ -109,14 +136,19 @@
 func (w *simulation) applyLedger(p *process, proposal Proposal) func() bool {
 	key := p.reopened
 	return func() bool {
-		if w.reopened != key || w.ledger.version != proposal.Revision.Number {
+		if w.ledgers[key].version != proposal.Revision.Number {
 			return false
 		}
+		target := key
 		if proposal.Reopens {
-			w.reopened = proposal.Ledger.Mark.Era
+			if target = proposal.Ledger.Mark.Era; w.ledgers[target].version > 0 {
+				return false
+			}
+			delete(w.ledgers, key)
 		}
-		w.ledger.value = proposal.Ledger.clone()
-		w.setVersion(&w.ledger.version)
+		row := versioned[Ledger]{value: proposal.Ledger.clone()}
+		w.setVersion(&row.version)
+		w.ledgers[target], w.written = row, true
 		return true
 	}
 }
@@ -147,6 +179,40 @@
 	p.holder.EndCommit(answered)
 }
 
+// commitCertain commits a proposal with a certain outcome. As in the task, a process that
+// succeeds goes on with what it wrote, and only one that conflicts reads all rows.
+func (w *simulation) commitCertain(p *process, proposal Proposal) {
+	p.holder.BeginCommit(proposal, w.now)
+	key := p.reopened
+	if proposal.Reopens {
+		key = proposal.Ledger.Mark.Era
+	}
+	if w.applyLedger(p, proposal)() {
+		w.learnRow(p, key)
+	} else {
+		w.learnLedger(p)
+	}
+	p.holder.EndCommit(true)
+}
+
+// demandAll lets processes commit what they need for a large request that waits at each
+// of them, by turns and for some seconds, without other reads than after conflicts. One
+// that conflicts tries again at once, as the task does.
+func (w *simulation) demandAll(duration time.Duration, processes ...*process) {
+	for end := w.now.Add(duration); !w.now.After(end); w.now = w.now.Add(500 * time.Millisecond) {
+		for _, p := range processes {
+			p.holder.AddDemand(w.prepaid/4, w.now)
+			p.holder.AddWaiting(w.prepaid / 4)
+			for range 2 {
+				if proposal, wanted := p.holder.Propose(w.now); wanted {
+					w.commitCertain(p, proposal)
+				}
+			}
+			p.holder.RemoveWaiting(w.prepaid / 4)
+		}
+	}
+}
+
 // returnToCopy lets the store come back from the copy, which may be used once more.
 func (w *simulation) returnToCopy() {
 	era := w.era
@@ -249,6 +315,64 @@
 	}
 }
 
+// knows reports whether a process knows a ledger.
+func (p *process) knows() bool {
+	h := p.holder
+	return h.ledger.Mark.Sequence > 0 || (h.latest != nil && h.latest.Mark.Sequence > 0)
+}
+
+// forgotten reports whether the store has no ledger of this era that is based on an
+// earlier one although there was one.
+func (w *simulation) forgotten() bool {
+	_, row := w.current()
+	if row.value.Mark.Sequence == 0 {
+		return w.written && w.era > firstEra
+	}
+	return row.value.Mark.Era == w.era && w.era > firstEra && row.value.Base.Mark.Sequence == 0
+}
+
+// knowing returns how many processes know a ledger.
+func (w *simulation) knowing() int {
+	count := 0
+	for _, p := range w.hosts {
+		if p.knows() {
+			count++
+		}
+	}
+	return count
+}
+
+// remember lets the processes that know a ledger write what they know if the store has
+// forgotten it.
+func (w *simulation) remember() {
+	for range 2 {
+		for _, p := range w.hosts {
+			if !w.forgotten() {
+				return
+			}
+			if !p.knows() {
+				continue
+			}
+			w.learnLedger(p)
+			if proposal, wanted := p.holder.Propose(w.now); wanted {
+				w.commitCertain(p, proposal)
+			}
+		}
+	}
+}
+
+// rememberBefore does so before a step that the rules do not allow earlier: time that
+// passes once a process has read that there is no ledger, and the end of the last process
+// that knows one.
+func (w *simulation) rememberBefore(step int, p *process) {
+	readNone := slices.ContainsFunc(w.hosts, func(p *process) bool { return p.known && !p.knows() })
+	switch {
+	case !w.emptyCopies || !w.forgotten():
+	case step == 15, step == 16, step == 6 && (len(w.ledgers) > 0 || readNone), step == 9 && p.knows() && w.knowing() == 1:
+		w.remember()
+	}
+}
+
 // drawStep draws a step. A kill of all processes is as rare as one of a single one.
 func (w *simulation) drawStep(t *rapid.T) int {
 	step := rapid.IntRange(0, w.lastStep).Draw(t, "step")
@@ -261,7 +385,9 @@
 func (w *simulation) step(t *rapid.T) {
 	i := rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")
 	p := w.hosts[i]
-	switch w.drawStep(t) {
+	step := w.drawStep(t)
+	w.rememberBefore(step, p)
+	switch step {
 	case 0, 1, 2, 10, 11:
 		amount := core.Tokens(rapid.IntRange(1, 1500).Draw(t, "amount"))
 		p.holder.AddDemand(amount, w.now)
@@ -296,11 +422,12 @@
 	case 6:
 		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
 	case 13:
-		if w.ledger.version > 0 { // a copy from before the first ledger is a case of its own
+		if len(w.ledgers) > 0 || w.emptyCopies {
 			w.copied, w.copiedAt = w.clone(), w.now
 		}
 	case 14:
-		if w.copied != nil && w.now.Sub(w.copiedAt) <= MaxCopyAge {
+		remembered := !w.emptyCopies || !w.written || w.knowing() > 0
+		if w.copied != nil && w.now.Sub(w.copiedAt) <= MaxCopyAge && remembered {
 			w.returnToCopy()
 		}
 	case 7:
@@ -327,23 +454,38 @@
 
 // Guards against spending beyond the prepaid balance in any order of kills,
 // restarts, lost or late writes, recalls and delays.
-func TestNoOrderOfFailuresSpendsBeyondTheBalance(t *testing.T) { simulate(t, 12) }
+func TestNoOrderOfFailuresSpendsBeyondTheBalance(t *testing.T) { simulate(t, 12, false) }
 
 // Guards against spending a balance twice because the store has come back from an
 // older copy, in which what was granted since is not granted, with lost and late
 // writes of both eras, and with kills of single and of all processes at any moment: a
 // process that was granted tokens after the copy may end before anybody else knows.
-func TestAReturnOfTheStoreSpendsNoBalanceTwice(t *testing.T) { simulate(t, 16) }
+func TestAReturnOfTheStoreSpendsNoBalanceTwice(t *testing.T) { simulate(t, 16, false) }
 
-func simulate(t *testing.T, lastStep int) {
+// Guards against the same with copies from before the team's first ledger: a process that
+// starts then knows no ledger, and one that lives knows it without the latest commits of
+// those that have ended.
+func TestAReturnToBeforeTheFirstLedgerSpendsNoBalanceTwice(t *testing.T) { simulate(t, 16, true) }
+
+// newSimulation returns a simulation of three hosts without a ledger.
+func newSimulation() *simulation {
+	w := &simulation{now: time.Unix(1000, 0), prepaid: 12_000}
+	w.era, w.records, w.ledgers = 1, make(map[core.HostID]versioned[PledgeRecord]), make(map[int64]versioned[Ledger])
+	for i := range 3 {
+		w.hosts = append(w.hosts, w.start(core.HostID(fmt.Sprintf("host-%d", i))))
+	}
+	return w
+}
+
+func simulate(t *testing.T, lastStep int, emptyCopies bool) {
 	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
-		w := &simulation{now: time.Unix(1000, 0), prepaid: 12_000, lastStep: lastStep}
-		w.era, w.records = 1, make(map[core.HostID]versioned[PledgeRecord])
-		for i := range 3 {
-			w.hosts = append(w.hosts, w.start(core.HostID(fmt.Sprintf("host-%d", i))))
+		w := newSimulation()
+		w.lastStep, w.emptyCopies = lastStep, emptyCopies
+		if emptyCopies {
+			w.copied, w.copiedAt = w.clone(), w.now
 		}
-		if rapid.Bool().Draw(t, "established") {
+		if !emptyCopies && rapid.Bool().Draw(t, "established") {
 			w.establish()
 		}
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
--- a/internal/decide/allowance/propose.go
+++ b/internal/decide/allowance/propose.go
@@ -14,7 +14,9 @@
 	Ledger Ledger
 	// Revision is the revision that the row must have.
 	Revision core.Revision
-	// Reopens is true if the ledger replaces one of an earlier era.
+	// Reopens is true if the ledger is the first one of an era after the first. Its row
+	// then has the era in its key, whether the store has an earlier ledger or none, so
+	// that an era has one ledger.
 	Reopens bool
 	// Delta is the change of the holder's grant; it is negative for a return.
 	Delta core.Tokens
@@ -160,7 +162,7 @@
 
 func (h *Holder) newProposal(ledger Ledger, delta core.Tokens, now time.Time) Proposal {
 	if h.unmarked() && ledger.ReopenedAt == 0 {
-		ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
+		h.begin(&ledger)
 	}
 	h.settle(&ledger, now)
 	h.updateRoom(&ledger, delta, now)
@@ -168,7 +170,7 @@
 	ledger.Withheld = &withheld
 	ledger.Replaced = &Replaced{Allocated: h.ledger.mostAllocated(maxTokens), Withheld: h.withheldIn(h.ledger).guaranteed(1)}
 	ledger.Mark = Mark{Era: h.era, Sequence: max(ledger.Mark.Sequence, h.ledger.Mark.Sequence, ledger.Base.Mark.Sequence) + 1}
-	return Proposal{Ledger: ledger, Revision: h.revision, Reopens: h.outdated(h.ledger), Delta: delta}
+	return Proposal{Ledger: ledger, Revision: h.revision, Reopens: h.outdated(h.ledger) || h.unmarked(), Delta: delta}
 }
 
 // ProposeClose returns the update that ends the holding and returns all unspent
--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -35,16 +35,44 @@
 		holding.Unconfirmed = true
 		ledger.Holdings[process] = holding
 	}
-	guaranteed, _ := h.guaranteedIn(base)
-	ledger.Lost = max(h.prepaid-guaranteed-ledger.recorded(), 0)
+	ledger.Lost = h.lostIn(ledger, base)
 	// A further return to the copy counts on half of what the copy guarantees, even if
 	// the base guarantees less.
+	guaranteed, _ := h.guaranteedIn(base)
 	_, inCopy := h.guaranteedIn(h.ledger)
 	ledger.Withheld = &Withheld{Amount: max(guaranteed, inCopy) / 2}
 	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
 	return ledger
 }
 
+// lostIn returns what counts as lost in a ledger that was reopened from a base: all that
+// the base does not guarantee, as processes that nobody knows of may have it.
+func (h *Holder) lostIn(ledger, base Ledger) core.Tokens {
+	guaranteed, _ := h.guaranteedIn(base)
+	return max(h.prepaid-guaranteed-ledger.recorded(), 0)
+}
+
+// begin makes a ledger the first one of an era after the first, without a base. The copy
+// may be from before a ledger that only other processes know, so that nothing is granted
+// for settlementTime. It guarantees no more than a ledger that they reopen.
+func (h *Holder) begin(ledger *Ledger) {
+	_, inCopy := h.guaranteedIn(h.ledger)
+	ledger.Withheld = &Withheld{Amount: inCopy / 2}
+	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
+}
+
+// correct returns the stored ledger corrected by the latest one of an earlier era. If it
+// was begun without a base, as much is lost as if it had been reopened from that one.
+func (h *Holder) correct() Ledger {
+	ledger := rebase(h.ledger, *h.latest, h.prepaid)
+	if h.ledger.Base.Mark.Sequence == 0 {
+		ledger.Lost = h.lostIn(ledger, *h.latest)
+		// It contains what the prepaid total has risen by since the ledger was begun.
+		ledger.Unsettled = max(ledger.Unsettled, h.prepaid)
+	}
+	return ledger
+}
+
 // guaranteedIn returns the least and the most that a ledger of an earlier era, or the one
 // that it replaced, guarantees after the returns since then.
 func (h *Holder) guaranteedIn(ledger Ledger) (least, most core.Tokens) {
@@ -138,7 +166,7 @@
 	case h.outdated(ledger):
 		ledger, changed = h.reopen(), true
 	case h.rebaseDue():
-		ledger, changed = rebase(ledger, *h.latest, h.prepaid), true
+		ledger, changed = h.correct(), true
 	}
 	if h.carried == nil {
 		return ledger, changed
@@ -182,10 +210,8 @@
 }
 
 // rebaseDue reports whether the stored ledger is based on an earlier ledger than the
-// latest that this process knows.
-func (h *Holder) rebaseDue() bool {
-	return h.latest != nil && h.ledger.Base.Mark.Sequence > 0 && h.latest.Mark.newer(h.ledger.Base.Mark)
-}
+// latest that this process knows, or on none.
+func (h *Holder) rebaseDue() bool { return h.latest != nil && h.latest.Mark.newer(h.ledger.Base.Mark) }
 
 // confirm ends the carried grant once the stored ledger has it. A ledger that is still
 // to be rebased does not: latest may have a holding of this process that was never its
--- a/internal/decide/allowance/reopen_test.go
+++ b/internal/decide/allowance/reopen_test.go
@@ -186,3 +186,99 @@
 		})
 	})
 }
+
+// Guards against two ledgers of one balance, and against one that forgets what an ended
+// process was granted: a process that starts as the store returns to a copy of before the
+// first ledger knows no ledger, and the copy has none.
+func TestAProcessThatKnowsNoLedgerGrantsNoBalanceTwice(t *testing.T) {
+	Convey("Given a return to a copy of before the first ledger, and a process that ends with it", t, func() {
+		w := newSimulation()
+		w.copied = w.clone()
+		for _, p := range w.hosts {
+			w.readStore(p)
+		}
+		ended, live := w.hosts[0], w.hosts[1:]
+		w.demandAll(2*time.Second, w.hosts...)
+		So(ended.holder.granted(), ShouldBeGreaterThan, w.prepaid/10)
+		w.endedSpent = ended.holder.granted()
+		started := w.start(ended.id.Host)
+		w.hosts[0] = started
+		w.returnToCopy()
+		w.readStore(started)
+		begun, wanted := started.holder.Propose(w.now)
+		So(wanted, ShouldBeTrue)
+		for _, p := range live {
+			w.learnLedger(p)
+		}
+		spendsWithinBalance := func() {
+			w.demandAll(2*settlementTime, w.hosts...)
+			So(w.mayConsume(), ShouldBeLessThanOrEqualTo, w.prepaid)
+			So(w.ledgers, ShouldHaveLength, 1)
+			_, row := w.current()
+			So(row.value.Unsettled, ShouldEqual, 0)
+			So(row.value.Allocated(), ShouldBeLessThanOrEqualTo, w.prepaid)
+			So(live[0].holder.granted(), ShouldBeGreaterThan, 0)
+		}
+		Convey("No more than the balance is granted if a live process writes its ledger first", func() {
+			w.demandAll(0, live...)
+			w.commitCertain(started, begun)
+			spendsWithinBalance()
+		})
+		Convey("No more than the balance is granted if the process that starts writes first", func() {
+			w.commitCertain(started, begun)
+			spendsWithinBalance()
+		})
+		Convey("A prepaid total that is raised between both writes is lost once", func() {
+			started.holder.SetBalance(w.prepaid-2_000, len(w.hosts), true)
+			begun, _ = started.holder.Propose(w.now)
+			w.commitCertain(started, begun)
+			started.holder.SetBalance(w.prepaid, len(w.hosts), true)
+			w.demandAll(0, live...)
+			_, row := w.current()
+			So(row.value.Allocated(), ShouldBeLessThanOrEqualTo, w.prepaid)
+			spendsWithinBalance()
+		})
+		Convey("No more is granted after a further return to the copy", func() {
+			w.commitCertain(started, begun)
+			spendsWithinBalance()
+			w.returnToCopy()
+			w.learnLedger(started)
+			for _, p := range live {
+				w.learnLedger(p)
+			}
+			spendsWithinBalance()
+		})
+		Convey("A ledger that is begun guarantees no more than one that is reopened", func() {
+			reopened, _ := live[0].holder.Propose(w.now)
+			So(begun.Ledger.Withheld.Amount, ShouldBeGreaterThan, 0)
+			So(begun.Ledger.Withheld.Amount, ShouldBeLessThanOrEqualTo, reopened.Ledger.Withheld.Amount)
+		})
+	})
+}
+
+// Guards against granting again what an ended process was granted after the latest ledger
+// that a live process knows, if a process that knows none has begun the ledger of the era.
+func TestWhatAnEndedProcessWasGrantedLastIsNotInALedgerThatWasBegun(t *testing.T) {
+	Convey("Given a process that is granted most of a new balance and ends", t, func() {
+		w := newSimulation()
+		w.copied = w.clone()
+		live, ended := w.hosts[0], w.hosts[1]
+		w.readStore(live)
+		w.demandAll(0, live)
+		live.holder.reserved = live.holder.granted()
+		w.readStore(ended)
+		w.demandAll(2*time.Second, ended)
+		known := live.holder.ledger.Holdings[ended.id.String()].Granted
+		So(ended.holder.granted(), ShouldBeGreaterThan, known+w.prepaid/10)
+		w.endedSpent = ended.holder.granted()
+		started := w.start(ended.id.Host)
+		w.hosts[1] = started
+		w.returnToCopy()
+		for _, p := range []*process{started, live} {
+			w.readStore(p)
+			w.demandAll(0, p)
+		}
+		w.demandAll(2*settlementTime, started, live)
+		So(w.mayConsume(), ShouldBeLessThanOrEqualTo, w.prepaid)
+	})
+}
--- a/internal/tasks/balances/commit.go
+++ b/internal/tasks/balances/commit.go
@@ -26,7 +26,7 @@
 	// certain is false if the commit may still be applied.
 	certain bool
 	read    bool
-	// reopened is true if the commit replaced a ledger of an earlier era.
+	// reopened is true if the commit wrote the first ledger of an era after the first.
 	reopened bool
 	// conflict is true if the row had another version than the commit expected.
 	conflict bool
@@ -139,9 +139,10 @@
 	return rowstore.Commit{Expect: []rowstore.Row{row}, Puts: []rowstore.Row{put}}
 }
 
-// reopenRow returns the commit that replaces a ledger of an earlier era by one under
-// a key of its own, and that key. A write of the earlier era that is applied late
-// then finds no row, whatever versions the store gives out again.
+// reopenRow returns the commit that writes the first ledger of an era under a key of its
+// own in place of one of an earlier era, if there is one, and that key. A write of the
+// earlier era that is applied late then finds no row, whatever versions the store gives
+// out again.
 func reopenRow(row rowstore.Row, value []byte, era int64) (rowstore.Commit, string) {
 	reopened := rowstore.Row{Table: row.Table, Part: row.Part, Key: ledgerKeyOf(era)}
 	commit := replaceRow(reopened, value)
@@ -172,14 +173,14 @@
 	return w
 }
 
-// reopenedPrefix precedes the era in the key of a ledger that was reopened after a
-// return of the store.
+// reopenedPrefix precedes the era in the key of a ledger that was reopened or begun
+// after a return of the store.
 const reopenedPrefix = ledgerKey + "."
 
-// ledgerKeyOf returns the key of a ledger that was reopened in an era.
+// ledgerKeyOf returns the key of the ledgers of an era after the first.
 func ledgerKeyOf(era int64) string { return reopenedPrefix + strconv.FormatInt(era, 10) }
 
-// eraOfKey returns the era in which a ledger was reopened, 0 if it never was. It
+// eraOfKey returns the era in a key, 0 for that of the first era. It
 // reports false for the key of another row.
 func eraOfKey(key string) (int64, bool) {
 	if key == ledgerKey {
@@ -258,7 +259,7 @@
 			zap.Int64("allocated", int64(m.ledger.Allocated())), zap.Int64("prepaid", int64(a.holder.Prepaid())))
 	}
 	if m.reopened {
-		b.config.Log.Info("reopened a ledger after a return of the store", zap.String("event", "ledger_reopened"), zap.String("team", string(m.team)),
+		b.config.Log.Info("wrote the first ledger of an era after a return of the store", zap.String("event", "ledger_reopened"), zap.String("team", string(m.team)),
 			zap.String("ledger_version", m.revision.String()), zap.Int64("allocated", int64(m.ledger.Allocated())), zap.Int64("lost", int64(m.ledger.Lost)),
 			zap.Int64("prepaid", int64(a.holder.Prepaid())))
 	}
