--- a/internal/decide/origin/pace_test.go
+++ b/internal/decide/origin/pace_test.go
@@ -7,6 +7,21 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// sendsInTenSeconds returns the sends of a host that begins a stream each millisecond.
+func sendsInTenSeconds(pace Pace, interval time.Duration, start time.Time) int {
+	sends, due := 0, time.Time{}
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
+		if !due.IsZero() && !now.Before(due) {
+			pace.Sent(now)
+			sends, due = sends+1, time.Time{}
+		}
+		if delay, queued := pace.Queue(interval, now); queued {
+			due = now.Add(delay)
+		}
+	}
+	return sends
+}
+
 // Guards against records of streams that wait for an interval of a large fleet at hosts
 // that begin few streams: a kill of all hosts then forgot the streams of the last half
 // second, and callers could not resume them.
@@ -23,18 +38,7 @@
 		}
 	})
 	Convey("Given a host that begins a stream each millisecond", t, func() {
-		var pace Pace
-		sends, due := 0, time.Time{}
-		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
-			if !due.IsZero() && !now.Before(due) {
-				pace.Sent(now)
-				sends, due = sends+1, time.Time{}
-			}
-			if delay, queued := pace.Queue(interval, now); queued {
-				due = now.Add(delay)
-			}
-		}
-		So(sends, ShouldBeLessThanOrEqualTo, 41)
+		So(sendsInTenSeconds(Pace{}, interval, start), ShouldBeLessThanOrEqualTo, 41)
 	})
 }
 
@@ -63,18 +67,7 @@
 		})
 	})
 	Convey("Given a host that begins a stream each millisecond from its start, it makes no more sends than without", t, func() {
-		pace := Pace{Burst: 4}
-		sends, due := 0, time.Time{}
-		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
-			if !due.IsZero() && !now.Before(due) {
-				pace.Sent(now)
-				sends, due = sends+1, time.Time{}
-			}
-			if delay, queued := pace.Queue(interval, now); queued {
-				due = now.Add(delay)
-			}
-		}
-		So(sends, ShouldBeLessThanOrEqualTo, 41)
+		So(sendsInTenSeconds(Pace{Burst: 4}, interval, start), ShouldBeLessThanOrEqualTo, 41)
 	})
 }
 
