--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -22,21 +21,6 @@
 )
 
 const (
-	// dialTimeout bounds the set-up of a connection. A round trip between zones
-	// takes a few milliseconds and accepting a connection about one, so a longer
-	// wait means a lost packet or an upstream that is unreachable.
-	dialTimeout = 250 * time.Millisecond
-	// keepAliveIdle and keepAliveInterval detect silent connections within
-	// keepAliveCount+1 seconds, less than the longest gap within a stream.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-	// unackedTimeout closes a connection on which sent bytes remain
-	// unacknowledged.
-	unackedTimeout = 4 * time.Second
-	// tcpUserTimeout is the number of the socket option TCP_USER_TIMEOUT, which
-	// package syscall lacks.
-	tcpUserTimeout = 0x12
 	// maxBufferedBody is the length up to which a body fits into the buffers of a socket,
 	// so that its write does not wait for the upstream.
 	maxBufferedBody = 16 << 10
@@ -165,60 +149,6 @@
 // whole reports whether the answer is complete, whatever becomes of the connection.
 func (o outcome) whole() bool { return o.exchange != nil && o.end.Err == nil && o.end.Framed }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockoptErr error
-			err := raw.Control(func(fd uintptr) {
-				sockoptErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, sockoptErr)
-		},
-	}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("connect to upstream %s; check that it runs and can be reached: %w", address, err)
-	}
-	return socket, nil
-}
-
-// verifyTimeout bounds the verification of a new connection: one request and its answer.
-const verifyTimeout = 250 * time.Millisecond
-
-// dialVerified sets up a connection and verifies it if the target asks for that.
-func dialVerified(ctx context.Context, target Target) (net.Conn, error) {
-	socket, err := dial(ctx, target.Address)
-	if err != nil || target.Verify == nil {
-		return socket, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	interrupted := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	err = target.Verify(ctx, socket)
-	if !interrupted() && err == nil {
-		err = ctx.Err()
-	}
-	if err != nil {
-		_ = socket.Close()
-		return nil, fmt.Errorf("the process of upstream %s at %s could not be verified: %w", target.Upstream, target.Address, err)
-	}
-	return socket, nil
-}
-
-// Probe connects to an upstream and closes the connection without sending
-// anything. Its error tells why no connection could be established.
-func Probe(ctx context.Context, address string) error {
-	socket, err := dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	return socket.Close()
-}
-
 func newConnection(pool *Pool, upstream core.UpstreamID, socket net.Conn, decode DecodeHead) *Connection {
 	received := &limitedReader{source: socket}
 	return &Connection{
