--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,6 +29,13 @@
 	flushTimeout = 300 * time.Millisecond
 )
 
+// lossName is the name of loggers whose lines tell of lost requests.
+const lossName = "loss"
+
+// Losses returns a logger for lines that tell of a lost request. They are not sampled
+// with other lines.
+func Losses(log *zap.Logger) *zap.Logger { return log.Named(lossName) }
+
 // Log is the task that owns the stream and writes lines to it.
 type Log struct {
 	lines            chan []byte
