Answer callers at the limit of open connections

Callers saw a reset or an end of their connection after they had sent a whole request: the server closed each connection beyond its limit at once, unread, although idle connections could have made room and although it had descriptors to answer with.

At the limit, the connection that has been idle for longest, 500 ms at least, now makes room: it is closed as soon as it is idle, or with its next answer if a request has arrived on it. If none can, the request is refused (overloaded, with a time to come back) over one of few connections that are kept back for that, a 32nd of the limit, within 1 s. Beyond these, connections wait to be accepted, which ends within milliseconds. decide/connlimit decides, with a stateful test; the server keeps its table.

--- /dev/null
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -0,0 +1,107 @@
+package connlimit
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a host that closes a connection with a request, or one that has been
+// idle for less long than another, to make room, and against one that refuses although
+// it could make room.
+func TestOnlyTheLongestIdleConnectionMakesRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := New[int](rapid.IntRange(2, 70).Draw(t, "limit"))
+		now, next := start, 0
+		// idle has the times since which connections are idle, busy the others.
+		idle, busy := map[int]time.Time{}, map[int]bool{}
+		pick := func(t *rapid.T) (int, bool) {
+			keys := make([]int, 0, len(idle)+len(busy))
+			for key := range next {
+				if _, found := idle[key]; found || busy[key] {
+					keys = append(keys, key)
+				}
+			}
+			if len(keys) == 0 {
+				return 0, false
+			}
+			return rapid.SampledFrom(keys).Draw(t, "connection"), true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				if table.Full() {
+					return
+				}
+				oldest, found := start, false
+				for _, since := range idle {
+					if !found || since.Before(oldest) {
+						oldest, found = since, true
+					}
+				}
+				atLimit := table.Len() >= table.limit
+				verdict, evicted, evict := table.Open(next, now)
+				hasRoom := found && now.Sub(oldest) >= minIdle
+				if evict != (atLimit && hasRoom) || (verdict == Refuse) != (atLimit && !hasRoom) {
+					t.Fatalf("verdict %d, evict %t with %d open of %d", verdict, evict, table.Len(), table.limit)
+				}
+				if evict {
+					if since, found := idle[evicted]; !found || !since.Equal(oldest) {
+						t.Fatalf("connection %d was evicted, which is not the longest idle", evicted)
+					}
+					delete(idle, evicted)
+					busy[evicted] = true
+				}
+				if verdict == Serve {
+					idle[next] = now
+				} else {
+					busy[next] = true
+				}
+				next++
+			},
+			"request": func(t *rapid.T) {
+				if key, found := pick(t); found {
+					table.Busy(key)
+					delete(idle, key)
+					busy[key] = true
+				}
+			},
+			"answer": func(t *rapid.T) {
+				if key, found := pick(t); found && busy[key] {
+					table.Idle(key, now)
+					delete(busy, key)
+					idle[key] = now
+				}
+			},
+			"close": func(t *rapid.T) {
+				if key, found := pick(t); found {
+					table.Close(key)
+					delete(idle, key)
+					delete(busy, key)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if table.Len() != len(idle)+len(busy) || table.Len() > table.limit+table.reserve {
+					t.Fatalf("%d open, want %d, at most %d", table.Len(), len(idle)+len(busy), table.limit+table.reserve)
+				}
+			},
+		})
+	})
+}
+
+// Guards against a reserve that takes the whole limit, or is none.
+func TestAPartOfTheLimitIsKeptForRefusals(t *testing.T) {
+	Convey("The reserve is a small part of the limit, and never none", t, func() {
+		for limit, reserve := range map[int]int{0: 1, 2: 1, 100: 3, 2900: 90} {
+			table := New[int](limit)
+			So(table.reserve, ShouldEqual, reserve)
+			So(table.limit, ShouldEqual, max(limit, 2)-reserve)
+		}
+	})
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -70,7 +70,9 @@
 	// If ctx ends first, CloseIdle reports it.
 	_ = task.Sleep(ctx, balancerWait)
 	if err := e.front.CloseIdle(ctx); err != nil {
-		e.options.Log.Warn("grace period ended before all requests finished; ending them", zap.String("event", "drain_incomplete"), zap.Error(err))
+		open, _ := e.front.Open(context.WithoutCancel(ctx))
+		e.options.Log.Warn("grace period ended before all requests finished; ending them",
+			zap.String("event", "drain_incomplete"), zap.Int("open", open), zap.Error(err))
 		e.endRequests()
 	}
 	e.returnTokens()
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -32,6 +32,12 @@
 	// newConnectionWait is how long a draining host waits for the request on a
 	// new connection.
 	newConnectionWait = 500 * time.Millisecond
+	// refusedRequestWait is how long a host at its limit of open connections waits for a
+	// request that it will refuse.
+	refusedRequestWait = time.Second
+	// limitRetryAfter is the retry delay given by a host at its limit of open
+	// connections, in which some of them become idle.
+	limitRetryAfter = 500 * time.Millisecond
 	// defaultIdleTimeout and the other defaults apply until a configuration is
 	// known.
 	defaultIdleTimeout   = 15 * time.Second
@@ -45,6 +51,10 @@
 // maxTrailers limits the trailer lines after a chunked body, which are discarded.
 const maxTrailers = 32
 
+// errNoConnection refuses a request on a connection for which there is no room.
+var errNoConnection = gateway.Refuse(gateway.Overloaded, limitRetryAfter,
+	"this host has as many connections open as it can keep, and none of them is idle; send the request again later")
+
 // errNoMemory refuses a request of which the body does not fit into the host's memory
 // beside those of other requests.
 var errNoMemory = gateway.Refuse(gateway.Overloaded, gateway.DrainRetryAfter,
@@ -67,12 +77,17 @@
 	peeking      bool
 	// served is true once a request was read.
 	served bool
+	// evicted is closed by the server when the connection is to make room for another.
+	evicted chan struct{}
+	// refusing is true if the connection's request is refused, as the host is at its limit
+	// of open connections.
+	refusing bool
 }
 
 func newConnection(server *Server, socket net.Conn) *connection {
 	return &connection{
 		server: server, socket: socket, reader: bufio.NewReaderSize(socket, readBufferSize),
-		peekRequests: make(chan struct{}, 1), peekResults: make(chan error, 1),
+		peekRequests: make(chan struct{}, 1), peekResults: make(chan error, 1), evicted: make(chan struct{}),
 	}
 }
 
@@ -83,12 +98,18 @@
 	defer close(c.peekRequests)
 	go c.peekLoop(cancel)
 	for c.awaitRequest(ctx) {
+		c.tell(connectionBusy{c})
 		if !c.serveRequest(ctx) {
 			return
 		}
+		c.tell(connectionIdle{c})
 	}
 }
 
+// tell reports to the server. It waits while the inbox is full, as the server must know
+// which connections are idle.
+func (c *connection) tell(message any) { _ = c.server.inbox.Send(context.Background(), message) }
+
 // peekLoop waits for the next byte once per value on peekRequests. It cancels the
 // request in progress when the caller has closed the connection.
 func (c *connection) peekLoop(cancel context.CancelFunc) {
@@ -137,6 +158,8 @@
 			stopping = nil
 			idle.Reset(newConnectionWait)
 			since = c.server.config.Now().Add(newConnectionWait - c.idleTimeout(ctx))
+		case <-c.evicted:
+			return c.interruptPeek()
 		case <-ctx.Done():
 			return c.interruptPeek()
 		}
@@ -156,6 +179,9 @@
 }
 
 func (c *connection) idleTimeout(ctx context.Context) time.Duration {
+	if c.refusing {
+		return refusedRequestWait
+	}
 	if limit := c.server.config.Limits.Limits(ctx).IdleTimeout; limit > 0 {
 		return limit
 	}
@@ -171,6 +197,9 @@
 	if err != nil {
 		return c.refuseUnreadable(err)
 	}
+	if c.refusing {
+		return c.refuseUnreadable(errNoConnection)
+	}
 	arrived := c.server.config.Now()
 	memory := c.server.config.Buffers.Account()
 	defer memory.Close()
@@ -209,7 +238,14 @@
 }
 
 // closing reports whether the next answer ends the connection.
-func (c *connection) closing() bool { return c.draining() || c.server.config.Away() }
+func (c *connection) closing() bool {
+	select {
+	case <-c.evicted:
+		return true
+	default:
+		return c.draining() || c.server.config.Away()
+	}
+}
 
 // refuseUnreadable answers a request that could not be read and ends the
 // connection, since where the next request begins is not known.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/peridotreel/peridotreel/internal/decide/connlimit"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
@@ -55,8 +56,9 @@
 	// Away reports whether callers are to move to other hosts: answers then end their
 	// connections. nil means that they are not.
 	Away func() bool
-	// MaxConnections limits the open connections; further ones are closed
-	// immediately.
+	// MaxConnections limits the open connections. At the limit, the connection that has
+	// been idle for longest is closed for a new one; if none is idle, the requests of new
+	// ones are refused.
 	MaxConnections int
 }
 
@@ -70,8 +72,16 @@
 	closingIdle chan struct{}
 }
 
-type connectionOpened struct{ socket net.Conn }
-type connectionClosed struct{ socket net.Conn }
+// connectionOpened asks to serve a new connection. room is answered once another one may
+// be accepted.
+type connectionOpened struct {
+	socket net.Conn
+	room   chan<- struct{}
+}
+type connectionIdle struct{ connection *connection }
+type connectionBusy struct{ connection *connection }
+type connectionClosed struct{ connection *connection }
+type askOpen struct{ reply chan<- int }
 type beginDrain struct{}
 type acceptEnded struct{}
 type closeIdle struct{ reply chan<- struct{} }
@@ -100,6 +110,12 @@
 	return err
 }
 
+// Open returns the number of open connections. The error is task.ErrStopped, or that of
+// ctx.
+func (s *Server) Open(ctx context.Context) (int, error) {
+	return task.Ask(ctx, s.inbox, func(reply chan<- int) any { return askOpen{reply} })
+}
+
 // EndRequests ends the contexts of all requests with the cause gateway.ErrHostStopping,
 // so that their callers still get an answer, and closes the listener. Like Drain, it
 // waits while the inbox is full.
@@ -112,84 +128,145 @@
 	go s.accept(ctx)
 	requests, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	open := make(map[net.Conn]bool)
-	var idleReplies []chan<- struct{}
-	draining, closingIdle, accepting := false, false, true
-	defer func() {
-		_ = s.config.Listener.Close()
-		for socket := range open {
-			_ = socket.Close()
-		}
-	}()
+	state := serverState{
+		server: s, requests: requests, endRequests: end, open: make(map[*connection]bool),
+		table: connlimit.New[*connection](s.config.MaxConnections), accepting: true,
+	}
+	defer state.closeAll()
 	for {
 		select {
 		case message := <-s.inbox.Messages():
-			switch m := message.(type) {
-			case connectionOpened:
-				if len(open) >= s.config.MaxConnections {
-					s.config.Log.Warn("new connection closed because the limit of open connections is reached", zap.String("event", "connection_limit"), zap.Int("open", len(open)))
-					_ = m.socket.Close()
-					break
-				}
-				open[m.socket] = true
-				go s.serve(requests, m.socket)
-			case connectionClosed:
-				delete(open, m.socket)
-			case acceptEnded:
-				accepting = false
-			case beginDrain:
-				if !draining {
-					draining = true
-					close(s.draining)
-				}
-			case closeIdle:
-				if !closingIdle {
-					closingIdle = true
-					close(s.closingIdle)
-				}
-				idleReplies = append(idleReplies, m.reply)
-			case endRequests:
-				end(gateway.ErrHostStopping)
-				_ = s.config.Listener.Close()
-			}
+			state.handle(message)
 		case <-ctx.Done():
 			return
 		}
-		if closingIdle && len(open) == 0 {
-			// A connection that was accepted in the meantime is still served.
-			_ = s.config.Listener.Close()
+		state.advance()
+	}
+}
+
+// serverState is the state of Run.
+type serverState struct {
+	server      *Server
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	open        map[*connection]bool
+	table       *connlimit.Table[*connection]
+	// waiting is answered once another connection may be accepted.
+	waiting     chan<- struct{}
+	idleReplies []chan<- struct{}
+	draining    bool
+	closingIdle bool
+	accepting   bool
+	// refusing is true from the first connection that is refused at the limit until one
+	// is served.
+	refusing bool
+}
+
+func (t *serverState) handle(message any) {
+	switch m := message.(type) {
+	case connectionOpened:
+		t.admit(m)
+	case connectionIdle:
+		t.table.Idle(m.connection, t.server.config.Now())
+	case connectionBusy:
+		t.table.Busy(m.connection)
+	case connectionClosed:
+		delete(t.open, m.connection)
+		t.table.Close(m.connection)
+	case askOpen:
+		m.reply <- len(t.open)
+	case acceptEnded:
+		t.accepting = false
+	case beginDrain:
+		if !t.draining {
+			t.draining = true
+			close(t.server.draining)
 		}
-		if len(open) == 0 && !accepting {
-			for _, reply := range idleReplies {
-				reply <- struct{}{}
-			}
-			idleReplies = nil
+	case closeIdle:
+		if !t.closingIdle {
+			t.closingIdle = true
+			close(t.server.closingIdle)
 		}
+		t.idleReplies = append(t.idleReplies, m.reply)
+	case endRequests:
+		t.endRequests(gateway.ErrHostStopping)
+		_ = t.server.config.Listener.Close()
+	}
+}
+
+// admit serves a new connection, or refuses its request if none can make room for it.
+func (t *serverState) admit(opened connectionOpened) {
+	c := newConnection(t.server, opened.socket)
+	verdict, evicted, evict := t.table.Open(c, t.server.config.Now())
+	if evict {
+		close(evicted.evicted)
+	}
+	c.refusing = verdict == connlimit.Refuse
+	if c.refusing != t.refusing {
+		t.refusing = c.refusing
+		t.server.config.Log.Warn("whether requests of new connections are refused at the limit of open connections has changed",
+			zap.String("event", "connection_limit"), zap.Bool("refusing", c.refusing), zap.Int("open", t.table.Len()))
 	}
+	t.open[c] = true
+	t.waiting = opened.room
+	go t.server.serve(t.requests, c)
 }
 
+// advance takes the steps that have become possible with the latest message.
+func (t *serverState) advance() {
+	if t.waiting != nil && !t.table.Full() {
+		t.waiting <- struct{}{}
+		t.waiting = nil
+	}
+	if t.closingIdle && len(t.open) == 0 {
+		// A connection that was accepted in the meantime is still served.
+		_ = t.server.config.Listener.Close()
+	}
+	if len(t.open) == 0 && !t.accepting {
+		for _, reply := range t.idleReplies {
+			reply <- struct{}{}
+		}
+		t.idleReplies = nil
+	}
+}
+
+func (t *serverState) closeAll() {
+	_ = t.server.config.Listener.Close()
+	for c := range t.open {
+		_ = c.socket.Close()
+	}
+}
+
+// accept accepts connections until the listener is closed or ctx ends.
 func (s *Server) accept(ctx context.Context) {
 	defer func() { _ = s.inbox.Send(context.WithoutCancel(ctx), acceptEnded{}) }()
 	for {
 		socket, err := s.config.Listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
-				return
-			}
+		switch {
+		case err == nil:
+		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+			return
+		default:
 			s.config.Log.Warn("accepting a connection failed", zap.String("event", "accept_failed"), zap.Error(err))
 			if task.Sleep(ctx, acceptRetry) != nil {
 				return
 			}
 			continue
 		}
-		if s.inbox.Send(ctx, connectionOpened{socket}) != nil {
+		room := make(chan struct{}, 1)
+		if s.inbox.Send(ctx, connectionOpened{socket, room}) != nil {
 			_ = socket.Close()
 			return
 		}
+		select {
+		case <-room:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-func (s *Server) serve(ctx context.Context, socket net.Conn) {
-	newConnection(s, socket).run(ctx)
-	_ = s.inbox.Send(context.WithoutCancel(ctx), connectionClosed{socket})
+func (s *Server) serve(ctx context.Context, c *connection) {
+	c.run(ctx)
+	_ = s.inbox.Send(context.WithoutCancel(ctx), connectionClosed{c})
 }
