Look for a request that has arrived before a connection is closed

Callers whose request had reached the host, but had not been read by the process as the idle limit passed or the host closed idle connections, got a reset: the expired read deadline ends the wait even if the kernel has bytes, and closing a socket with unread bytes resets it. A process that is short of processor time, or that stood still, wakes with both at once.

After an interrupted wait the connection is read once more, for 20 ms at most, and a request that is there is served. TestARequestThatHasArrivedAsTheIdleLimitPassesIsAnswered fails without the change (read: connection reset by peer) and passes with it, under the race detector.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -169,11 +169,15 @@
 // past is a read deadline that interrupts a read at once.
 var past = time.Unix(1, 0)
 
-// interruptPeek ends the wait for the first byte of a request. It reports whether the
-// peek goroutine has read one all the same.
+// interruptPeek ends the wait for the first byte of a request. It reports whether there
+// is one all the same, which the kernel may have received a moment ago.
 func (c *connection) interruptPeek() bool {
 	_ = c.socket.SetReadDeadline(past)
 	err := <-c.peekResults
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = c.socket.SetReadDeadline(time.Now().Add(lastLookTimeout))
+		_, err = c.reader.Peek(1)
+	}
 	c.peeking = false
 	return err == nil
 }
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,3 +161,50 @@
 		})
 	})
 }
+
+// slowReader is a connection whose reads find what has arrived only once a deadline has
+// interrupted them, as those of a process that was short of processor time.
+type slowReader struct {
+	net.Conn
+	interrupted chan struct{}
+	interrupt   sync.Once
+}
+
+func (s *slowReader) Read(buffer []byte) (int, error) {
+	select {
+	case <-s.interrupted:
+		return s.Conn.Read(buffer)
+	default:
+		<-s.interrupted
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+func (s *slowReader) SetReadDeadline(deadline time.Time) error {
+	if deadline.Equal(past) {
+		s.interrupt.Do(func() { close(s.interrupted) })
+		return nil
+	}
+	return s.Conn.SetReadDeadline(deadline)
+}
+
+// Guards against closing a connection on which a request has arrived that the process has
+// not read yet: its caller gets a reset.
+func TestARequestThatHasArrivedAsTheIdleLimitPassesIsAnswered(t *testing.T) {
+	Convey("Given a request that has arrived and is not read as the idle limit passes", t, func() {
+		listener := listen()
+		Reset(func() { _ = listener.Close() })
+		l := startLimitedServer(newPipeListener())
+		l.server.config.Limits = limits{IdleTimeout: shortIdleLimit}
+		own, err := net.Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(own, plainRequest)
+		So(err, ShouldBeNil)
+		served, err := listener.Accept()
+		So(err, ShouldBeNil)
+		go newConnection(l.server, &slowReader{Conn: served, interrupted: make(chan struct{})}).run(context.Background())
+		got, err := readReply(bufio.NewReader(own))
+		So(err, ShouldBeNil)
+		So(got.body, ShouldEqual, "/x")
+	})
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -24,6 +24,10 @@
 	// inboxCapacity is the number of messages buffered when many connections
 	// open or close at once.
 	inboxCapacity = 256
+	// lastLookTimeout limits the wait for what the kernel has received before the server
+	// ends its wait for it, as a request that is not read yet. It covers the delay of a
+	// process that is short of processor time.
+	lastLookTimeout = 20 * time.Millisecond
 )
 
 // Codec decodes requests and encodes refusals.
