Answer connections that wait to be accepted as the host stops

Callers whose connection the kernel had accepted, but the process had not yet, got a reset when the stopping host closed its listener. That happens where the process is short of processor time, or at the limit of connections.

The accepting goroutine is interrupted instead, takes what waits within 20 ms, and closes the listener itself. Their requests are served while the host waits for others to finish, and refused (draining) once it ends its requests. TestConnectionsThatWaitAsTheHostStopsAreAnswered fails without the change (connection reset by peer, both cases) and passes with it, three times under the race detector.

--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -208,3 +208,50 @@
 		So(got.body, ShouldEqual, "/x")
 	})
 }
+
+// slowListener accepts nothing until it may.
+type slowListener struct {
+	*net.TCPListener
+	may chan struct{}
+}
+
+func (s *slowListener) Accept() (net.Conn, error) {
+	<-s.may
+	return s.TCPListener.Accept()
+}
+
+// Guards against a host that stops while connections wait to be accepted, and closes them
+// with the requests that they bring.
+func TestConnectionsThatWaitAsTheHostStopsAreAnswered(t *testing.T) {
+	for name, stop := range map[string]func(*Server){
+		"closes idle connections": func(s *Server) {
+			s.Drain()
+			go func() { _ = s.CloseIdle(context.Background()) }()
+			<-s.closingIdle
+		},
+		"ends requests": func(s *Server) {
+			s.Drain()
+			s.EndRequests()
+		},
+	} {
+		Convey("Given connections that are not accepted as the host "+name, t, func() {
+			listener := &slowListener{listen().(*net.TCPListener), make(chan struct{})}
+			l := startLimitedServer(listener)
+			var waiting []net.Conn
+			for range limitedConnections - 1 {
+				connection := l.dial()
+				_, err := io.WriteString(connection, plainRequest)
+				So(err, ShouldBeNil)
+				waiting = append(waiting, connection)
+			}
+			stop(l.server)
+			waitUntilAccepted(l, 0)
+			close(listener.may)
+			for _, connection := range waiting {
+				got, err := readReply(bufio.NewReader(connection))
+				So(err, ShouldBeNil)
+				So(got.close, ShouldBeTrue)
+			}
+		})
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,8 +26,8 @@
 	// open or close at once.
 	inboxCapacity = 256
 	// lastLookTimeout limits the wait for what the kernel has received before the server
-	// ends its wait for it, as a request that is not read yet. It covers the delay of a
-	// process that is short of processor time.
+	// ends its wait for it: a connection that is not accepted yet, or a request that is
+	// not read yet. It covers the delay of a process that is short of processor time.
 	lastLookTimeout = 20 * time.Millisecond
 )
 
@@ -161,6 +162,8 @@
 	draining    bool
 	closingIdle bool
 	accepting   bool
+	// endingAccept is true once endAccepting was called.
+	endingAccept bool
 	// refusing is true from the first connection that is refused at the limit until one
 	// is served.
 	refusing bool
@@ -194,7 +197,7 @@
 		t.idleReplies = append(t.idleReplies, m.reply)
 	case endRequests:
 		t.endRequests(gateway.ErrHostStopping)
-		_ = t.server.config.Listener.Close()
+		t.endAccepting()
 	}
 }
 
@@ -224,7 +227,7 @@
 	}
 	if t.closingIdle && len(t.open) == 0 {
 		// A connection that was accepted in the meantime is still served.
-		_ = t.server.config.Listener.Close()
+		t.endAccepting()
 	}
 	if len(t.open) == 0 && !t.accepting {
 		for _, reply := range t.idleReplies {
@@ -241,15 +244,45 @@
 	}
 }
 
-// accept accepts connections until the listener is closed or ctx ends.
+// deadlineListener is a listener of which a blocked Accept can be interrupted.
+type deadlineListener interface {
+	SetDeadline(deadline time.Time) error
+}
+
+// endAccepting lets accept close the listener once it has taken the connections that wait
+// to be accepted.
+func (t *serverState) endAccepting() {
+	if t.endingAccept {
+		return
+	}
+	t.endingAccept = true
+	if listener, ok := t.server.config.Listener.(deadlineListener); ok {
+		_ = listener.SetDeadline(past)
+		return
+	}
+	_ = t.server.config.Listener.Close()
+}
+
+// accept accepts connections until the listener is closed, ctx ends, or endAccepting was
+// called and no connection waits.
 func (s *Server) accept(ctx context.Context) {
 	defer func() { _ = s.inbox.Send(context.WithoutCancel(ctx), acceptEnded{}) }()
+	ending := false
 	for {
 		socket, err := s.config.Listener.Accept()
 		switch {
 		case err == nil:
 		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded) && ending:
+			_ = s.config.Listener.Close()
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			ending = true
+			if listener, ok := s.config.Listener.(deadlineListener); ok {
+				_ = listener.SetDeadline(time.Now().Add(lastLookTimeout))
+			}
+			continue
 		default:
 			s.config.Log.Warn("accepting a connection failed", zap.String("event", "accept_failed"), zap.Error(err))
 			if task.Sleep(ctx, acceptRetry) != nil {
