Read all lines of logs, whatever their file is like

explain ended with an error at the first line over 1 MiB, and read compressed files as lines without meaning, so that a single odd line or a rotated file hid all lines of a host.

The reading moves to read.go and gzip.go and is shared by all modes. A line is read up to 16 MiB; a longer one is skipped and counted. Gzip is known by its content; members may follow each other, and text may follow them. A damaged member, as that of a host that was killed, is read as far as it goes, and the rest is searched for lines as text. Runs of lines that cannot be read are kept with the times of the lines around them. A rotated file belongs to the host of the file without the suffix. The tests of the other modes change only in how they call Read.

The tests fail with the reader of before (the one of a failed read passes, it guards what holds already) and pass under the race detector.

--- a/cmd/peridotreel/explain.go
+++ b/cmd/peridotreel/explain.go
@@ -66,22 +66,6 @@
 }
 
 func readLogs(names []string) ([]explain.Line, error) {
-	if len(names) == 0 {
-		lines, _, err := explain.Read("stdin", os.Stdin)
-		return lines, err
-	}
-	var all []explain.Line
-	for _, name := range names {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, fmt.Errorf("open a log file: %w; give the paths of readable files", err)
-		}
-		lines, _, err := explain.Read(name, file)
-		_ = file.Close()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, lines...)
-	}
-	return all, nil
+	log, err := explain.ReadFiles(names, os.Stdin)
+	return log.Lines, err
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -3,9 +3,6 @@
 package explain
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -13,61 +10,6 @@
 	"time"
 )
 
-// maxLineBytes limits a log line. A longer one ends Read with an error.
-const maxLineBytes = 1 << 20
-
-// Line is one log line.
-type Line struct {
-	Time time.Time
-	// Host is the last word before the JSON, which names the host in a file that
-	// has the lines of several hosts, or the file's name if there is no such word.
-	Host   string
-	Event  string
-	Fields map[string]any
-}
-
-// Read returns the log lines of a stream. The last word before the first brace of
-// a line names the host. Lines that are not JSON objects with a time and an event
-// are skipped and counted.
-func Read(name string, in io.Reader) (lines []Line, skipped int, err error) {
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxLineBytes)
-	for scanner.Scan() {
-		line, ok := parseLine(name, scanner.Bytes())
-		if !ok {
-			skipped++
-			continue
-		}
-		lines = append(lines, line)
-	}
-	if err := scanner.Err(); err != nil {
-		return nil, 0, fmt.Errorf("read %s: %w; give log files with one JSON object per line", name, err)
-	}
-	return lines, skipped, nil
-}
-
-func parseLine(name string, raw []byte) (Line, bool) {
-	brace := bytes.IndexByte(raw, '{')
-	if brace < 0 {
-		return Line{}, false
-	}
-	line := Line{Host: name}
-	if err := json.Unmarshal(raw[brace:], &line.Fields); err != nil {
-		return Line{}, false
-	}
-	if words := strings.Fields(string(raw[:brace])); len(words) > 0 {
-		line.Host = words[len(words)-1]
-	}
-	line.Event, _ = line.Fields["event"].(string)
-	stamp, _ := line.Fields["time"].(string)
-	at, err := time.Parse(time.RFC3339Nano, stamp)
-	if err != nil || line.Event == "" {
-		return Line{}, false
-	}
-	line.Time = at
-	return line, true
-}
-
 // sections are the titles and fields of the parts into which a request's line is
 // split, in the order of cause and effect.
 var sections = []struct {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -23,18 +23,18 @@
 // that includes events of other hosts or of upstreams that were not tried.
 func TestExplainRequest(t *testing.T) {
 	Convey("Given the mixed lines of two hosts", t, func() {
-		lines, skipped, err := Read("file", strings.NewReader(logs))
+		log, err := Read("file", strings.NewReader(logs))
 		So(err, ShouldBeNil)
-		So(skipped, ShouldEqual, 2)
+		So(log.Skipped, ShouldEqual, 2)
 		var out strings.Builder
-		So(WriteRequest(&out, lines, "r1"), ShouldBeTrue)
+		So(WriteRequest(&out, log.Lines, "r1"), ShouldBeTrue)
 		So(out.String(), ShouldContainSubstring, "outcome=balance_unavailable")
 		So(out.String(), ShouldContainSubstring, "1s earlier: store_lost error=timeout table=balances")
 		So(out.String(), ShouldNotContainSubstring, "other host")
 		So(out.String(), ShouldNotContainSubstring, "u1")
-		So(WriteRequest(&out, lines, "r2"), ShouldBeFalse)
+		So(WriteRequest(&out, log.Lines, "r2"), ShouldBeFalse)
 		out.Reset()
-		WriteEvents(&out, lines, time.Date(2026, 1, 1, 0, 0, 1, 200, time.UTC), "store_lost")
+		WriteEvents(&out, log.Lines, time.Date(2026, 1, 1, 0, 0, 1, 200, time.UTC), "store_lost")
 		So(strings.Count(out.String(), "\n"), ShouldEqual, 1)
 	})
 }
--- a/internal/explain/refusals_test.go
+++ b/internal/explain/refusals_test.go
@@ -21,10 +21,10 @@
 // and against shares of lines that name no parts.
 func TestRefusalsAreCountedByCauseTeamAndTime(t *testing.T) {
 	Convey("Given the lines of refused and answered requests", t, func() {
-		lines, _, err := Read("file", strings.NewReader(refusalLogs))
+		log, err := Read("file", strings.NewReader(refusalLogs))
 		So(err, ShouldBeNil)
 		var out strings.Builder
-		So(WriteRefusals(&out, lines, time.Second), ShouldBeNil)
+		So(WriteRefusals(&out, log.Lines, time.Second), ShouldBeNil)
 		var rows []string
 		for _, row := range strings.Split(out.String(), "\n") {
 			rows = append(rows, strings.Join(strings.Fields(row), " "))
