Route log lines without an allocation

Each line's logger name was split into a slice to find out whether the line is of a loss, also for lines that the rate leaves out. It is now walked part by part.

--- a/internal/eventlog/losses.go
+++ b/internal/eventlog/losses.go
@@ -31,7 +31,12 @@
 
 // isLoss reports whether a logger's name is that of Losses or derived from it.
 func isLoss(loggerName string) bool {
-	return slices.Contains(strings.Split(loggerName, "."), lossName)
+	for name := range strings.SplitSeq(loggerName, ".") {
+		if name == lossName {
+			return true
+		}
+	}
+	return false
 }
 
 // budget limits lines to a burst and a rate.
