Take a balance without a known ledger after a return as granted

The play: a copy is made before the first ledger; 1,111 tokens are granted; the store returns to the copy; the ledger is reopened with 10,649 tokens lost; all processes are killed; their successors are granted 120 tokens, half of what is guaranteed. The store returns to the copy again. Of the three processes that know the ledger two are killed, and the next process of one begins a ledger without a base. The last one that knows (it has the 120 tokens) is killed before it reaches the store. Nobody corrects the ledger that was begun, in which nothing counts as lost, and 11,940 tokens are granted from it. No late write takes part, and no margin is too small: the absence of a record was taken for proof that there was none.

Any process can end before it reaches the store. The model excluded this case as "not covered", and its exclusion had a gap: a process that knew only the ledger that was begun counted as one that remembers.

A ledger that is begun in an era after the first now counts all but what a first ledger withholds as lost, like one that is reopened. It does not if its writer knows that the team is new: the configuration in the store lacked the team 5.5 s after the process knew of the era. Such a process also corrects a ledger that another one has begun. The director therefore tells when the configuration before a new one was last confirmed by the store.

The model has no exclusion any more.

--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -82,6 +82,8 @@
 	// carried is what was granted in earlier eras, until the ledger of this era has
 	// it.
 	carried *core.Tokens
+	// newIn is the era in which the team is known to be new, 0 if there is none.
+	newIn int64
 	// latest is the latest ledger of an earlier era that this process knows, until
 	// the ledger of this era is based on it.
 	latest *Ledger
--- a/internal/decide/allowance/model_steps_test.go
+++ b/internal/decide/allowance/model_steps_test.go
@@ -1,7 +1,6 @@
 package allowance
 
 import (
-	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -9,64 +8,6 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 )
 
-// knows reports whether a process knows a ledger.
-func (p *process) knows() bool {
-	h := p.holder
-	return h.ledger.Mark.Sequence > 0 || (h.latest != nil && h.latest.Mark.Sequence > 0)
-}
-
-// forgotten reports whether the store has no ledger of this era that is based on an
-// earlier one although there was one.
-func (w *simulation) forgotten() bool {
-	_, row := w.current()
-	if row.value.Mark.Sequence == 0 {
-		return w.written && w.era > firstEra
-	}
-	return row.value.Mark.Era == w.era && w.era > firstEra && row.value.Base.Mark.Sequence == 0
-}
-
-// knowing returns how many processes know a ledger.
-func (w *simulation) knowing() int {
-	count := 0
-	for _, p := range w.hosts {
-		if p.knows() {
-			count++
-		}
-	}
-	return count
-}
-
-// remember lets the processes that know a ledger write what they know if the store has
-// forgotten it.
-func (w *simulation) remember() {
-	for range 2 {
-		for _, p := range w.hosts {
-			if !w.forgotten() {
-				return
-			}
-			if !p.knows() {
-				continue
-			}
-			w.learnLedger(p)
-			if proposal, wanted := p.holder.Propose(w.now); wanted {
-				w.commitCertain(p, proposal)
-			}
-		}
-	}
-}
-
-// rememberBefore does so before a step that the rules do not allow earlier: time that
-// passes once a process has read that there is no ledger, and the end of the last process
-// that knows one.
-func (w *simulation) rememberBefore(step int, p *process) {
-	readNone := slices.ContainsFunc(w.hosts, func(p *process) bool { return p.known && !p.knows() })
-	switch {
-	case !w.emptyCopies || !w.forgotten():
-	case step == 15, step == 16, step == 6 && (len(w.ledgers) > 0 || readNone), step == 9 && p.knows() && w.knowing() == 1:
-		w.remember()
-	}
-}
-
 // drawStep draws a step. A kill of all processes is as rare as one of a single one.
 func (w *simulation) drawStep(t *rapid.T) int {
 	step := rapid.IntRange(0, w.lastStep).Draw(t, "step")
@@ -79,9 +20,7 @@
 func (w *simulation) step(t *rapid.T) {
 	i := rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")
 	p := w.hosts[i]
-	step := w.drawStep(t)
-	w.rememberBefore(step, p)
-	switch step {
+	switch w.drawStep(t) {
 	case 0, 1, 2, 10, 11:
 		amount := core.Tokens(rapid.IntRange(1, 1500).Draw(t, "amount"))
 		p.holder.AddDemand(amount, w.now)
@@ -120,8 +59,7 @@
 			w.copied, w.copiedAt = w.clone(), w.now
 		}
 	case 14:
-		remembered := !w.emptyCopies || !w.written || w.knowing() > 0
-		if w.copied != nil && w.now.Sub(w.copiedAt) <= MaxCopyAge && remembered {
+		if w.copied != nil && w.now.Sub(w.copiedAt) <= MaxCopyAge {
 			w.returnToCopy()
 		}
 	case 7:
--- a/internal/decide/allowance/model_test.go
+++ b/internal/decide/allowance/model_test.go
@@ -29,12 +29,8 @@
 	starts     int
 	// lastStep is the last of the steps that are drawn.
 	lastStep int
-	// emptyCopies is true if copies may be from before the first ledger. At least one
-	// process that knows a ledger then lives through a return to such a copy, and reaches
-	// the store within settlementTime.
+	// emptyCopies is true if copies may be from before the first ledger.
 	emptyCopies bool
-	// written is true once a ledger was written.
-	written bool
 }
 
 // stored is what the store keeps.
@@ -147,7 +143,7 @@
 		}
 		row := versioned[Ledger]{value: proposal.Ledger.clone()}
 		w.setVersion(&row.version)
-		w.ledgers[target], w.written = row, true
+		w.ledgers[target] = row
 		return true
 	}
 }
@@ -326,7 +322,7 @@
 
 // Guards against the same with copies from before the team's first ledger: a process that
 // starts then knows no ledger, and one that lives knows it without the latest commits of
-// those that have ended.
+// those that have ended. All that knew it may have ended.
 func TestAReturnToBeforeTheFirstLedgerSpendsNoBalanceTwice(t *testing.T) { simulate(t, 16, true) }
 
 // newSimulation returns a simulation of three hosts without a ledger.
--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -53,12 +53,42 @@
 }
 
 // begin makes a ledger the first one of an era after the first, without a base. The copy
-// may be from before a ledger that only other processes know, so that nothing is granted
-// for settlementTime. It guarantees no more than a ledger that they reopen.
+// may be from before a ledger that only other processes know, or that nobody knows any
+// more, so that all but what a first ledger withholds counts as lost unless the team is
+// known to be new. Nothing is granted for settlementTime, in which other processes may
+// correct it. It guarantees no more than a ledger that they reopen.
 func (h *Holder) begin(ledger *Ledger) {
 	_, inCopy := h.guaranteedIn(h.ledger)
 	ledger.Withheld = &Withheld{Amount: inCopy / 2}
 	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
+	if !h.teamIsNew() {
+		ledger.Lost = h.lostIn(*ledger, h.ledger)
+	}
+}
+
+// maxAnswerAge exceeds the time-out of the reads by which a host follows the
+// configuration: an answer tells what the store had at most so long before it arrived.
+const maxAnswerAge = 2500 * time.Millisecond
+
+// LackedAfterReturn reports whether a configuration that lacked a team shows that the
+// team is new in an era: it was the latest at a time at which the operator's writes of
+// before the return were there again. eraKnownAt is when this process first knew the era,
+// and lackedAt when it last learned that the configuration was the latest.
+func LackedAfterReturn(eraKnownAt, lackedAt time.Time) bool {
+	return !eraKnownAt.IsZero() && lackedAt.Sub(eraKnownAt) >= settlementTime+maxAnswerAge
+}
+
+// SetNew records that the team is new in an era: nothing was granted before the return
+// that began it.
+func (h *Holder) SetNew(era int64) { h.newIn = era }
+
+// teamIsNew reports whether no ledger of an earlier era can be missing.
+func (h *Holder) teamIsNew() bool { return h.newIn > 0 && h.newIn == h.era }
+
+// lostForNothing reports whether the stored ledger was begun by a process that did not
+// know that the team is new.
+func (h *Holder) lostForNothing() bool {
+	return h.teamIsNew() && h.ledger.Mark.Era == h.era && h.ledger.ReopenedAt > 0 && h.ledger.Base.Mark.Sequence == 0 && h.ledger.Lost > 0
 }
 
 // correct returns the stored ledger corrected by the latest one of an earlier era. If it
@@ -167,6 +197,9 @@
 		ledger, changed = h.reopen(), true
 	case h.rebaseDue():
 		ledger, changed = h.correct(), true
+	case h.lostForNothing():
+		ledger, changed = ledger.clone(), true
+		ledger.Lost = 0
 	}
 	if h.carried == nil {
 		return ledger, changed
--- a/internal/decide/allowance/reopen_test.go
+++ b/internal/decide/allowance/reopen_test.go
@@ -282,3 +282,99 @@
 		So(w.mayConsume(), ShouldBeLessThanOrEqualTo, w.prepaid)
 	})
 }
+
+// Guards against a balance that is granted again because nobody knows its first ledger any
+// more: the copy is from before it, and the last process that knew it ends after the return
+// before it reaches the store.
+func TestABalanceThatNobodyRemembersIsNotGrantedAgain(t *testing.T) {
+	Convey("Given a copy of before the first ledger", t, func() {
+		w := newSimulation()
+		w.copied = w.clone()
+		// end ends a process with all that it was granted, and starts the next of its host.
+		end := func(i int) {
+			w.endedSpent += w.hosts[i].holder.granted()
+			w.hosts[i] = w.start(w.hosts[i].id.Host)
+		}
+		grant := func() {
+			for _, p := range w.hosts {
+				w.readStore(p)
+			}
+			w.demandAll(2*settlementTime, w.hosts...)
+		}
+		staysWithinBalance := func(before core.Tokens) {
+			w.demandAll(MaxCopyAge+2*settlementTime, w.hosts...)
+			So(w.mayConsume(), ShouldBeLessThanOrEqualTo, w.prepaid)
+			So(w.mayConsume(), ShouldBeGreaterThan, before)
+		}
+		Convey("Nothing is granted twice if all processes end with the return", func() {
+			grant()
+			before := w.mayConsume()
+			w.returnToCopy()
+			for i := range w.hosts {
+				end(i)
+				w.readStore(w.hosts[i])
+			}
+			staysWithinBalance(before)
+		})
+		Convey("Nothing is granted twice if a process has begun a ledger when the last one that knew it ends, after two returns", func() {
+			w.readStore(w.hosts[2])
+			w.demandAll(0, w.hosts[2])
+			w.returnToCopy()
+			w.learnLedger(w.hosts[2])
+			w.demandAll(0, w.hosts[2])
+			for i := range w.hosts {
+				end(i)
+			}
+			grant()
+			before := w.mayConsume()
+			So(before, ShouldBeGreaterThan, 0)
+			w.returnToCopy()
+			for i := range w.hosts {
+				end(i)
+				w.readStore(w.hosts[i])
+				w.demandAll(0, w.hosts[i])
+			}
+			staysWithinBalance(before)
+		})
+	})
+}
+
+// Guards against a team of which most of the balance is lost although it was added after
+// the return: a process that starts with it begins its ledger.
+func TestATeamThatIsKnownToBeNewLosesNothing(t *testing.T) {
+	Convey("Given a process that starts in a later era with a team without a ledger", t, func() {
+		w := newSimulation()
+		w.copied = w.clone()
+		w.returnToCopy()
+		started, live := w.hosts[0], w.hosts[1]
+		live.holder.SetNew(w.era)
+		lost := func() core.Tokens {
+			_, row := w.current()
+			return row.value.Lost
+		}
+		w.readStore(started)
+		w.demandAll(0, started)
+		So(lost(), ShouldBeGreaterThan, w.prepaid*9/10)
+		Convey("One that knows that the team is new takes nothing for lost", func() {
+			w.readStore(live)
+			w.demandAll(0, live)
+			So(lost(), ShouldEqual, 0)
+			w.demandAll(2*settlementTime, started, live)
+			So(w.mayConsume(), ShouldBeGreaterThan, w.prepaid*8/10)
+			So(w.mayConsume(), ShouldBeLessThanOrEqualTo, w.prepaid)
+		})
+		Convey("After a further return it does not know that any more", func() {
+			w.returnToCopy()
+			w.readStore(live)
+			w.demandAll(0, live)
+			So(lost(), ShouldBeGreaterThan, w.prepaid*9/10)
+		})
+	})
+	Convey("A configuration without the team tells it once the operator's writes are there again", t, func() {
+		known := time.Unix(1000, 0)
+		So(LackedAfterReturn(known, known.Add(settlementTime)), ShouldBeFalse)
+		So(LackedAfterReturn(known, known.Add(settlementTime+maxAnswerAge)), ShouldBeTrue)
+		So(LackedAfterReturn(time.Time{}, known), ShouldBeFalse)
+		So(LackedAfterReturn(known, time.Time{}), ShouldBeFalse)
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,7 +154,7 @@
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
 		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
-		Changed: func(config *gateway.Config) { e.balances.Configure(config) },
+		Changed: e.balances.Configure,
 		Serving: func() { e.readiness.markServing() },
 		Forget:  pool.Drain, Dial: connpool.Probe,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
--- a/internal/tasks/balances/balances.go
+++ b/internal/tasks/balances/balances.go
@@ -68,8 +68,10 @@
 	// storeAwayUntil is the time until which the store counts as away for all
 	// teams.
 	storeAwayUntil time.Time
-	// era is the latest era of the store that is known.
-	era int64
+	// era is the latest era of the store that is known, and eraKnownAt when it was first
+	// known.
+	era        int64
+	eraKnownAt time.Time
 	// closeReply is set while the tokens are returned at the end of the process.
 	closeReply chan<- struct{}
 }
@@ -169,7 +171,11 @@
 	spent    core.Tokens
 }
 
-type setConfig struct{ config *gateway.Config }
+type setConfig struct {
+	config *gateway.Config
+	// before is when the configuration before it was last known to be the latest.
+	before time.Time
+}
 
 type setMembers []allowance.Member
 
@@ -215,9 +221,10 @@
 	_ = b.inbox.Send(context.Background(), settle{team, reserved, spent})
 }
 
-// Configure applies the configuration in force.
-func (b *Balances) Configure(config *gateway.Config) {
-	_ = b.inbox.Send(context.Background(), setConfig{config})
+// Configure applies the configuration in force. before is when the configuration that
+// this process had before was last known to be what the store had, zero if it was not.
+func (b *Balances) Configure(config *gateway.Config, before time.Time) {
+	_ = b.inbox.Send(context.Background(), setConfig{config, before})
 }
 
 // SetMembers sets the hosts that may own balances.
@@ -275,7 +282,7 @@
 			b.startCommit(ctx, a)
 		}
 	case setConfig:
-		b.configure(ctx, m.config)
+		b.configure(ctx, m.config, m.before)
 	case ledgerResult:
 		b.handleLedgerResult(ctx, m, now)
 	case setMembers:
@@ -314,7 +321,7 @@
 	}
 }
 
-func (b *Balances) configure(ctx context.Context, config *gateway.Config) {
+func (b *Balances) configure(ctx context.Context, config *gateway.Config, before time.Time) {
 	b.readRecord(ctx)
 	for name, team := range config.Teams {
 		if !team.Limited {
@@ -325,6 +332,9 @@
 			a = &account{name: name, holder: allowance.NewHolder(b.config.Process), rowKey: ledgerKey, unansweredAt: make(map[core.HostID]time.Time)}
 			b.teams[name] = a
 			b.boundEarlierProcess(ctx, a)
+			if allowance.LackedAfterReturn(b.eraKnownAt, before) {
+				a.holder.SetNew(b.era)
+			}
 			if b.retired {
 				a.holder.Retire()
 			}
@@ -358,7 +368,7 @@
 		// The store has an older record, which a next process would go by.
 		b.pledges.lastWrite, b.pledges.retryAt = time.Time{}, time.Time{}
 	}
-	b.era = era
+	b.era, b.eraKnownAt = era, b.config.Now()
 	for _, a := range b.teams {
 		known := a.holder.LedgerKnown()
 		a.holder.BeginEra(era)
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -31,16 +31,23 @@
 
 func (d *Director) applyConfigRow(row rowstore.Row) {
 	decoded, err := d.config.DecodeConfig(row.Value)
+	before := d.configConfirmed
+	if d.activeConfig == nil || d.configMalformed {
+		before = time.Time{}
+	}
+	d.configMalformed = err != nil
 	if err != nil {
 		d.config.Log.Error("failed to decode the configuration; keeping the active one",
 			zap.String("event", "config_malformed"), zap.String("row_version", row.Revision.String()), zap.Error(err))
 		return
 	}
-	d.applyConfig(decoded, "store")
+	d.applyConfig(decoded, "store", before)
 }
 
-// applyConfig activates a configuration if it is newer than the active one.
-func (d *Director) applyConfig(config *gateway.Config, source string) {
+// applyConfig activates a configuration if it is newer than the active one. before is
+// when the store last confirmed the active one; it is zero for one of a peer, which may be
+// from before a return of the store.
+func (d *Director) applyConfig(config *gateway.Config, source string, before time.Time) {
 	if d.activeConfig != nil && config.Version <= d.activeConfig.Version {
 		return
 	}
@@ -48,7 +55,7 @@
 	d.config.Log.Info("configuration applied", zap.String("event", "config_applied"),
 		zap.Int64("config_version", config.Version), zap.String("source", source),
 		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
-	d.config.Changed(config)
+	d.config.Changed(config, before)
 	d.announceServing(d.config.Now())
 }
 
--- a/internal/tasks/director/config_test.go
+++ b/internal/tasks/director/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 		director := New(Config{
 			ConfigTable: "config", ConfigKey: "current", Log: zap.NewNop(), Now: time.Now,
 			DecodeConfig: func([]byte) (*gateway.Config, error) { return &gateway.Config{Version: 3}, nil },
-			Changed:      func(*gateway.Config) {}, Serving: func() {},
+			Changed:      func(*gateway.Config, time.Time) {}, Serving: func() {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -55,3 +56,37 @@
 		So(state.Config.Version, ShouldEqual, 4)
 	})
 }
+
+// Guards against a team that is taken as new, so that its balance may be granted again,
+// because a configuration was the latest in the store only as far as the host could tell.
+func TestAConfigurationIsAppliedWithTheTimeAtWhichTheOneBeforeWasTheLatest(t *testing.T) {
+	Convey("Given a host that follows the configuration", t, func() {
+		var applied []time.Time
+		director := New(Config{
+			ConfigTable: "config", ConfigKey: "current", Log: zap.NewNop(), Now: time.Now,
+			DecodeConfig: func(raw []byte) (*gateway.Config, error) {
+				if len(raw) == 0 {
+					return nil, errors.New("malformed")
+				}
+				return &gateway.Config{Version: int64(raw[0])}, nil
+			},
+			Changed: func(_ *gateway.Config, before time.Time) { applied = append(applied, before) }, Serving: func() {},
+		})
+		start := time.Unix(1000, 0)
+		read := func(second int, rows ...[]byte) {
+			update := follower.Update{Table: "config", At: start.Add(time.Duration(second) * time.Second)}
+			for _, raw := range rows {
+				update.Rows = append(update.Rows, rowstore.Row{Key: "current", Value: raw})
+			}
+			director.applyUpdate(update)
+		}
+		read(0, []byte{1})
+		read(5)
+		read(6, []byte{2})
+		director.applyConfig(&gateway.Config{Version: 3}, "peer", time.Time{})
+		read(7, nil)
+		read(8, []byte{4})
+		read(9, []byte{5})
+		So(applied, ShouldResemble, []time.Time{{}, start.Add(5 * time.Second), {}, {}, start.Add(8 * time.Second)})
+	})
+}
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -43,8 +43,10 @@
 	Hosts int
 	Log   *zap.Logger
 	Now   func() time.Time
-	// Changed is called with each configuration that is applied.
-	Changed func(*gateway.Config)
+	// Changed is called with each configuration that is applied, and the time at which the
+	// one before it was last known to be the latest, zero if that does not tell what the
+	// store had.
+	Changed func(config *gateway.Config, before time.Time)
 	// Serving is called once, when requests are matched from then on.
 	Serving func()
 	// Forget is called with the upstreams that must get no new work.
@@ -71,6 +73,8 @@
 	peerConfigVersion int64
 	// configConfirmed is when the configuration was last known to be the latest.
 	configConfirmed time.Time
+	// configMalformed is true if the latest row of the configuration was not decoded.
+	configMalformed bool
 	rowsByID        map[string]rowstore.Row
 	// upstreamRows is the upstream list that is sent to peers. It is rebuilt with
 	// each change, because the slice is shared and must not be modified.
@@ -352,7 +356,7 @@
 		d.applyStoreHealth(m)
 	case offeredConfig:
 		if m.config != nil {
-			d.applyConfig(m.config, m.source)
+			d.applyConfig(m.config, m.source, time.Time{})
 		}
 		d.peerConfigVersion = max(d.peerConfigVersion, m.version)
 		d.confirmConfig(m.version, now.Add(-m.age))
--- a/internal/tasks/director/startup_test.go
+++ b/internal/tasks/director/startup_test.go
@@ -18,7 +18,7 @@
 		now, served := time.Unix(1000, 0), 0
 		director := New(Config{
 			Log: zap.NewNop(), Now: func() time.Time { return now },
-			Changed: func(*gateway.Config) {}, Serving: func() { served++ },
+			Changed: func(*gateway.Config, time.Time) {}, Serving: func() { served++ },
 		})
 		serves := func() bool { return director.configState(now).Config != nil }
 		readCrashes := func() {
