Serve a request that is found as the wait for it is interrupted

Cause: the wait for a request is interrupted by a read deadline, at the idle limit, for a new connection and in a stop. The goroutine that waits took this for the caller's leaving and cancelled the connection's context, so that a request that was found in the last look was served with a context that had ended: the pipeline gave it up as left by its caller and closed the connection without an answer.

Change: a wait that is interrupted cancels nothing.

Result: TestARequestThatIsFoundAsTheIdleLimitPassesIsNotCancelled failed before (3 of 3 runs, context canceled) and passes; go test -race ./internal/front passes 3 of 3 times.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -111,11 +111,12 @@
 func (c *connection) tell(message any) { _ = c.server.inbox.Send(context.Background(), message) }
 
 // peekLoop waits for the next byte once per value on peekRequests. It cancels the
-// request in progress when the caller has closed the connection.
+// request in progress when the caller has closed the connection, and not when the wait is
+// interrupted, as a request may be found then.
 func (c *connection) peekLoop(cancel context.CancelFunc) {
 	for range c.peekRequests {
 		_, err := c.reader.Peek(1)
-		if err != nil {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			cancel()
 		}
 		c.peekResults <- err
--- a/internal/front/idle_test.go
+++ b/internal/front/idle_test.go
@@ -143,3 +143,30 @@
 		}
 	})
 }
+
+// Guards against serving a request as if its caller had left, because the wait for it was
+// interrupted a moment before it was read.
+func TestARequestThatIsFoundAsTheIdleLimitPassesIsNotCancelled(t *testing.T) {
+	Convey("Given a request that has arrived and is not read as the idle limit passes", t, func() {
+		listener := listen()
+		Reset(func() { _ = listener.Close() })
+		l := startLimitedServer(newPipeListener())
+		l.server.config.Limits = limits{IdleTimeout: shortIdleLimit}
+		interruptions := make(chan error, 1)
+		l.server.config.Handler = handlerFunc(func(ctx context.Context, _ *gateway.Request, answer gateway.Answer) error {
+			interruptions <- ctx.Err()
+			return answer.Send(http.StatusOK, nil, nil)
+		})
+		own, err := net.Dial("tcp", listener.Addr().String()) //nolint:noctx // loopback
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(own, plainRequest)
+		So(err, ShouldBeNil)
+		served, err := listener.Accept()
+		So(err, ShouldBeNil)
+		go newConnection(l.server, &slowReader{Conn: served, interrupted: make(chan struct{})}).run(context.Background())
+		So(<-interruptions, ShouldBeNil)
+		got, err := readReply(bufio.NewReader(own))
+		So(err, ShouldBeNil)
+		So(got.status, ShouldEqual, http.StatusOK)
+	})
+}
