Count reports of ends in batches, and none without the task

Cause: each report woke the task, which cost more than to count it, and a server without the task could not report.

Change: reports wait in the inbox until half of it is full or the counts are asked for; the task is woken then. The counts still have all that was reported before they were asked for. Reports to a nil task are dropped.

--- a/internal/tasks/endings/endings.go
+++ b/internal/tasks/endings/endings.go
@@ -10,13 +10,26 @@
 	"github.com/peridotreel/peridotreel/internal/task"
 )
 
-// inboxCapacity is the number of messages buffered when many requests or connections
-// begin or end at once. Senders wait while it is full, as no end may be missing.
-const inboxCapacity = 1024
+const (
+	// inboxCapacity is the number of reports that wait to be counted. Senders wait while
+	// it is full, as no end may be missing.
+	inboxCapacity = 1024
+	// wakeLength is the number of waiting reports at which the task is woken to count
+	// them. To wake it for each costs more processor time than to count it.
+	wakeLength = inboxCapacity / 2
+	// asksCapacity is the number of buffered questions, which come from scrapes and the
+	// host's stop.
+	asksCapacity = 4
+)
 
-// Endings is the task.
+// Endings is the task. What is reported to a nil Endings is not counted.
+//
+// Reports wait until the task is asked for the counts, or until there are many of them.
 type Endings struct {
-	inbox   *task.Inbox[any]
+	reports *task.Inbox[any]
+	asks    *task.Inbox[askTotals]
+	// wake has an element if wakeLength reports wait.
+	wake    chan struct{}
 	account *endings.Account
 	lastID  atomic.Uint64
 }
@@ -35,7 +48,10 @@
 
 // New returns the task.
 func New() *Endings {
-	return &Endings{inbox: task.NewInbox[any](inboxCapacity), account: endings.NewAccount()}
+	return &Endings{
+		reports: task.NewInbox[any](inboxCapacity), asks: task.NewInbox[askTotals](asksCapacity), wake: make(chan struct{}, 1),
+		account: endings.NewAccount(),
+	}
 }
 
 // BeginRequest records that the first byte of a request was read, and returns the id
@@ -65,28 +81,58 @@
 // Totals returns the counts after all that was reported before the call. The error is
 // task.ErrStopped, or that of ctx.
 func (e *Endings) Totals(ctx context.Context) (endings.Totals, error) {
-	return task.Ask(ctx, e.inbox, func(reply chan<- endings.Totals) any { return askTotals{reply} })
+	return task.Ask(ctx, e.asks, func(reply chan<- endings.Totals) askTotals { return askTotals{reply} })
 }
 
-func (e *Endings) newID() endings.ID { return endings.ID(e.lastID.Add(1)) }
+func (e *Endings) newID() endings.ID {
+	if e == nil {
+		return 0
+	}
+	return endings.ID(e.lastID.Add(1))
+}
 
 // send waits while the inbox is full. What is reported after the task has stopped is
 // not counted.
-func (e *Endings) send(message any) { _ = e.inbox.Send(context.Background(), message) }
+func (e *Endings) send(message any) {
+	if e == nil {
+		return
+	}
+	// TrySend costs less than Send, and there is room nearly always.
+	if !e.reports.TrySend(message) {
+		_ = e.reports.Send(context.Background(), message)
+	}
+	if len(e.reports.Messages()) >= wakeLength {
+		select {
+		case e.wake <- struct{}{}:
+		default:
+		}
+	}
+}
 
 // Run counts until ctx ends.
 func (e *Endings) Run(ctx context.Context) {
-	defer e.inbox.Close()
+	defer e.reports.Close()
+	defer e.asks.Close()
 	for {
 		select {
-		case message := <-e.inbox.Messages():
-			e.handle(message)
+		case <-e.wake:
+			e.countWaiting()
+		case ask := <-e.asks.Messages():
+			e.countWaiting()
+			ask.reply <- e.account.Totals()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// countWaiting counts the reports that wait.
+func (e *Endings) countWaiting() {
+	for range len(e.reports.Messages()) {
+		e.handle(<-e.reports.Messages())
+	}
+}
+
 func (e *Endings) handle(message any) {
 	switch m := message.(type) {
 	case requestBegun:
@@ -97,7 +143,5 @@
 		e.account.Accept(m.id)
 	case connectionClosed:
 		e.account.Close(m.id, m.closing)
-	case askTotals:
-		m.reply <- e.account.Totals()
 	}
 }
