Report how each request and connection ends

Change: the front end reports the begin of a request with its first byte, and its end in one place, once the answer is written, aborted or given up. An answer has Finish, which writes the refusal or aborts the answer and tells the end; it may be called again. Each connection is reported as accepted when the server takes it from its listener, and as closed in one place, with the cause and whether bytes were thrown away: those in the reader's buffer, those read after a refusal, and those in the kernel, for which one call looks. Closes with unread bytes, and closes at the limit, are logged. A refusal says why an answer is cut: by the upstream, at the deadline or by the host's stop. A server that ends waits for its connections to report, at most 0.1 s, and closes a connection that it had accepted and not served yet, which it left open before.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -22,20 +22,49 @@
 // answer writes the answer to one request to the caller's connection.
 type answer struct {
 	connection *connection
-	method     string
-	http10     bool
-	// closeAfter is true if the connection is closed after this answer.
-	closeAfter bool
+	// interruption returns why the request's context has ended, nil before.
+	interruption func() error
+	// read is true once the whole request was read, decoded once it was decoded.
+	read, decoded bool
+	requestID     string
+	method        string
+	http10        bool
+	// closeAfter is why the connection is closed after this answer, "" if it is kept.
+	closeAfter gateway.CloseCause
 	// pendingHead holds a stream's head until it is written with the first part.
 	pendingHead []byte
+	status      int
 	begun       bool
 	done        bool
 	failed      bool
+	// written is true once a byte was written, writeError is the error of the write that
+	// failed.
+	written    bool
+	writeError error
+	// refused is the kind of the refusal that was written, "" for an upstream's answer.
+	refused gateway.RefusalKind
+	ending  gateway.Ending
+}
+
+// begin prepares the answer to a request that was read.
+func (a *answer) begin(request *http.Request) {
+	a.read, a.method, a.http10 = true, request.Method, request.ProtoMinor == 0
+	if request.Close {
+		a.closeAfter = gateway.CloseCaller
+	}
+	a.closeIfDue()
+}
+
+// closeIfDue lets the answer end the connection if the next one has to.
+func (a *answer) closeIfDue() {
+	if a.closeAfter == "" {
+		a.closeAfter = a.connection.closing()
+	}
 }
 
 // Send writes a whole answer.
 func (a *answer) Send(status int, fields []gateway.Field, body []byte) error {
-	a.closeAfter = a.closeAfter || a.connection.closing()
+	a.closeIfDue()
 	out := a.head(status, fields)
 	bodiless := a.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 	if !bodiless {
@@ -51,7 +80,10 @@
 
 // Begin starts a streamed answer. Its head is written with the first part.
 func (a *answer) Begin(status int, fields []gateway.Field) error {
-	a.closeAfter = a.closeAfter || a.http10 || a.connection.closing()
+	if a.http10 && a.closeAfter == "" {
+		a.closeAfter = gateway.CloseCaller
+	}
+	a.closeIfDue()
 	out := a.head(status, fields)
 	if !a.http10 {
 		out.WriteString("Transfer-Encoding: chunked\r\n")
@@ -90,37 +122,8 @@
 // Begun reports whether a part of the answer may have reached the caller.
 func (a *answer) Begun() bool { return a.begun && a.pendingHead == nil }
 
-// refuse answers with a refusal, or aborts the answer if a part of it may have
-// reached the caller.
-func (a *answer) refuse(err error, requestID string) {
-	if a.Begun() {
-		a.failed = true
-		if a.http10 {
-			// The end of the connection would mark the answer as complete.
-			a.connection.resetOnClose()
-		}
-		return
-	}
-	var refusal *gateway.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = gateway.Refuse(gateway.UpstreamBroke, 0, "%v", err)
-	}
-	a.pendingHead = nil
-	if refusal.Kind == gateway.CallerGone {
-		a.failed = true
-		return
-	}
-	status, fields := a.connection.server.config.Codec.EncodeRefusal(refusal, requestID)
-	body := fmt.Appendf(nil, "{\"error\":{\"code\":%q,\"message\":%q}}\n", refusal.Kind, refusal.Message)
-	if a.Send(status, fields, body) != nil {
-		a.failed = true
-	}
-}
-
-// reusable reports whether the connection can be used for another request.
-func (a *answer) reusable() bool { return a.done && !a.failed && !a.closeAfter }
-
 func (a *answer) head(status int, fields []gateway.Field) *bytes.Buffer {
+	a.status = status
 	out := bytes.NewBuffer(make([]byte, 0, 512))
 	fmt.Fprintf(out, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	for _, field := range fields {
@@ -129,7 +132,7 @@
 		out.WriteString(field.Value)
 		out.WriteString("\r\n")
 	}
-	if a.closeAfter {
+	if a.closeAfter != "" {
 		out.WriteString("Connection: close\r\n")
 	}
 	return out
@@ -141,8 +144,10 @@
 	}
 	socket := a.connection.socket
 	_ = socket.SetWriteDeadline(a.connection.server.config.Now().Add(writeTimeout))
-	if _, err := socket.Write(data); err != nil {
-		a.failed = true
+	count, err := socket.Write(data)
+	a.written = a.written || count > 0
+	if err != nil {
+		a.failed, a.writeError = true, err
 		return fmt.Errorf("%w: %w", errWriteFailed, err)
 	}
 	return nil
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/tasks/endings"
 )
 
 // BenchmarkRequestOnAKeptConnection measures what a request costs between the caller's
@@ -21,9 +22,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	server := NewServer(benchmarkConfig(listener))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	config := benchmarkConfig(listener)
+	config.Endings = endings.New()
+	go config.Endings.Run(ctx)
+	server := NewServer(config)
 	go server.Run(ctx)
 	connection, err := net.Dial("tcp", listener.Addr().String()) //nolint:noctx // loopback
 	if err != nil {
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/peridotreel/peridotreel/internal/decide/endings"
+	"github.com/peridotreel/peridotreel/internal/eventlog"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
@@ -38,12 +40,18 @@
 var errNoConnection = gateway.Refuse(gateway.Overloaded, limitRetryAfter,
 	"this host has as many connections open as it can keep, and none of them is idle; send the request again later")
 
+// errCallerClosed is the cause of a connection's context that ends because the caller has
+// closed the connection.
+var errCallerClosed = errors.New("the caller closed its connection")
+
 // connection is one caller's connection. Its goroutine owns the socket. A second
 // goroutine waits for the next byte or for the caller to close the connection,
 // and reports either.
 type connection struct {
-	server       *Server
-	socket       net.Conn
+	server *Server
+	socket net.Conn
+	// id is that of the connection in the account of endings.
+	id           endings.ID
 	reader       *bufio.Reader
 	peekRequests chan struct{}
 	peekResults  chan error
@@ -55,25 +63,37 @@
 	// refusing is true if the connection's request is refused, as the host is at its limit
 	// of open connections.
 	refusing bool
+	// discarded is true once bytes of a request were read and thrown away.
+	discarded bool
 }
 
+// newConnection takes over a socket that was accepted. It is reported as accepted, so
+// either run or close must be called.
 func newConnection(server *Server, socket net.Conn) *connection {
 	return &connection{
-		server: server, socket: socket, reader: bufio.NewReaderSize(socket, readBufferSize),
+		server: server, socket: socket, id: server.config.Endings.AcceptConnection(), reader: bufio.NewReaderSize(socket, readBufferSize),
 		peekRequests: make(chan struct{}, 1), peekResults: make(chan error, 1), evicted: make(chan struct{}),
 	}
 }
 
 func (c *connection) run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer func() { _ = c.socket.Close() }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	defer close(c.peekRequests)
 	go c.peekLoop(cancel)
-	for c.awaitRequest(ctx) {
+	c.close(c.serveRequests(ctx))
+}
+
+// serveRequests serves one request after the other and returns why the connection is
+// closed.
+func (c *connection) serveRequests(ctx context.Context) gateway.CloseCause {
+	for {
+		if cause := c.awaitRequest(ctx); cause != "" {
+			return cause
+		}
 		c.tell(connectionBusy{c})
-		if !c.serveRequest(ctx) {
-			return
+		if cause := c.serveRequest(ctx); cause != "" {
+			return cause
 		}
 		c.tell(connectionIdle{c})
 	}
@@ -84,13 +104,17 @@
 func (c *connection) tell(message any) { _ = c.server.inbox.Send(context.Background(), message) }
 
 // peekLoop waits for the next byte once per value on peekRequests. It cancels the
-// request in progress when the caller has closed the connection, and not when the wait is
-// interrupted, as a request may be found then.
-func (c *connection) peekLoop(cancel context.CancelFunc) {
+// request in progress when the connection has ended, with the cause errCallerClosed if the
+// caller ended it. It does not when the wait is interrupted, as a request may be found then.
+func (c *connection) peekLoop(cancel context.CancelCauseFunc) {
 	for range c.peekRequests {
 		_, err := c.reader.Peek(1)
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			cancel()
+		switch {
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		case closeCauseOfRead(err) == gateway.CloseHostEnded:
+			cancel(nil)
+		default:
+			cancel(errCallerClosed)
 		}
 		c.peekResults <- err
 	}
@@ -103,39 +127,47 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request. It reports false if the
-// connection must be closed instead, which it never is once a byte was read.
-func (c *connection) awaitRequest(ctx context.Context) bool {
+// awaitRequest waits for the first byte of a request. If the connection must be closed
+// instead, which it never is once a byte was read, it returns the cause.
+func (c *connection) awaitRequest(ctx context.Context) gateway.CloseCause {
 	c.startPeek()
 	since := c.server.config.Now()
 	idle := time.NewTimer(c.idleTimeout(ctx))
 	defer idle.Stop()
 	stopping := c.server.closingIdle
+	idleCause := gateway.CloseIdle
+	if c.refusing {
+		idleCause = gateway.CloseLimit
+	}
 	for {
 		select {
 		case err := <-c.peekResults:
 			c.peeking = false
-			return err == nil
+			return closeCauseOfRead(err)
 		case <-idle.C:
 			// The limit may have changed while the connection was idle.
 			left := c.idleTimeout(ctx) - c.server.config.Now().Sub(since)
 			if left <= 0 {
-				return c.interruptPeek()
+				return c.interruptPeek(idleCause)
 			}
 			idle.Reset(left)
 		case <-stopping:
 			if c.served {
-				return c.interruptPeek()
+				return c.interruptPeek(gateway.CloseDraining)
 			}
 			// The balancer still sends connections to a draining host if it has
 			// no better one, so a new connection is allowed one request.
 			stopping = nil
+			idleCause = gateway.CloseDraining
 			idle.Reset(newConnectionWait)
 			since = c.server.config.Now().Add(newConnectionWait - c.idleTimeout(ctx))
 		case <-c.evicted:
-			return c.interruptPeek()
+			return c.interruptPeek(gateway.CloseLimit)
 		case <-ctx.Done():
-			return c.interruptPeek()
+			if errors.Is(context.Cause(ctx), gateway.ErrHostStopping) {
+				return c.interruptPeek(gateway.CloseDraining)
+			}
+			return c.interruptPeek(gateway.CloseHostEnded)
 		}
 	}
 }
@@ -143,9 +175,10 @@
 // past is a read deadline that interrupts a read at once.
 var past = time.Unix(1, 0)
 
-// interruptPeek ends the wait for the first byte of a request. It reports whether there
-// is one all the same, which the kernel may have received a moment ago.
-func (c *connection) interruptPeek() bool {
+// interruptPeek ends the wait for the first byte of a request. It returns "" if there is
+// one all the same, which the kernel may have received a moment ago, and else why the
+// connection is closed: cause, unless its end had been read.
+func (c *connection) interruptPeek(cause gateway.CloseCause) gateway.CloseCause {
 	_ = c.socket.SetReadDeadline(past)
 	err := <-c.peekResults
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -153,7 +186,24 @@
 		_, err = c.reader.Peek(1)
 	}
 	c.peeking = false
-	return err == nil
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return cause
+	}
+	return closeCauseOfRead(err)
+}
+
+// closeCauseOfRead returns why a connection is closed after a read with the result err,
+// "" if it is nil.
+func closeCauseOfRead(err error) gateway.CloseCause {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrClosedPipe):
+		// Only the host closes its own end while it is read from.
+		return gateway.CloseHostEnded
+	default:
+		return gateway.CloseCaller
+	}
 }
 
 func (c *connection) idleTimeout(ctx context.Context) time.Duration {
@@ -166,37 +216,50 @@
 	return defaultIdleTimeout
 }
 
-// serveRequest reads a request, passes it to the handler and writes the answer.
-// It reports whether the connection can be used for another request.
-func (c *connection) serveRequest(ctx context.Context) bool {
+// serveRequest reads a request, passes it to the handler, writes the answer and reports
+// the request's end. It returns why the connection is closed, "" if it can be used for
+// another request.
+func (c *connection) serveRequest(ctx context.Context) gateway.CloseCause {
 	c.served = true
+	id := c.server.config.Endings.BeginRequest()
+	answer := &answer{connection: c, interruption: func() error { return context.Cause(ctx) }}
+	err := c.handleRequest(ctx, answer)
+	ending := answer.Finish(err)
+	c.server.config.Endings.EndRequest(id, ending)
+	if !answer.decoded {
+		c.logUndecoded(answer, err)
+	}
+	if !answer.read {
+		c.discardRest(err)
+	}
+	return answer.closeCause()
+}
+
+// handleRequest reads a request and passes it to the handler.
+func (c *connection) handleRequest(ctx context.Context, answer *answer) error {
 	limits := c.server.config.Limits.Limits(ctx)
 	request, err := c.readHead(ctx, limits)
 	if err != nil {
-		return c.refuseUnreadable(err)
+		return err
 	}
 	if c.refusing {
-		return c.refuseUnreadable(errNoConnection)
+		return errNoConnection
 	}
 	arrived := c.server.config.Now()
 	memory := c.server.config.Buffers.Account()
 	defer memory.Close()
 	body, err := c.readBody(ctx, request, limits, memory)
 	if err != nil {
-		return c.refuseUnreadable(err)
+		return err
 	}
+	answer.begin(request)
 	decoded, err := c.server.config.Codec.DecodeRequest(request, body, arrived)
-	answer := &answer{connection: c, method: request.Method, http10: request.ProtoMinor == 0, closeAfter: request.Close || c.closing()}
 	if err != nil {
-		answer.refuse(err, "")
-		return answer.reusable()
+		return err
 	}
+	answer.requestID, answer.decoded = decoded.ID, true
 	c.startPeek()
-	err = c.server.config.Handler.Serve(ctx, decoded, answer)
-	if err != nil {
-		answer.refuse(err, decoded.ID)
-	}
-	return answer.reusable()
+	return c.server.config.Handler.Serve(ctx, decoded, answer)
 }
 
 // resetOnClose lets the connection be reset when it is closed.
@@ -215,32 +278,49 @@
 	}
 }
 
-// closing reports whether the next answer ends the connection.
-func (c *connection) closing() bool {
+// closing returns why the next answer ends the connection, "" if it does not.
+func (c *connection) closing() gateway.CloseCause {
 	select {
 	case <-c.evicted:
-		return true
+		return gateway.CloseLimit
+	default:
+	}
+	if c.draining() || c.server.config.Away() {
+		return gateway.CloseDraining
+	}
+	return ""
+}
+
+// logUndecoded logs how a request ended that the handler did not get.
+func (c *connection) logUndecoded(answer *answer, err error) {
+	log := c.server.config.Log
+	fields := []zap.Field{zap.String("end", string(answer.ending.End)), zap.String("end_cause", string(answer.ending.Cause))}
+	var refusal *gateway.Refusal
+	isRefusal := errors.As(err, &refusal)
+	if isRefusal {
+		fields = append(fields, zap.String("kind", string(refusal.Kind)), zap.String("reason", refusal.Message))
+	}
+	switch {
+	case answer.ending.End.Lost():
+		eventlog.Losses(log).Warn("request that was not passed on ended without a whole answer", append(fields, zap.String("event", "request_done"))...)
+	case answer.read:
+	case !isRefusal:
+		log.Debug("connection ended while a request was read", append(fields, zap.String("event", "request_unread"), zap.Error(err))...)
 	default:
-		return c.draining() || c.server.config.Away()
+		log.Info("request refused because it could not be read", append(fields, zap.String("event", "request_malformed"))...)
 	}
 }
 
-// refuseUnreadable answers a request that could not be read and ends the
-// connection, since where the next request begins is not known.
-func (c *connection) refuseUnreadable(err error) bool {
+// discardRest reads on for a short time after the refusal of a request that was not read,
+// so that the kernel does not discard the refusal.
+func (c *connection) discardRest(err error) {
 	var refusal *gateway.Refusal
 	if !errors.As(err, &refusal) {
-		c.server.config.Log.Debug("connection ended while a request was read",
-			zap.String("event", "request_unread"), zap.Error(err))
-		return false
+		return
 	}
-	c.server.config.Log.Info("request refused because it could not be read",
-		zap.String("event", "request_malformed"), zap.String("kind", string(refusal.Kind)), zap.String("reason", refusal.Message))
-	answer := &answer{connection: c, closeAfter: true}
-	answer.refuse(err, "")
 	if tcp, ok := c.socket.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 		_ = c.socket.SetReadDeadline(c.server.config.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.reader)
+		count, _ := io.Copy(io.Discard, c.reader)
+		c.discarded = count > 0
 	}
-	return false
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -16,6 +16,7 @@
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
+	"github.com/peridotreel/peridotreel/internal/tasks/endings"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// ends its wait for it: a connection that is not accepted yet, or a request that is
 	// not read yet. It covers the delay of a process that is short of processor time.
 	lastLookTimeout = 20 * time.Millisecond
+	// endTimeout limits the wait for open connections to end with the server. Requests
+	// and connections that outlast it are not reported as ended.
+	endTimeout = 100 * time.Millisecond
 )
 
 // Codec decodes requests and encodes refusals.
@@ -65,6 +69,8 @@
 	// been idle for longest is closed for a new one; if none is idle, the requests of new
 	// ones are refused.
 	MaxConnections int
+	// Endings gets the ends of requests and connections; nil counts none.
+	Endings *endings.Endings
 }
 
 // Server is the task that owns the listener and the set of open connections.
@@ -75,13 +81,15 @@
 	// when idle connections must close.
 	draining    chan struct{}
 	closingIdle chan struct{}
+	// endTimeout is the constant, except in tests.
+	endTimeout time.Duration
 }
 
 // connectionOpened asks to serve a new connection. room is answered once another one may
 // be accepted.
 type connectionOpened struct {
-	socket net.Conn
-	room   chan<- struct{}
+	connection *connection
+	room       chan<- struct{}
 }
 type connectionIdle struct{ connection *connection }
 type connectionBusy struct{ connection *connection }
@@ -99,7 +107,7 @@
 	}
 	return &Server{
 		config: config, inbox: task.NewInbox[any](inboxCapacity),
-		draining: make(chan struct{}), closingIdle: make(chan struct{}),
+		draining: make(chan struct{}), closingIdle: make(chan struct{}), endTimeout: endTimeout,
 	}
 }
 
@@ -137,7 +145,7 @@
 		server: s, requests: requests, endRequests: end, open: make(map[*connection]bool),
 		table: connlimit.New[*connection](s.config.MaxConnections), accepting: true,
 	}
-	defer state.closeAll()
+	defer state.end()
 	for {
 		select {
 		case message := <-s.inbox.Messages():
@@ -167,6 +175,8 @@
 	// refusing is true from the first connection that is refused at the limit until one
 	// is served.
 	refusing bool
+	// ended is true once no connection is served any more.
+	ended bool
 }
 
 func (t *serverState) handle(message any) {
@@ -203,7 +213,11 @@
 
 // admit serves a new connection, or refuses its request if none can make room for it.
 func (t *serverState) admit(opened connectionOpened) {
-	c := newConnection(t.server, opened.socket)
+	c := opened.connection
+	if t.ended {
+		c.close(gateway.CloseHostEnded)
+		return
+	}
 	verdict, evicted, evict := t.table.Open(c, t.server.config.Now())
 	if evict {
 		close(evicted.evicted)
@@ -237,11 +251,24 @@
 	}
 }
 
-func (t *serverState) closeAll() {
+// end closes the listener and all connections, and waits for a short time until they have
+// reported their ends.
+func (t *serverState) end() {
+	t.ended = true
 	_ = t.server.config.Listener.Close()
 	for c := range t.open {
 		_ = c.socket.Close()
 	}
+	timeout := time.NewTimer(t.server.endTimeout)
+	defer timeout.Stop()
+	for len(t.open) > 0 || t.accepting {
+		select {
+		case message := <-t.server.inbox.Messages():
+			t.handle(message)
+		case <-timeout.C:
+			return
+		}
+	}
 }
 
 // deadlineListener is a listener of which a blocked Accept can be interrupted.
@@ -291,8 +318,9 @@
 			continue
 		}
 		room := make(chan struct{}, 1)
-		if s.inbox.Send(ctx, connectionOpened{socket, room}) != nil {
-			_ = socket.Close()
+		c := newConnection(s, socket)
+		if s.inbox.Send(ctx, connectionOpened{c, room}) != nil {
+			c.close(gateway.CloseHostEnded)
 			return
 		}
 		select {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,4 +12,8 @@
 	End() error
 	// Begun reports whether a part of the answer may have reached the caller.
 	Begun() bool
+	// Finish ends the request and reports how it ended. If err is not nil, it is written
+	// as a refusal, or the answer is aborted if a part of it may have reached the caller.
+	// A later call does nothing and reports the same.
+	Finish(err error) Ending
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -58,6 +58,9 @@
 	// RetryAfter is the delay after which the caller should retry; 0 leaves the
 	// delay to the caller.
 	RetryAfter time.Duration
+	// Cut is why an answer of which a part was written is aborted, "" if that is not
+	// known.
+	Cut EndCause
 }
 
 // Error implements error.
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -279,7 +279,9 @@
 	case r.lastOutcome.Ending == relay.CallerGone:
 		return gateway.Refuse(gateway.CallerGone, 0, "the caller closed its connection")
 	case r.answer.Begun():
-		return gateway.Refuse(gateway.UpstreamBroke, 0, "the stream broke off after %d events: %v", r.progress.Events, r.lastOutcome.Err)
+		refusal := gateway.Refuse(gateway.UpstreamBroke, 0, "the stream broke off after %d events: %v", r.progress.Events, r.lastOutcome.Err)
+		refusal.Cut = cutCause(r.lastOutcome.Ending)
+		return refusal
 	case r.failureAnswer != nil:
 		if err := r.answer.Send(r.failureAnswer.Head.Status, r.failureAnswer.Head.Fields, r.failureAnswer.Body); err != nil {
 			return gateway.Refuse(gateway.CallerGone, 0, "the caller closed its connection")
@@ -300,6 +302,18 @@
 	}
 }
 
+// cutCause returns why an answer is cut after an attempt that ended so.
+func cutCause(ending relay.Ending) gateway.EndCause {
+	switch ending {
+	case relay.TimeUp:
+		return gateway.CauseDeadline
+	case relay.HostStopping:
+		return gateway.CauseHostStopping
+	default:
+		return gateway.CauseUpstream
+	}
+}
+
 // capRetryAfter limits the retry delay to what the caller respects.
 func (r *requestRun) capRetryAfter(err error) error {
 	var refusal *gateway.Refusal
