Log a request after its end is known, and tell lost ones apart

Cause: request_done was written before a refusal was, a stream that was cut had the same line as a delivered 502, and a request whose answer or refusal could not be written was logged and counted like a delivered one.

Change: the pipeline finishes the answer before it reports. The line has end and end_cause; lines of lost requests go to the logger of losses. outcome keeps its meaning for what was delivered or cut; what could not be delivered is caller_gone if the caller had left, and else undelivered, also in the metrics.

TestTheLogTellsHowARequestEnded fails with a cut always blamed on the upstream, a host's stop not told, lines of losses on the plain logger, and a report without the end; TestWhatWasNotDeliveredIsNotCountedAsDelivered fails if what is undelivered is counted by its kind.

--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -69,7 +69,7 @@
 func (p *Pipeline) Serve(ctx context.Context, request *gateway.Request, answer gateway.Answer) error {
 	run := &requestRun{pipeline: p, request: request, answer: answer}
 	err := run.serve(ctx)
-	run.report(ctx, err)
+	run.report(ctx, err, answer.Finish(err))
 	return err
 }
 
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -10,27 +10,45 @@
 
 	"go.uber.org/zap"
 
+	"github.com/peridotreel/peridotreel/internal/eventlog"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/relay"
 	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 )
 
-// outcomeAnswered is the outcome of a request that got an upstream's answer. The
-// other outcomes are the kinds of refusal.
-const outcomeAnswered = "answered"
+// The outcomes of requests other than the kinds of refusal.
+const (
+	// outcomeAnswered is that of a request that got an upstream's answer.
+	outcomeAnswered = "answered"
+	// outcomeUndelivered is that of a request of which the answer or refusal could not be
+	// written whole, though its caller had not closed the connection.
+	outcomeUndelivered = "undelivered"
+)
+
+// outcomeOf returns the outcome of a request, from its refusal, nil for none, and its end.
+func outcomeOf(refusal *gateway.Refusal, ending gateway.Ending) string {
+	switch {
+	case ending.End == gateway.EndCallerGone:
+		return string(gateway.CallerGone)
+	case ending.End == gateway.EndAnswered, ending.End == gateway.EndUpstreamFailure:
+		return outcomeAnswered
+	case refusal != nil && (ending.End == gateway.EndRefused || ending.Cause == refusal.Cut):
+		return string(refusal.Kind)
+	default:
+		return outcomeUndelivered
+	}
+}
 
-// report logs the decisions on the request and records its summary.
-func (r *requestRun) report(ctx context.Context, err error) {
+// report logs the decisions on the request and how it ended, and records its summary.
+func (r *requestRun) report(ctx context.Context, err error, ending gateway.Ending) {
 	total := r.pipeline.Now().Sub(r.request.Arrived)
-	outcome := outcomeAnswered
 	var refusal *gateway.Refusal
-	if errors.As(err, &refusal) {
-		outcome = string(refusal.Kind)
-	}
+	_ = errors.As(err, &refusal)
+	outcome := outcomeOf(refusal, ending)
 	summary := Summary{Outcome: outcome, Total: total, Attempts: len(r.attempts)}
 	fields := []zap.Field{
 		zap.String("event", "request_done"), zap.String("request", r.request.ID), zap.String("outcome", outcome),
-		zap.Int64("total_ms", total.Milliseconds()),
+		zap.String("end", string(ending.End)), zap.String("end_cause", string(ending.Cause)), zap.Int64("total_ms", total.Milliseconds()),
 	}
 	if r.matched != nil {
 		summary.Route = r.matched.Route.Name
@@ -73,7 +91,7 @@
 			fields = append(fields, zap.String("prompt_parts", parts))
 		}
 	}
-	r.logOutcome(outcome, refusal, fields)
+	r.logOutcome(outcome, refusal, ending, fields)
 	r.pipeline.Recorder.Done(ctx, summary)
 }
 
@@ -87,11 +105,17 @@
 }
 
 // logOutcome selects the message by outcome, because log lines are sampled by
-// message: successful requests must not displace failures.
-func (r *requestRun) logOutcome(outcome string, refusal *gateway.Refusal, fields []zap.Field) {
+// message: successful requests must not displace failures. Lost requests are not sampled
+// with others.
+func (r *requestRun) logOutcome(outcome string, refusal *gateway.Refusal, ending gateway.Ending, fields []zap.Field) {
+	if refusal != nil {
+		fields = append(fields, zap.String("reason", refusal.Message))
+	}
 	switch {
+	case ending.End.Lost():
+		eventlog.Losses(r.pipeline.Log).Warn("request ended without a whole answer", fields...)
 	case refusal != nil:
-		r.pipeline.Log.Warn("request "+outcome, append(fields, zap.String("reason", refusal.Message))...)
+		r.pipeline.Log.Warn("request "+outcome, fields...)
 	case r.failureAnswer != nil && r.lastOutcome.Ending != relay.Delivered:
 		r.pipeline.Log.Info("request answered with an upstream's failure", append(fields, zap.Int("status", r.failureAnswer.Head.Status))...)
 	case len(r.attempts) > 1:
