Metrics and a last event of how requests and connections end

Cause: nothing told, for a host as a whole, whether each request and each connection had ended and how.

Change: the host starts the task that counts ends first and gives it to the front end. Its counts are metrics, observed by one callback from one answer of the task. As the host ends, after the front end has, the event endings has all counts; drain_incomplete and callers_cut name what is still in flight.

Result: TestTheMetricsOfEndsAreOfOneMoment; TestAHostThatEndsLogsAllEnds, which fails without the task in the front end, without the event, with the event written before the front end has ended or after the task has, with ends that lack their cause, and with a drain_incomplete that does not name what is in flight.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,6 +34,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
 	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
+	"github.com/peridotreel/peridotreel/internal/tasks/endings"
 	"github.com/peridotreel/peridotreel/internal/tasks/follower"
 	"github.com/peridotreel/peridotreel/internal/tasks/holds"
 	"github.com/peridotreel/peridotreel/internal/tasks/origins"
@@ -110,11 +111,12 @@
 	ready     *http.Server
 	metrics   *http.Server
 	telemetry *telemetry.Telemetry
+	endings   *endings.Endings
 }
 
 // New opens the listeners and builds the tasks.
 func New(options Options) (*Edge, error) {
-	e := &Edge{options: options}
+	e := &Edge{options: options, endings: endings.New()}
 	s := options.Settings
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitFraction * (1 << 20)))
 	var err error
@@ -129,6 +131,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err = telemetry.RegisterEndings(e.telemetry.Meter(), e.endings.Totals); err != nil {
+		return nil, err
+	}
 	callers, err := settings.OpenListener("listen.callers", s.Listen.Callers)
 	if err != nil {
 		return nil, err
@@ -205,7 +210,7 @@
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
-		Buffers: memory, Away: e.load.Away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100),
+		Buffers: memory, Away: e.load.Away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
 	})
 	e.start(memory, pool, client, server)
 	return e, e.serveHTTP()
@@ -216,6 +221,8 @@
 
 // start starts the tasks in order; each may depend on those before it.
 func (e *Edge) start(tasks ...task.Task) {
+	e.group.Start(e.endings)
+	e.group.Start(endingsReporter{e.endings, e.options.Log})
 	for _, t := range tasks {
 		e.group.Start(t)
 	}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -72,7 +72,7 @@
 	if err := e.front.CloseIdle(ctx); err != nil {
 		open, _ := e.front.Open(context.WithoutCancel(ctx))
 		e.options.Log.Warn("grace period ended before all requests finished; ending them",
-			zap.String("event", "drain_incomplete"), zap.Int("open", open), zap.Error(err))
+			append(e.inFlightFields(context.WithoutCancel(ctx)), zap.String("event", "drain_incomplete"), zap.Int("open", open), zap.Error(err))...)
 		e.endRequests()
 	}
 	e.returnTokens()
@@ -89,7 +89,8 @@
 	defer cancel()
 	e.front.EndRequests()
 	if err := e.front.CloseIdle(ctx); err != nil {
-		e.options.Log.Warn("some callers did not take their last answer in time; closing their connections", zap.String("event", "callers_cut"), zap.Error(err))
+		e.options.Log.Warn("some callers did not take their last answer in time; closing their connections",
+			append(e.inFlightFields(context.WithoutCancel(ctx)), zap.String("event", "callers_cut"), zap.Error(err))...)
 	}
 }
 
