Report events of another request as a fault of the upstream

An attempt that ended because the upstream sent an event of another request, of another attempt or at a wrong position had an error without a type. Callers got internal (500, "the host failed to handle the request"), the host logged an internal error, and operators were sent to look at the host.

The error is upstream_failed with run state unknown, like that of an answer that ends early. TestEventsOfAnotherRequestAreAFaultOfTheUpstream fails without the change (internal) and passes with it, under the race detector.

--- a/internal/filter/relay/relay.go
+++ b/internal/filter/relay/relay.go
@@ -153,7 +153,7 @@
 	case stream.Drop:
 		return false
 	case stream.Abort:
-		r.end(Broken, err)
+		r.end(Broken, errForeign.WithCause(err))
 		return true
 	case stream.Deliver:
 	}
