Report how each request and connection of the product's own path ends

peridotreel serve did not tell answers and refusals that reached their callers from those whose writes failed: errors of the last flush and of refusals were dropped, and whole answers were written by net/http after the handler had returned. Cut streams and connections had neither a line nor a count.

Each path of the interface is wrapped by a filter that reports one end with one cause, also when its handler panics. Whole answers declare their length and are flushed before the handler returns, so that a failed write is noticed. The task connections follows the states, reads and failed transfers of connections and reports why each was closed; the decisions are plain functions in decide/callerend. A request whose caller was left without a whole answer has a line request_done. What net/http does not let the host tell is stated in the comments of the packages.

--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -71,7 +71,8 @@
 }
 
 // writeError sends an error as the response. Nothing may have been written to
-// the response before.
+// the response before. An *answer keeps the error of a failed write for the account of
+// endings.
 func writeError(w http.ResponseWriter, err *fault.Error) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
@@ -83,6 +84,5 @@
 	if !known {
 		status = http.StatusInternalServerError
 	}
-	w.WriteHeader(status)
-	_, _ = w.Write(append(encodeError(err), '\n'))
+	_ = sendWhole(w, status, append(encodeError(err), '\n'))
 }
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/callerend"
 	"github.com/peridotreel/peridotreel/internal/fault"
 	"github.com/peridotreel/peridotreel/internal/filter/authenticate"
 	"github.com/peridotreel/peridotreel/internal/filter/decode"
@@ -39,58 +41,59 @@
 	log          *zap.Logger
 }
 
-// NewHandler returns the HTTP handler in front of a pipeline.
-func NewHandler(p *pipeline.Pipeline, models Models, log *zap.Logger) http.Handler {
+// NewHandler returns the HTTP handler in front of a pipeline. It reports to account how
+// each request ends.
+func NewHandler(p *pipeline.Pipeline, models Models, account *Account, log *zap.Logger) http.Handler {
 	handler := &Handler{pipeline: p, authenticate: p.Authenticate, models: models, now: p.Now, log: log}
 	router := mux.NewRouter()
 	// The paths of plain services are passed on unchanged.
 	router.SkipClean(true)
 	router.UseEncodedPath()
-	router.HandleFunc("/v1/chat/completions", handler.complete).Methods(http.MethodPost)
-	router.HandleFunc("/v1/models", handler.listModels).Methods(http.MethodGet)
-	router.HandleFunc("/services/{name}", handler.callService)
-	router.HandleFunc("/services/{name}/{path:.*}", handler.callService)
-	router.NotFoundHandler = http.HandlerFunc(notFound)
-	router.MethodNotAllowedHandler = http.HandlerFunc(notFound)
+	router.HandleFunc("/v1/chat/completions", account.wrap(handler.complete)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/models", account.wrap(handler.listModels)).Methods(http.MethodGet)
+	router.HandleFunc("/services/{name}", account.wrap(handler.callService))
+	router.HandleFunc("/services/{name}/{path:.*}", account.wrap(handler.callService))
+	router.NotFoundHandler = account.wrap(notFound)
+	router.MethodNotAllowedHandler = account.wrap(notFound)
 	return router
 }
 
-func notFound(w http.ResponseWriter, r *http.Request) {
-	writeError(w, fault.Refuse(fault.InvalidRequest,
+func notFound(response *answer, r *http.Request) {
+	response.refuse(fault.Refuse(fault.InvalidRequest,
 		"%s %s is not served; use POST /v1/chat/completions, GET /v1/models or /services/NAME/PATH", r.Method, r.URL.Path))
 }
 
-func (h *Handler) complete(w http.ResponseWriter, r *http.Request) {
-	raw, err := h.readRequest(w, r)
+func (h *Handler) complete(response *answer, r *http.Request) {
+	raw, err := h.readBody(response, r)
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
 	call, err := decode.Completion(raw)
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
 	if call.Completion.Stream {
-		h.serve(r, call, newStreamSink(w, call.Completion.Model, h.now()))
+		h.serve(response, r, call, newStreamSink(response, call.Completion.Model, h.now()))
 		return
 	}
-	h.serve(r, call, newNonStreamSink(w, call.Completion.Model, h.now()))
+	h.serve(response, r, call, newNonStreamSink(response, call.Completion.Model, h.now()))
 }
 
-func (h *Handler) callService(w http.ResponseWriter, r *http.Request) {
-	raw, err := h.readRequest(w, r)
+func (h *Handler) callService(response *answer, r *http.Request) {
+	raw, err := h.readBody(response, r)
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
 	variables := mux.Vars(r)
 	call, err := decode.Service(raw, core.ServiceName(variables["name"]), variables["path"])
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
-	h.serve(r, call, newNonStreamSink(w, "", h.now()))
+	h.serve(response, r, call, newNonStreamSink(response, "", h.now()))
 }
 
 // sink is the part of streamSink and nonStreamSink that the handler uses.
@@ -99,12 +102,13 @@
 	errorSink
 }
 
-func (h *Handler) serve(r *http.Request, call *core.Call, sink sink) {
-	err := h.pipeline.Serve(r.Context(), call, sink)
+func (h *Handler) serve(response *answer, r *http.Request, call *core.Call, sink sink) {
+	err := h.pipeline.Serve(r.Context(), call, accountedSink{sink, response})
 	if err == nil {
 		return
 	}
 	typed := fault.From(err)
+	response.failure = typed
 	if typed.Code == fault.Internal {
 		h.log.Error("request failed with an internal error", zap.Error(err))
 	}
@@ -117,6 +121,33 @@
 	sink.fail(typed)
 }
 
+// accountedSink keeps for the account of endings which work an answer belongs to, and
+// whether it is an upstream's failure.
+type accountedSink struct {
+	pipeline.Sink
+	response *answer
+}
+
+// Begin implements pipeline.Sink.
+func (s accountedSink) Begin(work *core.Work) {
+	s.response.work = work
+	s.Sink.Begin(work)
+}
+
+// Finish implements pipeline.Sink.
+func (s accountedSink) Finish(whole *core.Answer) error {
+	s.response.upstreamFailure = whole.Service != nil && whole.Service.Status >= http.StatusInternalServerError
+	return s.Sink.Finish(whole)
+}
+
+// readBody reads a request, and keeps whether its connection ended before its body.
+func (h *Handler) readBody(response *answer, r *http.Request) (decode.Raw, error) {
+	// MaxBytesReader asks net/http's own response to close the connection.
+	raw, err := h.readRequest(response.ResponseWriter, r)
+	response.bodyEnded = err != nil && (callerend.ReadResult(err) == callerend.CallerClosed || errors.Is(err, net.ErrClosed))
+	return raw, err
+}
+
 func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request) (decode.Raw, error) {
 	// Clear the write deadline of an earlier stream on this connection, which
 	// would otherwise cut off this answer.
@@ -157,28 +188,38 @@
 	OwnedBy string         `json:"owned_by"`
 }
 
-func (h *Handler) listModels(w http.ResponseWriter, r *http.Request) {
-	raw, err := h.readRequest(w, r)
+func (h *Handler) listModels(response *answer, r *http.Request) {
+	raw, err := h.readBody(response, r)
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
 	call, err := decode.ModelList(raw)
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
 	caller, err := h.authenticate.Apply(call)
 	if err != nil {
-		writeError(w, fault.From(err))
+		response.refuse(err)
 		return
 	}
+	h.sendModels(response, caller)
+}
+
+func (h *Handler) sendModels(response *answer, caller core.Caller) {
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, model := range slices.Sorted(slices.Values(h.models.Models())) {
 		if caller.Team.AllowsModel(model) {
 			list.Data = append(list.Data, modelEntry{model, "model", "peridotreel"})
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
+	body, err := json.Marshal(list)
+	if err != nil {
+		response.refuse(err)
+		return
+	}
+	response.Header().Set("Content-Type", "application/json")
+	// The answer keeps the error of a failed write for the account of endings.
+	_ = sendWhole(response, http.StatusOK, append(body, '\n'))
 }
--- a/internal/api/sink.go
+++ b/internal/api/sink.go
@@ -140,6 +140,7 @@
 	s.buffer = append(s.buffer, "event: error\ndata: "...)
 	s.buffer = append(s.buffer, encodeError(err)...)
 	s.buffer = append(s.buffer, "\n\n"...)
+	// The answer keeps the error of a failed write for the account of endings.
 	_ = s.Flush()
 	panic(http.ErrAbortHandler)
 }
@@ -209,18 +210,14 @@
 		return err
 	}
 	s.response.Header().Set("Content-Type", "application/json")
-	s.response.WriteHeader(http.StatusOK)
-	_, err = s.response.Write(append(body, '\n'))
-	return err
+	return sendWhole(s.response, http.StatusOK, append(body, '\n'))
 }
 
 func (s *nonStreamSink) finishService(answer *core.ServiceAnswer) error {
 	if answer.ContentType != "" {
 		s.response.Header().Set("Content-Type", answer.ContentType)
 	}
-	s.response.WriteHeader(answer.Status)
-	_, err := s.response.Write(answer.Body)
-	return err
+	return sendWhole(s.response, answer.Status, answer.Body)
 }
 
 func (s *nonStreamSink) fail(err *fault.Error) {
--- a/internal/host/handlers.go
+++ b/internal/host/handlers.go
@@ -63,7 +63,10 @@
 
 // callerHandler returns the handler of the callers' address.
 func (h *Host) callerHandler() http.Handler {
-	return api.NewHandler(h.newPipeline(), h.tasks.balancer, h.log)
+	account := &api.Account{
+		Requests: h.tasks.endings, Connections: h.tasks.connections, HostEnded: h.callersEnded, Now: h.options.Now, Log: h.log,
+	}
+	return api.NewHandler(h.newPipeline(), h.tasks.balancer, account, h.log)
 }
 
 // closeAfterAnswer lets each answer of a stopping host end its connection. Closing idle
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,11 @@
 	requests  *telemetry.RequestHistograms
 	tasks     *tasks
 	group     task.Group
+	// accounts has the account of endings, which stops after all that report to it.
+	accounts task.Group
+	// callersEnded is closed before the callers' connections are.
+	callersEnded chan struct{}
+	endCallers   sync.Once
 	// endRequests ends the contexts of all callers' requests.
 	endRequests context.CancelCauseFunc
 	callers     *http.Server
@@ -100,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{options: options, log: options.Log, listeners: opened, serveErrors: make(chan error, 2)}
+	h := &Host{options: options, log: options.Log, listeners: opened, serveErrors: make(chan error, 2), callersEnded: make(chan struct{})}
 	if err := h.compose(); err != nil {
 		opened.close()
 		return nil, err
@@ -124,6 +130,7 @@
 		return err
 	}
 	h.callers = h.newServer(h.closeAfterAnswer(h.callerHandler()))
+	h.tasks.connections.Follow(h.callers)
 	requests, end := context.WithCancelCause(context.Background())
 	h.callers.BaseContext, h.endRequests = func(net.Listener) context.Context { return requests }, end
 	h.admin = h.newServer(adminHandler)
@@ -151,8 +158,10 @@
 // Start starts the tasks and serves callers, peers and operators. It doesn't
 // block.
 func (h *Host) Start() {
+	h.accounts.Start(h.tasks.endings)
+	h.accounts.Start(h.tasks.connections)
 	h.tasks.start(&h.group)
-	h.serve(h.callers, h.listeners.callers)
+	h.serve(h.callers, h.tasks.connections.Listener(h.listeners.callers))
 	h.serve(h.admin, h.listeners.admin)
 	h.log.Info("host started", zap.String("host", string(h.options.Settings.Host)),
 		zap.Uint64("incarnation", uint64(h.options.Incarnation)), zap.String("callers", h.CallerAddress()),
@@ -244,6 +253,7 @@
 	serving, cancel := h.servingContext(ctx)
 	defer cancel()
 	h.draining.Store(true)
+	h.tasks.connections.Drain()
 	h.log.Info("host is draining and reports not ready")
 	if err := h.tasks.leave(ctx); err != nil {
 		h.log.Warn("could not announce to peers that this host is leaving; they learn it from the platform's list of machines", zap.Error(err))
@@ -264,6 +274,7 @@
 	_ = h.admin.Close()
 	h.group.Stop()
 	h.listeners.close()
+	h.stopAccounts()
 	if err == nil {
 		h.log.Info("host drained")
 	}
@@ -293,8 +304,11 @@
 func (h *Host) Kill() {
 	h.draining.Store(true)
 	h.tasks.upstream.DisableCancellation()
+	h.tasks.connections.EndHost()
+	h.endCallers.Do(func() { close(h.callersEnded) })
 	h.listeners.close()
 	_ = h.callers.Close()
 	_ = h.admin.Close()
 	h.group.Stop()
+	h.stopAccounts()
 }
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -19,9 +19,12 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/bills"
 	"github.com/peridotreel/peridotreel/internal/tasks/calls"
 	"github.com/peridotreel/peridotreel/internal/tasks/claimant"
+	"github.com/peridotreel/peridotreel/internal/tasks/connections"
+	"github.com/peridotreel/peridotreel/internal/tasks/endings"
 	"github.com/peridotreel/peridotreel/internal/tasks/members"
 	"github.com/peridotreel/peridotreel/internal/tasks/shares"
 	"github.com/peridotreel/peridotreel/internal/tasks/teams"
+	"github.com/peridotreel/peridotreel/internal/telemetry"
 	"github.com/peridotreel/peridotreel/internal/upstream"
 	"github.com/peridotreel/peridotreel/internal/upstream/wire"
 )
@@ -40,6 +43,10 @@
 	balancer *balancer.Task
 	calls    *calls.Task
 	upstream *upstream.Client
+	// endings has the account of callers' requests and connections, and connections
+	// reports the latter to it.
+	endings     *endings.Endings
+	connections *connections.Connections
 }
 
 // loadReporter reads the load reports of upstreams for the balancer.
@@ -82,6 +89,8 @@
 		client: peerrpc.NewClient(peerrpc.ClientConfig{Traffic: traffic, Dial: options.Dial}),
 		server: peerrpc.NewServer(peerrpc.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log}),
 	}
+	t.endings = endings.New()
+	t.connections = connections.New(t.endings)
 	t.upstream = upstream.NewClient(upstream.WithLoads(t.reportAnswerLoad))
 	t.members = members.New(members.Config{
 		Self: self, Zone: config.Zone, Address: opened.peers.Addr().String(), Directory: store,
@@ -112,7 +121,7 @@
 		Directory: store, LoadClient: loadReporter{t.upstream}, Capacities: t.admitter,
 		Self: config.Host, Zone: config.Zone, Now: now, Seed: seed, Log: log, Meter: meter,
 	})
-	return t, errors.Join(traffic.Observe(meter), t.register())
+	return t, errors.Join(traffic.Observe(meter), telemetry.ObserveEndings(meter, t.endings.Totals), t.register())
 }
 
 // reportAnswerLoad passes the load report in an engine's answer to the balancer.
