--- a/cmd/peridotreel/serve.go
+++ b/cmd/peridotreel/serve.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/host"
@@ -56,18 +54,6 @@
 	}
 }
 
-// newLogger returns a logger that writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.DisableStacktrace = true
-	return config.Build()
-}
-
 // serve runs a host until it gets SIGTERM or SIGINT. The first signal drains the
 // host; a second one stops it at once.
 func serve(loaded *settings.Settings) error {
