--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,7 +45,7 @@
 		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		So(err, ShouldBeNil)
 		event := regexp.MustCompile(`zap\.String\("event", "([a-z_]+)"`)
-		for _, root := range []string{"../front", "../opaque", "../edge", "../eventlog", "../tasks/director", "../tasks/balances", "../tasks/peers", "../tasks/follower", "../../cmd"} {
+		for _, root := range []string{"../api", "../host", "../front", "../opaque", "../edge", "../eventlog", "../tasks/director", "../tasks/balances", "../tasks/peers", "../tasks/follower", "../../cmd"} {
 			err := filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
 				if err != nil || !strings.HasSuffix(path, ".go") {
 					return err
