Merge the account of ends on the product's own path

Both front ends wrote the event endings by code of their own; its fields are now made in tasks/endings.

--- a/internal/edge/endings.go
+++ b/internal/edge/endings.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	counts "github.com/peridotreel/peridotreel/internal/decide/endings"
 	"github.com/peridotreel/peridotreel/internal/tasks/endings"
 )
 
@@ -24,30 +23,7 @@
 		r.log.Warn("the counts of ends are not known", zap.String("event", "endings"), zap.Error(err))
 		return
 	}
-	r.log.Info("how callers' requests and connections ended", append([]zap.Field{zap.String("event", "endings")}, totalFields(totals)...)...)
-}
-
-func totalFields(totals counts.Totals) []zap.Field {
-	ends, closes := make(map[string]int64), make(map[string]int64)
-	for ending, count := range totals.Ends {
-		name := string(ending.End)
-		if ending.Cause != "" {
-			name += "/" + string(ending.Cause)
-		}
-		ends[name] += count
-	}
-	for closing, count := range totals.Closes {
-		name := string(closing.Cause)
-		if closing.UnreadBytes {
-			name += "/unread"
-		}
-		closes[name] += count
-	}
-	return []zap.Field{
-		zap.Int64("requests_begun", totals.RequestsBegun), zap.Int64("requests_in_flight", totals.RequestsInFlight), zap.Any("ends", ends),
-		zap.Int64("connections_accepted", totals.ConnectionsAccepted), zap.Int64("connections_open", totals.ConnectionsOpen),
-		zap.Any("closes", closes), zap.Int64("unmatched", totals.Unmatched),
-	}
+	r.log.Info("how callers' requests and connections ended", endings.Fields(totals)...)
 }
 
 // inFlightFields returns what has not ended yet.
