Lose no more to returns within seconds than to the first of them

Each return halved what the reopened ledger guaranteed, or took its lower announced amount, as if half of it had been granted meanwhile. A reopened ledger grants nothing for 3 s, though.

If the store returns again while these 3 s of the latest known ledger have not passed, what is lost in it and what it withholds now stay as they are. A commit that only reopens a ledger does not count for this: it may have been sent late, while the era had another ledger that was reopened earlier. A ledger therefore tells the era of the one that it replaced. A tenth of a second is left for clocks, and what the copy guarantees is withheld as before.

--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -118,6 +118,8 @@
 	Allocated core.Tokens `json:"a"`
 	// Withheld is what the ledger guaranteed.
 	Withheld core.Tokens `json:"w"`
+	// Era is the era in which the ledger was written; 0 if it is not known.
+	Era int64 `json:"e,omitempty"`
 }
 
 // DecodeLedger decodes a ledger.
--- a/internal/decide/allowance/model_steps_test.go
+++ b/internal/decide/allowance/model_steps_test.go
@@ -81,5 +81,7 @@
 		}
 	case 16:
 		w.spendAll(p, time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms"))*time.Millisecond)
+	case 17:
+		w.returnInSeries(t)
 	}
 }
--- a/internal/decide/allowance/propose.go
+++ b/internal/decide/allowance/propose.go
@@ -168,7 +168,7 @@
 	h.updateRoom(&ledger, delta, now)
 	withheld := h.withheldIn(ledger).next(h.clock, h.wantedWithheld(ledger, now), h.prepaid-ledger.Allocated())
 	ledger.Withheld = &withheld
-	ledger.Replaced = &Replaced{Allocated: h.ledger.mostAllocated(maxTokens), Withheld: h.withheldIn(h.ledger).guaranteed(1)}
+	ledger.Replaced = &Replaced{Allocated: h.ledger.mostAllocated(maxTokens), Withheld: h.withheldIn(h.ledger).guaranteed(1), Era: h.ledger.Mark.Era}
 	ledger.Mark = Mark{Era: h.era, Sequence: max(ledger.Mark.Sequence, h.ledger.Mark.Sequence, ledger.Base.Mark.Sequence) + 1}
 	return Proposal{Ledger: ledger, Revision: h.revision, Reopens: h.outdated(h.ledger) || h.unmarked(), Delta: delta}
 }
--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -42,9 +42,27 @@
 	_, inCopy := h.guaranteedIn(h.ledger)
 	ledger.Withheld = &Withheld{Amount: max(guaranteed, inCopy) / 2}
 	ledger.ReopenedAt, ledger.Unsettled = h.clock.Milliseconds(), h.prepaid
+	if h.nothingGrantedSince(base) {
+		ledger.Lost, ledger.Unsettled = base.Lost, base.Unsettled
+		ledger.Withheld.Amount = max(ledger.Withheld.Amount, h.withheldIn(base).Amount)
+	}
 	return ledger
 }
 
+// clockSlack exceeds what a host's clock may gain on the store's within settlementTime.
+const clockSlack = 100 * time.Millisecond
+
+// nothingGrantedSince reports whether no process can have been granted tokens since a
+// ledger of an era after the first was reopened or begun: its settlementTime has not passed
+// yet, and that of each ledger of a later era ends later. Nothing more is lost then with the
+// returns since. A commit that only reopens a ledger may have been sent late, while the era
+// had another ledger whose time ended earlier, so that a commit after it is needed.
+func (h *Holder) nothingGrantedSince(base Ledger) bool {
+	followed := base.Replaced == nil || base.Replaced.Era == base.Mark.Era
+	return followed && base.Mark.Era > firstEra && base.ReopenedAt > 0 && base.Unsettled > 0 &&
+		h.clock < time.Duration(base.ReopenedAt)*time.Millisecond+settlementTime-clockSlack
+}
+
 // lostIn returns what counts as lost in a ledger that was reopened from a base: all that
 // the base does not guarantee, as processes that nobody knows of may have it.
 func (h *Holder) lostIn(ledger, base Ledger) core.Tokens {
