--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"time"
 
@@ -243,6 +244,7 @@
 		return err
 	}
 	if c.refusing {
+		answer.requestID = c.identify(request)
 		return errNoConnection
 	}
 	arrived := c.server.config.Now()
@@ -250,6 +252,7 @@
 	defer memory.Close()
 	body, err := c.readBody(ctx, request, limits, memory)
 	if err != nil {
+		answer.requestID = c.identify(request)
 		return err
 	}
 	answer.begin(request)
@@ -262,6 +265,15 @@
 	return c.server.config.Handler.Serve(ctx, decoded, answer)
 }
 
+// identify returns the id of a request of which only the head was read, "" if it has none.
+func (c *connection) identify(request *http.Request) string {
+	decoded, err := c.server.config.Codec.DecodeRequest(request, nil, c.server.config.Now())
+	if err != nil {
+		return ""
+	}
+	return decoded.ID
+}
+
 // resetOnClose lets the connection be reset when it is closed.
 func (c *connection) resetOnClose() {
 	if tcp, ok := c.socket.(*net.TCPConn); ok {
@@ -295,6 +307,9 @@
 func (c *connection) logUndecoded(answer *answer, err error) {
 	log := c.server.config.Log
 	fields := []zap.Field{zap.String("end", string(answer.ending.End)), zap.String("end_cause", string(answer.ending.Cause))}
+	if answer.requestID != "" {
+		fields = append(fields, zap.String("request", answer.requestID))
+	}
 	var refusal *gateway.Refusal
 	isRefusal := errors.As(err, &refusal)
 	if isRefusal {
@@ -303,9 +318,10 @@
 	switch {
 	case answer.ending.End.Lost():
 		eventlog.Losses(log).Warn("request that was not passed on ended without a whole answer", append(fields, zap.String("event", "request_done"))...)
-	case answer.read:
 	case !isRefusal:
 		log.Debug("connection ended while a request was read", append(fields, zap.String("event", "request_unread"), zap.Error(err))...)
+	case c.refusing:
+		log.Info("request refused at the limit of open connections", append(fields, zap.String("event", "request_done"), zap.String("outcome", string(refusal.Kind)))...)
 	default:
 		log.Info("request refused because it could not be read", append(fields, zap.String("event", "request_malformed"))...)
 	}
