Tell a connection only once to make room

A connection that was told to make room while it answered a request was taken for idle again after that answer. If the process then stood still for half a second before the connection had closed, the next connection at the limit told it again. The server tells it by closing a channel, and the second close panics, which ends the process with all its requests.

The table keeps which connections were told, and Idle leaves them out.

--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -34,6 +34,8 @@
 	open           map[K]*list.Element
 	// idle has idleConnection values, the longest idle first.
 	idle *list.List
+	// evicted has the open connections that were told to close. Each is told once.
+	evicted map[K]bool
 }
 
 type idleConnection[K comparable] struct {
@@ -46,7 +48,7 @@
 func New[K comparable](limit int) *Table[K] {
 	limit = max(limit, 2)
 	reserve := max(limit/reserveFraction, 1)
-	return &Table[K]{limit: limit - reserve, reserve: reserve, open: make(map[K]*list.Element), idle: list.New()}
+	return &Table[K]{limit: limit - reserve, reserve: reserve, open: make(map[K]*list.Element), idle: list.New(), evicted: make(map[K]bool)}
 }
 
 // Open adds a connection, which is idle until its first request. If evict is true,
@@ -72,6 +74,7 @@
 		entry := longest.Value.(idleConnection[K])
 		if now.Sub(entry.since) >= minIdle {
 			t.Busy(entry.key)
+			t.evicted[entry.key] = true
 			return entry.key, true
 		}
 	}
@@ -79,8 +82,12 @@
 	return none, false
 }
 
-// Idle records that a connection waits for its next request.
+// Idle records that a connection waits for its next request. One that was evicted closes
+// instead, although it may have answered a request that crossed its eviction.
 func (t *Table[K]) Idle(key K, now time.Time) {
+	if t.evicted[key] {
+		return
+	}
 	if element, found := t.open[key]; found && element == nil {
 		t.open[key] = t.idle.PushBack(idleConnection[K]{key, now})
 	}
@@ -98,6 +105,7 @@
 func (t *Table[K]) Close(key K) {
 	t.Busy(key)
 	delete(t.open, key)
+	delete(t.evicted, key)
 }
 
 // Len returns the number of open connections.
--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -11,14 +11,17 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // Guards against a host that closes a connection with a request, or one that has been
-// idle for less long than another, to make room, and against one that refuses although
-// it could make room.
+// idle for less long than another, to make room, against one that tells a connection
+// twice to make room, and against one that refuses although it could make room.
 func TestOnlyTheLongestIdleConnectionMakesRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := New[int](rapid.IntRange(2, 70).Draw(t, "limit"))
+		// Most runs reach only small limits.
+		table := New[int](rapid.OneOf(rapid.IntRange(2, 6), rapid.IntRange(2, 70)).Draw(t, "limit"))
 		now, next := start, 0
 		// idle has the times since which connections are idle, busy the others.
 		idle, busy := map[int]time.Time{}, map[int]bool{}
+		// told has the connections that were evicted, which stay busy until they close.
+		told := map[int]bool{}
 		pick := func(t *rapid.T) (int, bool) {
 			keys := make([]int, 0, len(idle)+len(busy))
 			for key := range next {
@@ -52,8 +55,11 @@
 					if since, found := idle[evicted]; !found || !since.Equal(oldest) {
 						t.Fatalf("connection %d was evicted, which is not the longest idle", evicted)
 					}
+					if told[evicted] {
+						t.Fatalf("connection %d was evicted twice", evicted)
+					}
 					delete(idle, evicted)
-					busy[evicted] = true
+					busy[evicted], told[evicted] = true, true
 				}
 				if verdict == Serve {
 					idle[next] = now
@@ -72,8 +78,10 @@
 			"answer": func(t *rapid.T) {
 				if key, found := pick(t); found && busy[key] {
 					table.Idle(key, now)
-					delete(busy, key)
-					idle[key] = now
+					if !told[key] {
+						delete(busy, key)
+						idle[key] = now
+					}
 				}
 			},
 			"close": func(t *rapid.T) {
@@ -95,6 +103,37 @@
 	})
 }
 
+// Guards against a table that names a connection twice to make room: the server tells it by
+// closing a channel, and the second close ends the process with all its requests. The
+// answer to a request that crossed the first order may make the connection idle again.
+func TestAConnectionMakesRoomOnce(t *testing.T) {
+	Convey("Given a connection that was told to make room while it answered a request", t, func() {
+		table := New[string](3)
+		table.Open("first", start)
+		table.Open("second", start)
+		table.Busy("second")
+		_, evicted, evict := table.Open("third", start.Add(minIdle))
+		So(evict, ShouldBeTrue)
+		So(evicted, ShouldEqual, "first")
+		table.Busy("first")
+		table.Idle("first", start.Add(minIdle))
+		Convey("it is not told again", func() {
+			table.Close("third")
+			verdict, _, evict := table.Open("fourth", start.Add(2*minIdle))
+			So(evict, ShouldBeFalse)
+			So(verdict, ShouldEqual, Refuse)
+		})
+		Convey("its key can be used again once it is closed", func() {
+			table.Close("first")
+			table.Close("third")
+			table.Open("first", start.Add(minIdle))
+			_, evicted, evict := table.Open("fourth", start.Add(2*minIdle))
+			So(evict, ShouldBeTrue)
+			So(evicted, ShouldEqual, "first")
+		})
+	})
+}
+
 // Guards against a reserve that takes the whole limit, or is none.
 func TestAPartOfTheLimitIsKeptForRefusals(t *testing.T) {
 	Convey("The reserve is a small part of the limit, and never none", t, func() {
