Replace an idle connection that may not be used at the bound

While the list of upstreams is not confirmed, a stream that may be resumed uses only connections that were verified, or set up before the list was last confirmed. Others stayed idle and counted against the bound of connections to the upstream, which is two where there are many hosts. Requests for it were turned away (all connections in use) until these reached their idle limit, up to 25 s.

At the bound, the idle connection that was used least recently now closes, and the request gets its place once it has closed. The bound is not exceeded.

TestAConnectionThatMayNotBeUsedMakesRoomAtTheBound fails without the change in both cases (all connections to the upstream are in use) and passes 100 times under the race detector with it.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -77,6 +77,8 @@
 	idle []*Connection
 	// open counts connections that are in use, idle or being set up.
 	open int
+	// waiting has requests for which an idle connection that they may not use is closed.
+	waiting []acquire
 	// draining is true if released connections are closed instead of kept.
 	draining bool
 }
@@ -197,6 +199,10 @@
 	case closedConnection:
 		u := poolOf(m.connection.upstream)
 		u.open--
+		if len(u.waiting) > 0 {
+			p.dialNext(u)
+			return
+		}
 		if u.open <= 0 && u.draining {
 			delete(pools, m.connection.upstream)
 		}
@@ -224,10 +230,29 @@
 		request.reply <- acquired{connection: connection}
 		return
 	}
-	if u.open >= request.target.MaxConnections {
+	if u.open < request.target.MaxConnections {
+		p.dial(u, request)
+		return
+	}
+	if len(u.idle) == 0 || u.open > request.target.MaxConnections {
 		request.reply <- acquired{err: ErrConnectionLimit}
 		return
 	}
+	// The one that was used least recently makes room.
+	close(u.idle[0].stop)
+	u.idle = slices.Delete(u.idle, 0, 1)
+	u.waiting = append(u.waiting, request)
+}
+
+// dialNext sets up the connection of the request that has waited longest.
+func (p *Pool) dialNext(u *upstreamPool) {
+	request := u.waiting[0]
+	u.waiting = slices.Delete(u.waiting, 0, 1)
+	p.dial(u, request)
+}
+
+// dial sets up a connection for a request.
+func (p *Pool) dial(u *upstreamPool, request acquire) {
 	u.open++
 	go func() {
 		socket, err := dialVerified(request.ctx, request.target)
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -239,3 +241,49 @@
 		})
 	})
 }
+
+// Guards against a request that is turned away at the bound of connections, although one
+// of them is idle and may only not be used while the list is too old.
+func TestAConnectionThatMayNotBeUsedMakesRoomAtTheBound(t *testing.T) {
+	Convey("Given a bound of two and two idle connections that were set up without verification", t, func() {
+		address, _, stop := upstream()
+		pool, end := startPool()
+		Reset(func() { end(); stop() })
+		target := Target{Upstream: "u", Address: address, MaxConnections: 2}
+		var idle []*Connection
+		for range 2 {
+			connection, _, err := pool.Acquire(context.Background(), target)
+			So(err, ShouldBeNil)
+			idle = append(idle, connection)
+		}
+		for _, connection := range idle {
+			pool.release(connection)
+		}
+		target.Verify = func(context.Context, net.Conn) error { return nil }
+		Convey("new ones take their places, and the bound holds", func() {
+			for range 2 {
+				connection, fresh, err := pool.Acquire(context.Background(), target)
+				So(err, ShouldBeNil)
+				So(fresh, ShouldBeTrue)
+				So(slices.Contains(idle, connection), ShouldBeFalse)
+			}
+			_, _, err := pool.Acquire(context.Background(), target)
+			So(err, ShouldEqual, ErrConnectionLimit)
+		})
+		Convey("a request that is given up meanwhile leaves its place to the next", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, _, err := pool.Acquire(ctx, target)
+			So(err, ShouldNotBeNil)
+			for range 2 {
+				_, _, err := pool.Acquire(context.Background(), target)
+				// The place may still be in use for a moment.
+				for tries := 0; tries < 2000 && errors.Is(err, ErrConnectionLimit); tries++ {
+					time.Sleep(time.Millisecond)
+					_, _, err = pool.Acquire(context.Background(), target)
+				}
+				So(err, ShouldBeNil)
+			}
+		})
+	})
+}
