Keep a part of the reserve from evicted connections

A connection that was told to make room stays open if a request has arrived on it, until its answer. These counted against the connections that are kept back for refusals without a bound: once they had all of them, the host accepted nothing until a connection closed, for as long as a stream lasts, and new callers got neither an answer nor a refusal.

While such connections have half of the reserve, requests of new ones are refused. With a reserve of one, nothing changes.

--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -34,8 +34,11 @@
 	open           map[K]*list.Element
 	// idle has idleConnection values, the longest idle first.
 	idle *list.List
-	// evicted has the open connections that were told to close. Each is told once.
+	// evicted has the open connections that were told to close. Each is told once. The
+	// value is true if a request has arrived on one since, so that it stays open until the
+	// answer; crossed is the number of these.
 	evicted map[K]bool
+	crossed int
 }
 
 type idleConnection[K comparable] struct {
@@ -68,13 +71,15 @@
 	return verdict, evicted, evict
 }
 
-// evict takes the connection that has been idle for longest out of the order.
+// evict takes the connection that has been idle for longest out of the order. It takes
+// none if those that were evicted and stay open for an answer have half of the reserve, as
+// the rest is needed to refuse requests while these last.
 func (t *Table[K]) evict(now time.Time) (K, bool) {
-	if longest := t.idle.Front(); longest != nil {
+	if longest := t.idle.Front(); longest != nil && t.crossed < (t.reserve+1)/2 {
 		entry := longest.Value.(idleConnection[K])
 		if now.Sub(entry.since) >= minIdle {
 			t.Busy(entry.key)
-			t.evicted[entry.key] = true
+			t.evicted[entry.key] = false
 			return entry.key, true
 		}
 	}
@@ -85,7 +90,7 @@
 // Idle records that a connection waits for its next request. One that was evicted closes
 // instead, although it may have answered a request that crossed its eviction.
 func (t *Table[K]) Idle(key K, now time.Time) {
-	if t.evicted[key] {
+	if _, evicted := t.evicted[key]; evicted {
 		return
 	}
 	if element, found := t.open[key]; found && element == nil {
@@ -95,6 +100,10 @@
 
 // Busy records that a request is read or served on a connection.
 func (t *Table[K]) Busy(key K) {
+	if crossed, evicted := t.evicted[key]; evicted && !crossed {
+		t.evicted[key] = true
+		t.crossed++
+	}
 	if element := t.open[key]; element != nil {
 		t.idle.Remove(element)
 		t.open[key] = nil
@@ -105,7 +114,10 @@
 func (t *Table[K]) Close(key K) {
 	t.Busy(key)
 	delete(t.open, key)
-	delete(t.evicted, key)
+	if _, evicted := t.evicted[key]; evicted {
+		t.crossed--
+		delete(t.evicted, key)
+	}
 }
 
 // Len returns the number of open connections.
