Do not take an upstream for unreachable for lack of a descriptor

A host whose file descriptors were all in use could open no connection, and took each upstream that it tried for unreachable: it left them out for 400 ms, twice as long with each further failure, although they were sound and the lack was its own.

Such an error is now ErrConnectionLimit, like the bound of connections to an upstream, whose cooldown is 150 ms and does not grow.

--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -44,6 +44,9 @@
 		},
 	}
 	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		return nil, fmt.Errorf("%w: %w", ErrConnectionLimit, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("connect to upstream %s; check that it runs and can be reached: %w", address, err)
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -14,8 +14,10 @@
 // inboxCapacity is enough for a burst of acquired and released connections.
 const inboxCapacity = 512
 
-// ErrConnectionLimit means that the upstream's connections are all in use.
-var ErrConnectionLimit = errors.New("all connections to the upstream are in use; choose another")
+// ErrConnectionLimit means that this host can open no further connection to the upstream
+// now: all that it may have are in use, or it has no free file descriptor. It says nothing
+// about whether the upstream can be reached.
+var ErrConnectionLimit = errors.New("no further connection to the upstream can be opened now; choose another")
 
 // Target identifies the upstream process to connect to.
 type Target struct {
