--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -14,8 +14,10 @@
 // inboxCapacity is enough for a burst of acquired and released connections.
 const inboxCapacity = 512
 
-// ErrConnectionLimit means that the upstream's connections are all in use.
-var ErrConnectionLimit = errors.New("all connections to the upstream are in use; choose another")
+// ErrConnectionLimit means that this host can open no further connection to the upstream
+// now: all that it may have are in use, or it has no free file descriptor. It says nothing
+// about whether the upstream can be reached.
+var ErrConnectionLimit = errors.New("no further connection to the upstream can be opened now; choose another")
 
 // Target identifies the upstream process to connect to.
 type Target struct {
@@ -77,6 +79,8 @@
 	idle []*Connection
 	// open counts connections that are in use, idle or being set up.
 	open int
+	// waiting has requests for which an idle connection that they may not use is closed.
+	waiting []acquire
 	// draining is true if released connections are closed instead of kept.
 	draining bool
 }
@@ -197,6 +201,10 @@
 	case closedConnection:
 		u := poolOf(m.connection.upstream)
 		u.open--
+		if len(u.waiting) > 0 {
+			p.dialNext(u)
+			return
+		}
 		if u.open <= 0 && u.draining {
 			delete(pools, m.connection.upstream)
 		}
@@ -224,10 +232,29 @@
 		request.reply <- acquired{connection: connection}
 		return
 	}
-	if u.open >= request.target.MaxConnections {
+	if u.open < request.target.MaxConnections {
+		p.dial(u, request)
+		return
+	}
+	if len(u.idle) == 0 || u.open > request.target.MaxConnections {
 		request.reply <- acquired{err: ErrConnectionLimit}
 		return
 	}
+	// The one that was used least recently makes room.
+	close(u.idle[0].stop)
+	u.idle = slices.Delete(u.idle, 0, 1)
+	u.waiting = append(u.waiting, request)
+}
+
+// dialNext sets up the connection of the request that has waited longest.
+func (p *Pool) dialNext(u *upstreamPool) {
+	request := u.waiting[0]
+	u.waiting = slices.Delete(u.waiting, 0, 1)
+	p.dial(u, request)
+}
+
+// dial sets up a connection for a request.
+func (p *Pool) dial(u *upstreamPool, request acquire) {
 	u.open++
 	go func() {
 		socket, err := dialVerified(request.ctx, request.target)
--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -34,6 +34,11 @@
 	open           map[K]*list.Element
 	// idle has idleConnection values, the longest idle first.
 	idle *list.List
+	// evicted has the open connections that were told to close. Each is told once. The
+	// value is true if a request has arrived on one since, so that it stays open until the
+	// answer; crossed is the number of these.
+	evicted map[K]bool
+	crossed int
 }
 
 type idleConnection[K comparable] struct {
@@ -46,7 +51,7 @@
 func New[K comparable](limit int) *Table[K] {
 	limit = max(limit, 2)
 	reserve := max(limit/reserveFraction, 1)
-	return &Table[K]{limit: limit - reserve, reserve: reserve, open: make(map[K]*list.Element), idle: list.New()}
+	return &Table[K]{limit: limit - reserve, reserve: reserve, open: make(map[K]*list.Element), idle: list.New(), evicted: make(map[K]bool)}
 }
 
 // Open adds a connection, which is idle until its first request. If evict is true,
@@ -66,12 +71,15 @@
 	return verdict, evicted, evict
 }
 
-// evict takes the connection that has been idle for longest out of the order.
+// evict takes the connection that has been idle for longest out of the order. It takes
+// none if those that were evicted and stay open for an answer have half of the reserve, as
+// the rest is needed to refuse requests while these last.
 func (t *Table[K]) evict(now time.Time) (K, bool) {
-	if longest := t.idle.Front(); longest != nil {
+	if longest := t.idle.Front(); longest != nil && t.crossed < (t.reserve+1)/2 {
 		entry := longest.Value.(idleConnection[K])
 		if now.Sub(entry.since) >= minIdle {
 			t.Busy(entry.key)
+			t.evicted[entry.key] = false
 			return entry.key, true
 		}
 	}
@@ -79,8 +87,12 @@
 	return none, false
 }
 
-// Idle records that a connection waits for its next request.
+// Idle records that a connection waits for its next request. One that was evicted closes
+// instead, although it may have answered a request that crossed its eviction.
 func (t *Table[K]) Idle(key K, now time.Time) {
+	if _, evicted := t.evicted[key]; evicted {
+		return
+	}
 	if element, found := t.open[key]; found && element == nil {
 		t.open[key] = t.idle.PushBack(idleConnection[K]{key, now})
 	}
@@ -88,6 +100,10 @@
 
 // Busy records that a request is read or served on a connection.
 func (t *Table[K]) Busy(key K) {
+	if crossed, evicted := t.evicted[key]; evicted && !crossed {
+		t.evicted[key] = true
+		t.crossed++
+	}
 	if element := t.open[key]; element != nil {
 		t.idle.Remove(element)
 		t.open[key] = nil
@@ -98,6 +114,10 @@
 func (t *Table[K]) Close(key K) {
 	t.Busy(key)
 	delete(t.open, key)
+	if _, evicted := t.evicted[key]; evicted {
+		t.crossed--
+		delete(t.evicted, key)
+	}
 }
 
 // Len returns the number of open connections.
