Take the connections that wait as a full host stops

Callers whose connection waited to be accepted as a host at its limit stopped got a reset: the last look at the listener lasts 20 ms, and the wait for room at the limit outlasted it after the first connection. That wait does not count any more.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -294,21 +294,20 @@
 // called and no connection waits.
 func (s *Server) accept(ctx context.Context) {
 	defer func() { _ = s.inbox.Send(context.WithoutCancel(ctx), acceptEnded{}) }()
-	ending := false
+	// until is when the last look ends, the zero time before endAccepting was called.
+	var until time.Time
 	for {
 		socket, err := s.config.Listener.Accept()
 		switch {
 		case err == nil:
 		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded) && ending:
+		case errors.Is(err, os.ErrDeadlineExceeded) && !until.IsZero():
 			_ = s.config.Listener.Close()
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			ending = true
-			if listener, ok := s.config.Listener.(deadlineListener); ok {
-				_ = listener.SetDeadline(time.Now().Add(lastLookTimeout))
-			}
+			until = time.Now().Add(lastLookTimeout)
+			s.acceptUntil(until)
 			continue
 		default:
 			s.config.Log.Warn("accepting a connection failed", zap.String("event", "accept_failed"), zap.Error(err))
@@ -317,6 +316,7 @@
 			}
 			continue
 		}
+		offered := time.Now()
 		room := make(chan struct{}, 1)
 		c := newConnection(s, socket)
 		if s.inbox.Send(ctx, connectionOpened{c, room}) != nil {
@@ -328,6 +328,18 @@
 		case <-ctx.Done():
 			return
 		}
+		if !until.IsZero() {
+			// At the limit of connections, the wait for room may outlast the last look.
+			until = until.Add(time.Since(offered))
+			s.acceptUntil(until)
+		}
+	}
+}
+
+// acceptUntil lets accepts fail from a moment on.
+func (s *Server) acceptUntil(end time.Time) {
+	if listener, ok := s.config.Listener.(deadlineListener); ok {
+		_ = listener.SetDeadline(end)
 	}
 }
 
