Deliver a whole answer although the next request is unread

Callers that send requests back to back lost the end of a long answer as its connection ended with it: bytes that are unread as a socket is closed reset it, and the kernel drops what the caller has not read.

A caller that sends nothing is not waited for.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -64,6 +64,9 @@
 	// refusing is true if the connection's request is refused, as the host is at its limit
 	// of open connections.
 	refusing bool
+	// answered is true if the latest request has its whole answer, after which the
+	// connection ends.
+	answered bool
 	// discarded is true once bytes of a request were read and thrown away.
 	discarded bool
 }
@@ -82,7 +85,11 @@
 	defer cancel(nil)
 	defer close(c.peekRequests)
 	go c.peekLoop(cancel)
-	c.close(c.serveRequests(ctx))
+	cause := c.serveRequests(ctx)
+	if c.answered {
+		c.discardUnread()
+	}
+	c.close(cause)
 }
 
 // serveRequests serves one request after the other and returns why the connection is
@@ -233,7 +240,9 @@
 	if !answer.read {
 		c.discardRest(err)
 	}
-	return answer.closeCause()
+	cause := answer.closeCause()
+	c.answered = cause != "" && answer.read && answer.done && !answer.failed
+	return cause
 }
 
 // handleRequest reads a request and passes it to the handler.
@@ -334,9 +343,34 @@
 	if !errors.As(err, &refusal) {
 		return
 	}
-	if tcp, ok := c.socket.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		_ = c.socket.SetReadDeadline(c.server.config.Now().Add(lingerTimeout))
-		count, _ := io.Copy(io.Discard, c.reader)
-		c.discarded = count > 0
+	if c.closeWrite() {
+		c.discard()
+	}
+}
+
+// discardUnread reads what the caller has sent after a request with a whole answer. If it
+// were unread as the socket is closed, the reset would drop what the caller has not read of
+// the answer. A caller that sends nothing is not waited for.
+func (c *connection) discardUnread() {
+	if !c.closeWrite() {
+		return
 	}
+	if c.peeking && c.interruptPeek(gateway.CloseDraining) != "" {
+		return
+	}
+	c.discard()
+}
+
+// closeWrite ends the answers of the connection, which is still read. It reports false if
+// that is not possible.
+func (c *connection) closeWrite() bool {
+	tcp, ok := c.socket.(*net.TCPConn)
+	return ok && tcp.CloseWrite() == nil
+}
+
+// discard reads on for a short time and throws away what it reads.
+func (c *connection) discard() {
+	_ = c.socket.SetReadDeadline(c.server.config.Now().Add(lingerTimeout))
+	count, _ := io.Copy(io.Discard, c.reader)
+	c.discarded = c.discarded || count > 0
 }
