Refuse callers without room although their head does not arrive

A caller that sent a part of its head to a full host kept one of the few connections for refusals for the header limit of the configuration, 3 s by default, and was then told that it was slow. It is waited for 1 s and told that there is no room. TestARefusedCallerIsNotWaitedForLong fails before and passes with the change.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -28,7 +28,7 @@
 	// new connection.
 	newConnectionWait = 500 * time.Millisecond
 	// refusedRequestWait is how long a host at its limit of open connections waits for a
-	// request that it will refuse.
+	// request that it will refuse, and then for its head.
 	refusedRequestWait = time.Second
 	// limitRetryAfter is the retry delay given by a host at its limit of open
 	// connections, in which some of them become idle.
@@ -249,12 +249,15 @@
 func (c *connection) handleRequest(ctx context.Context, answer *answer) error {
 	limits := c.server.config.Limits.Limits(ctx)
 	request, err := c.readHead(ctx, limits)
-	if err != nil {
-		return err
-	}
-	if c.refusing {
+	var refused *gateway.Refusal
+	switch {
+	case c.refusing && err == nil:
 		answer.requestID = c.identify(request)
 		return errNoConnection
+	case c.refusing && errors.As(err, &refused) && refused.Kind == gateway.SlowRequest:
+		return errNoConnection
+	case err != nil:
+		return err
 	}
 	arrived := c.server.config.Now()
 	memory := c.server.config.Buffers.Account()
--- a/internal/front/reading.go
+++ b/internal/front/reading.go
@@ -80,6 +80,9 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultHeaderBytes
 	}
+	if c.refusing {
+		timeout = min(timeout, refusedRequestWait)
+	}
 	defer c.limitReads(ctx, timeout)()
 	var head []byte
 	for {
