Let an idle connection make room where file descriptors lack

A host without a free file descriptor kept its idle connections until their limit, while new callers waited without an answer or a refusal: a failed accept was tried again each 50 ms and changed nothing. Each such failure now lets the connection that has been idle for longest make room. TestAnIdleConnectionMakesRoomWhereDescriptorsLack blocks without the change and passes five times under the race detector with it.

--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -71,6 +71,10 @@
 	return verdict, evicted, evict
 }
 
+// MakeRoom returns a connection that is to be closed as soon as it is idle, where the host
+// lacks a file descriptor below the limit. It reports false if none can make room.
+func (t *Table[K]) MakeRoom(now time.Time) (K, bool) { return t.evict(now) }
+
 // evict takes the connection that has been idle for longest out of the order. It takes
 // none if those that were evicted and stay open for an answer have half of the reserve, as
 // the rest is needed to refuse requests while these last.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -94,6 +95,9 @@
 type connectionIdle struct{ connection *connection }
 type connectionBusy struct{ connection *connection }
 type connectionClosed struct{ connection *connection }
+
+// descriptorLacking tells that no connection can be accepted for lack of a file descriptor.
+type descriptorLacking struct{}
 type askOpen struct{ reply chan<- int }
 type beginDrain struct{}
 type acceptEnded struct{}
@@ -190,6 +194,10 @@
 	case connectionClosed:
 		delete(t.open, m.connection)
 		t.table.Close(m.connection)
+	case descriptorLacking:
+		if evicted, evict := t.table.MakeRoom(t.server.config.Now()); evict {
+			close(evicted.evicted)
+		}
 	case askOpen:
 		m.reply <- len(t.open)
 	case acceptEnded:
@@ -311,6 +319,9 @@
 			continue
 		default:
 			s.config.Log.Warn("accepting a connection failed", zap.String("event", "accept_failed"), zap.Error(err))
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				_ = s.inbox.Send(ctx, descriptorLacking{})
+			}
 			if task.Sleep(ctx, acceptRetry) != nil {
 				return
 			}
