Weigh the first answer to a suspected part at once

The first answer to a suspected part changes its rank, but the decision was taken again only if the answer cleared a crash.

It is now taken again after the first answer to a suspected part, an own one or one that a peer reports.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -205,9 +205,10 @@
 }
 
 // RecordAnswer records that a request with the traits was answered, which clears
-// them. It reports whether that cleared a crash.
+// them. It reports whether that cleared a crash, or was the first answer to a suspected
+// trait.
 func (r *Registry) RecordAnswer(traits []Trait, now time.Time) bool {
-	cleared := false
+	changed := false
 	for _, trait := range traits {
 		if trait.Own {
 			r.recent.add(trait.ID, true, now)
@@ -215,12 +216,12 @@
 				continue
 			}
 		}
-		cleared = r.addAnswer(trait.ID, now, now) || cleared
+		changed = r.addAnswer(trait.ID, now, now) || changed
 	}
-	if cleared {
+	if changed {
 		r.decide()
 	}
-	return cleared
+	return changed
 }
 
 // RecordFailure records that an upstream answered a request with a failure. It clears
@@ -383,12 +384,15 @@
 	}
 }
 
-// addAnswer stores the time of an answer and forgets the crashes that it clears.
-// It returns true if there were any.
+// addAnswer stores the time of an answer and forgets the crashes that it clears. It
+// reports whether the held traits may change: there were such crashes, or it is the first
+// answer to a suspected trait, which is held after others from then on.
 func (r *Registry) addAnswer(trait string, at, now time.Time) bool {
-	if known, found := r.answers[trait]; found && !at.After(known.at) {
+	known, found := r.answers[trait]
+	if found && !at.After(known.at) {
 		return false
 	}
+	first := !found && r.suspected(trait)
 	if len(r.answers) >= maxAnswers {
 		r.dropAnswers(now)
 	}
@@ -402,7 +406,7 @@
 		answer.sendsLeft = rumorSends
 	}
 	r.answers[trait] = answer
-	return cleared
+	return cleared || first
 }
 
 // dropAnswers makes room for answers: it forgets those that are too old, or all of
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -386,3 +386,35 @@
 		}
 	})
 }
+
+// Guards against hosts that hold different parts because one of them learned last of an
+// answer that clears no crash: it counts all the same, as a part that was answered is held
+// after others.
+func TestAnAnswerThatClearsNoCrashIsWeighed(t *testing.T) {
+	Convey("Given crashes that two parts explain alike, and an earlier answer to one of them", t, func() {
+		now := at(100)
+		crashes := func(r *Registry) {
+			for _, part := range []string{"a", "b"} {
+				r.Merge(Report{Crashes: []CrashReport{
+					{Part: part, Upstream: "u1", Origin: "h2"},
+					{Part: part, Upstream: "u2", Origin: "h1", Age: 8 * time.Second},
+					{Part: part, Upstream: "u1", Origin: "h1", Age: 4 * time.Second, SameZone: true},
+				}}, now)
+			}
+		}
+		answer := func(r *Registry) { r.RecordAnswer(promptOf("a"), now.Add(-12*time.Second)) }
+		early, late := New("self"), New("self")
+		answer(early)
+		crashes(early)
+		crashes(late)
+		answer(late)
+		So(early.Holds().HeldTraits(), ShouldResemble, []string{"b"})
+		So(late.Holds().HeldTraits(), ShouldResemble, early.Holds().HeldTraits())
+		Convey("It counts also if a peer reports it", func() {
+			told := New("self")
+			crashes(told)
+			told.Merge(Report{Answers: []AnswerReport{{Part: "a", Age: 12 * time.Second}}}, now)
+			So(told.Holds().HeldTraits(), ShouldResemble, []string{"b"})
+		})
+	})
+}
