Tell tunnels apart from calls at the listener of peers

A host that has lost its links to all upstreams needs a peer that reaches them. The wire format of such a tunnel (internal/tunnel) uses the listener that hosts already have: its first byte, 0, begins no gob stream, so that the server of net/rpc stays as it is for everything else, and a host of an earlier version closes the connection. The server passes tunnels to a callback; without one it closes them. They count towards its bound on connections.

golang.org/x/sys, so far an indirect dependency, reads TCP_INFO: the kernel reports a reset to one call only, and after a failed write a read sees a plain end.

--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -1,8 +1,10 @@
 package peerrpc
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/rpc"
 	"time"
@@ -10,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
 
 const (
@@ -30,6 +33,10 @@
 	// MaxConnections bounds open connections; 0 means 1024. Connections above
 	// the bound are closed at once.
 	MaxConnections int
+	// Tunnels serves a connection that is a tunnel's, of which the first byte has been
+	// read. It ends when the server closes the connection or ctx ends; the connection is
+	// closed when it returns. nil closes such connections.
+	Tunnels func(ctx context.Context, conn net.Conn)
 }
 
 // Server serves calls of peers. It is a task that owns the listener and the set
@@ -113,8 +120,36 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	s.rpc.ServeConn(countedConn{conn, s.config.Traffic})
-	s.post(ctx, serverEvent{conn: conn, closed: true})
+	defer s.post(ctx, serverEvent{conn: conn, closed: true})
+	counted := countedConn{conn, s.config.Traffic}
+	// The first byte has the time that any read has: a client may set up a connection
+	// before it has a call to send.
+	var first [1]byte
+	if _, err := io.ReadFull(counted, first[:]); err != nil {
+		_ = conn.Close()
+		return
+	}
+	if first[0] == tunnel.FirstByte {
+		s.serveTunnel(ctx, conn)
+		return
+	}
+	s.rpc.ServeConn(prefixedConn{io.MultiReader(bytes.NewReader(first[:]), counted), counted})
+}
+
+// serveTunnel passes on a tunnel's connection. Its bytes are not counted, as they are no
+// control traffic.
+func (s *Server) serveTunnel(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if s.config.Tunnels == nil || conn.SetDeadline(time.Time{}) != nil {
+		return
+	}
+	s.config.Tunnels(ctx, conn)
+}
+
+// prefixedConn is a connection of which the first byte has been read.
+type prefixedConn struct {
+	io.Reader
+	io.WriteCloser
 }
 
 func (s *Server) post(ctx context.Context, event serverEvent) bool {
--- /dev/null
+++ b/internal/tunnel/socket.go
@@ -0,0 +1,113 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+const (
+	// keepAliveIdle, keepAliveInterval and keepAliveCount are those of connections to
+	// upstreams, so that a tunnel delays the notice of a silent end by nothing.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	// unackedTimeout closes a connection on which sent bytes remain unacknowledged. Linux
+	// also ends keep-alive probes by it, whatever their count.
+	unackedTimeout = 4 * time.Second
+	// resetGrace bounds the wait for sent bytes to be acknowledged before a reset, which
+	// discards them. A round trip between zones takes a few milliseconds.
+	resetGrace = 500 * time.Millisecond
+	// resetPoll is the interval of the looks at what is unacknowledged.
+	resetPoll = 10 * time.Millisecond
+	// tcpStateClose is the state of a socket that was reset, and not closed in order.
+	tcpStateClose = 7
+)
+
+// Configure makes a silent peer noticed within unackedTimeout. Connections that are not
+// of TCP, as in tests, remain as they are.
+func Configure(conn net.Conn) error {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := socket.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}); err != nil {
+		return err
+	}
+	var optionErr error
+	err := control(socket, func(fd int) {
+		optionErr = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
+}
+
+// ResetOnClose chooses whether a connection ends by a reset or in order when it is closed,
+// also by the end of the process.
+func ResetOnClose(conn net.Conn, reset bool) error {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	return socket.SetLinger(seconds)
+}
+
+// Reset closes a connection such that its peer sees an error and no end. Bytes that were
+// written before are delivered first if that is possible within resetGrace and until ctx
+// ends.
+func Reset(ctx context.Context, conn net.Conn) {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		_ = conn.Close()
+		return
+	}
+	for waited := time.Duration(0); waited < resetGrace && unacknowledged(socket); waited += resetPoll {
+		if task.Sleep(ctx, resetPoll) != nil {
+			break
+		}
+	}
+	_ = ResetOnClose(socket, true)
+	_ = socket.Close()
+}
+
+// WasReset reports whether a connection from which the end was read has been reset. The
+// kernel reports a reset to one call only: after a failed write, a read sees a plain end.
+func WasReset(conn net.Conn) bool {
+	info, known := tcpInfo(conn)
+	return known && info.State == tcpStateClose
+}
+
+func unacknowledged(socket *net.TCPConn) bool {
+	info, known := tcpInfo(socket)
+	return known && info.State != tcpStateClose && (info.Unacked > 0 || info.Notsent_bytes > 0)
+}
+
+func tcpInfo(conn net.Conn) (*unix.TCPInfo, bool) {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err := control(socket, func(fd int) { info, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, err == nil && infoErr == nil
+}
+
+func control(socket syscall.Conn, use func(fd int)) error {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { use(int(fd)) })
+}
