Decide from a host's own connections whether it is cut off from a service

A host that loses its links to all upstreams finds out again with each request. The new package keeps how attempts to connect end: three upstreams of a service that are unreachable one after the other, without one that is not, show a cut, and one connection ends it. It also says which upstreams to probe and when. Tests: the table's rules, probes, and a stateful one over random results (rapid).

--- /dev/null
+++ b/internal/decide/reach/reach.go
@@ -0,0 +1,137 @@
+// Package reach decides whether a host has lost its links to all upstreams of a service,
+// from how its own attempts to set up connections end. A host that is cut off sets up
+// connections through other hosts, and finds out by probes when the cut is over.
+package reach
+
+import (
+	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+const (
+	// neededFailures is the number of upstreams that must be unreachable one after the
+	// other, without one that is not, before a service counts as cut off. Two may end at
+	// the same moment on their own.
+	neededFailures = 3
+	// failureMemory is how long a failed attempt to connect counts. It exceeds the time in
+	// which requests to a service of few upstreams try them one after the other.
+	failureMemory = 3 * time.Second
+	// probeInterval is the time between two rounds of probes of a service. A cut lasts for
+	// seconds, and a probe costs a connection.
+	probeInterval = 500 * time.Millisecond
+)
+
+// Table holds what a host knows of its own links. Its callers pass in the current time.
+type Table struct {
+	services map[core.ServiceName]*serviceState
+}
+
+type serviceState struct {
+	// failed has the upstreams that were unreachable since the last connection.
+	failed map[core.UpstreamID]time.Time
+	// cutOff is true from the failures that show the cut until a connection.
+	cutOff bool
+	// probedAt is when the latest round of probes was sent.
+	probedAt time.Time
+}
+
+// Change is what a result of an attempt to connect has changed.
+type Change uint8
+
+// The changes.
+const (
+	// None means that nothing has changed.
+	None Change = iota
+	// Lost means that the service counts as cut off from now on.
+	Lost
+	// Regained means that it does not any more.
+	Regained
+)
+
+// New returns a table of a host that has lost nothing.
+func New() *Table { return &Table{services: make(map[core.ServiceName]*serviceState)} }
+
+func (t *Table) state(service core.ServiceName) *serviceState {
+	state, found := t.services[service]
+	if !found {
+		state = &serviceState{failed: make(map[core.UpstreamID]time.Time)}
+		t.services[service] = state
+	}
+	return state
+}
+
+// CutOff reports whether the host has lost its links to all upstreams of a service.
+func (t *Table) CutOff(service core.ServiceName) bool {
+	state, found := t.services[service]
+	return found && state.cutOff
+}
+
+// Connected records that the host has set up a connection to an upstream itself.
+func (t *Table) Connected(service core.ServiceName) Change {
+	state, found := t.services[service]
+	if !found {
+		return None
+	}
+	clear(state.failed)
+	if !state.cutOff {
+		return None
+	}
+	state.cutOff = false
+	return Regained
+}
+
+// Unreachable records that the host could not connect to an upstream itself. listed is the
+// number of upstreams of the service that may be used, 1 or more.
+func (t *Table) Unreachable(service core.ServiceName, upstream core.UpstreamID, listed int, now time.Time) Change {
+	state := t.state(service)
+	state.failed[upstream] = now
+	for id, at := range state.failed {
+		if now.Sub(at) > failureMemory {
+			delete(state.failed, id)
+		}
+	}
+	if state.cutOff || len(state.failed) < min(neededFailures, max(listed, 1)) {
+		return None
+	}
+	state.cutOff = true
+	return Lost
+}
+
+// TakeProbes returns the upstreams to probe now, none if the latest round was a moment ago.
+// suspect is the upstream that gave the reason, "" if there is none; listed has the
+// upstreams of the service that may be used, in an order that differs between rounds.
+//
+//   - A service of which an upstream was unreachable has as many others probed as would show
+//     a cut, so that requests need not find them one after the other.
+//   - Else the suspect is probed, whose connections broke or are silent.
+//   - One that is cut off has one upstream probed, which tells when the cut is over.
+func (t *Table) TakeProbes(service core.ServiceName, suspect core.UpstreamID, listed []core.UpstreamID, now time.Time) []core.UpstreamID {
+	state := t.state(service)
+	if len(listed) == 0 || now.Sub(state.probedAt) < probeInterval {
+		return nil
+	}
+	state.probedAt = now
+	switch {
+	case state.cutOff:
+		return listed[:1]
+	case len(state.failed) == 0 && suspect != "":
+		return []core.UpstreamID{suspect}
+	}
+	var probes []core.UpstreamID
+	for _, id := range listed {
+		if _, failed := state.failed[id]; !failed && len(probes)+len(state.failed) < neededFailures {
+			probes = append(probes, id)
+		}
+	}
+	return probes
+}
+
+// Retain forgets the services that are not listed any more.
+func (t *Table) Retain(listed func(core.ServiceName) bool) {
+	for service := range t.services {
+		if !listed(service) {
+			delete(t.services, service)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/reach/reach_test.go
@@ -0,0 +1,98 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards against a host that goes on to try upstreams itself after all its links are gone,
+// and against one that takes the end of a few upstreams for a cut.
+func TestAHostIsCutOffOnceSeveralUpstreamsAreUnreachable(t *testing.T) {
+	Convey("Given a service of nine upstreams", t, func() {
+		table := New()
+		fail := func(id core.UpstreamID, at time.Duration) Change {
+			return table.Unreachable("models", id, 9, start.Add(at))
+		}
+		Convey("Three that are unreachable in a row show a cut, until a connection is set up", func() {
+			So(fail("a", 0), ShouldEqual, None)
+			So(fail("a", 100*time.Millisecond), ShouldEqual, None)
+			So(fail("b", 200*time.Millisecond), ShouldEqual, None)
+			So(table.CutOff("models"), ShouldBeFalse)
+			So(fail("c", 300*time.Millisecond), ShouldEqual, Lost)
+			So(fail("d", 400*time.Millisecond), ShouldEqual, None)
+			So(table.CutOff("models"), ShouldBeTrue)
+			So(table.CutOff("ledger"), ShouldBeFalse)
+			So(table.Connected("models"), ShouldEqual, Regained)
+			So(table.CutOff("models"), ShouldBeFalse)
+			So(fail("e", 500*time.Millisecond), ShouldEqual, None)
+		})
+		Convey("A connection in between, or a long time, does not", func() {
+			fail("a", 0)
+			fail("b", 0)
+			So(table.Connected("models"), ShouldEqual, None)
+			So(fail("c", 0), ShouldEqual, None)
+			So(fail("d", 0), ShouldEqual, None)
+			So(fail("e", failureMemory+time.Millisecond), ShouldEqual, None)
+		})
+	})
+	Convey("Given a service with fewer upstreams than that, all of them show it", t, func() {
+		table := New()
+		So(table.Unreachable("ledger", "a", 2, start), ShouldEqual, None)
+		So(table.Unreachable("ledger", "b", 2, start), ShouldEqual, Lost)
+		So(New().Unreachable("ledger", "a", 1, start), ShouldEqual, Lost)
+	})
+}
+
+// Guards against a cut that is noticed late, as few requests set up connections, and
+// against probes that cost more than they tell.
+func TestProbesOfAService(t *testing.T) {
+	listed := []core.UpstreamID{"a", "b", "c", "d"}
+	Convey("Given a host that suspects an upstream", t, func() {
+		table := New()
+		So(table.TakeProbes("models", "b", listed, start), ShouldResemble, []core.UpstreamID{"b"})
+		So(table.TakeProbes("models", "c", listed, start.Add(probeInterval-1)), ShouldBeEmpty)
+		table.Unreachable("models", "b", len(listed), start)
+		Convey("As many others are probed as would show a cut", func() {
+			So(table.TakeProbes("models", "b", listed, start.Add(probeInterval)), ShouldResemble, []core.UpstreamID{"a", "c"})
+		})
+		Convey("One is probed while the service is cut off", func() {
+			table.Unreachable("models", "a", len(listed), start)
+			table.Unreachable("models", "c", len(listed), start)
+			So(table.TakeProbes("models", "", listed, start.Add(probeInterval)), ShouldResemble, []core.UpstreamID{"a"})
+		})
+	})
+}
+
+// Guards against any order of results after which a host that reaches an upstream counts as
+// cut off, or one that reaches none does not.
+func TestTheLatestResultsDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := New(), start
+		upstreams := rapid.IntRange(1, 12).Draw(t, "upstreams")
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "connected") {
+				table.Connected("s")
+				if table.CutOff("s") {
+					t.Fatal("cut off after a connection")
+				}
+				continue
+			}
+			table.Unreachable("s", core.UpstreamID(fmt.Sprint(rapid.IntRange(1, upstreams).Draw(t, "id"))), upstreams, now)
+		}
+		for id := range upstreams {
+			table.Unreachable("s", core.UpstreamID(fmt.Sprint(id+1)), upstreams, now)
+		}
+		if !table.CutOff("s") {
+			t.Fatal("not cut off although all upstreams are unreachable")
+		}
+	})
+}
