Let a connection to an upstream be set up in another way

The pool dialled itself in each case. A target may now name the way to set up a connection, which carries one request then, and the pool gets the function that it dials with, so that tests can cut a host's links. Behaviour is unchanged where neither is given; the package's tests pass as before.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -99,6 +99,8 @@
 	dispatched chan *Exchange
 	results    chan outcome
 	stop       chan struct{}
+	// single is true if the connection carries one request.
+	single bool
 	// idleLimit is how long this connection may stay idle: maxIdle, or less if
 	// the upstream states a shorter timeout.
 	idleLimit time.Duration
@@ -358,7 +360,7 @@
 		}
 		c.updateIdleLimit(response.Header)
 		end := c.readBody(exchange, response, &head)
-		return end, end.Err == nil && end.Framed && !response.Close && !stray
+		return end, end.Err == nil && end.Framed && !response.Close && !stray && !c.single
 	}
 	return End{Err: ErrMalformedResponse}, false
 }
--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -29,7 +29,12 @@
 	verifyTimeout = 250 * time.Millisecond
 )
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// DialFunc connects to the address of an upstream, IP:PORT.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial connects to an upstream. Its error wraps ErrConnectionLimit if the process has no
+// free file descriptor.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -54,7 +59,11 @@
 }
 
 // dialVerified sets up a connection and verifies it if the target asks for that.
-func dialVerified(ctx context.Context, target Target) (net.Conn, error) {
+func (p *Pool) dialVerified(ctx context.Context, target *Target) (net.Conn, error) {
+	dial := p.dial
+	if target.Tunnel != nil {
+		dial = func(ctx context.Context, _ string) (net.Conn, error) { return target.Tunnel(ctx) }
+	}
 	socket, err := dial(ctx, target.Address)
 	if err != nil || target.Verify == nil {
 		return socket, err
@@ -73,10 +82,16 @@
 	return socket, nil
 }
 
+// Dial connects to an upstream as the pool does, for another host. It returns a connection
+// that the pool does not count.
+func (p *Pool) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return p.dial(ctx, address)
+}
+
 // Probe connects to an upstream and closes the connection without sending
 // anything. Its error tells why no connection could be established.
-func Probe(ctx context.Context, address string) error {
-	socket, err := dial(ctx, address)
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	socket, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -32,6 +32,9 @@
 	// ListedAt is when the list was last confirmed. If Verify is set, idle connections
 	// that were set up later are used only if they were verified.
 	ListedAt time.Time
+	// Tunnel sets up a new connection through another host. It is nil if this host sets it
+	// up itself. Such a connection carries one request.
+	Tunnel func(ctx context.Context) (net.Conn, error)
 }
 
 // accepts reports whether an idle connection leads to the listed process.
@@ -45,6 +48,7 @@
 type Pool struct {
 	inbox  *task.Inbox[any]
 	decode DecodeHead
+	dial   DialFunc
 }
 
 type acquire struct {
@@ -112,9 +116,13 @@
 	return nil
 }
 
-// NewPool returns a pool whose connections convert response heads with decode.
-func NewPool(decode DecodeHead) *Pool {
-	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode}
+// NewPool returns a pool whose connections convert response heads with decode and are set
+// up with dial, or with Dial if that is nil.
+func NewPool(decode DecodeHead, dial DialFunc) *Pool {
+	if dial == nil {
+		dial = Dial
+	}
+	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode, dial: dial}
 }
 
 // Acquire returns a connection to the upstream and whether it is new. After an
@@ -233,7 +241,7 @@
 		return
 	}
 	if u.open < request.target.MaxConnections {
-		p.dial(u, request)
+		p.setUp(u, request)
 		return
 	}
 	if len(u.idle) == 0 || u.open > request.target.MaxConnections {
@@ -250,14 +258,14 @@
 func (p *Pool) dialNext(u *upstreamPool) {
 	request := u.waiting[0]
 	u.waiting = slices.Delete(u.waiting, 0, 1)
-	p.dial(u, request)
+	p.setUp(u, request)
 }
 
-// dial sets up a connection for a request.
-func (p *Pool) dial(u *upstreamPool, request acquire) {
+// setUp sets up a connection for a request.
+func (p *Pool) setUp(u *upstreamPool, request acquire) {
 	u.open++
 	go func() {
-		socket, err := dialVerified(request.ctx, request.target)
+		socket, err := p.dialVerified(request.ctx, &request.target)
 		_ = p.inbox.Send(context.Background(), dialed{request.target, socket, err, request})
 	}()
 }
@@ -269,6 +277,7 @@
 		return
 	}
 	connection := newConnection(p, m.target.Upstream, m.socket, p.decode)
+	connection.single = m.target.Tunnel != nil
 	connection.setUpAt, connection.verified = time.Now(), m.target.Verify != nil
 	go connection.run()
 	m.request.reply <- acquired{connection: connection, isNew: true}
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -88,7 +88,7 @@
 }
 
 func startPool() (*Pool, func()) {
-	pool := NewPool(decodeHead)
+	pool := NewPool(decodeHead, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	go pool.Run(ctx)
 	return pool, cancel
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,6 +92,8 @@
 	Platform Platform
 	Log      *zap.Logger
 	Now      func() time.Time
+	// Dial connects to upstreams. nil is connpool.Dial.
+	Dial connpool.DialFunc
 }
 
 // Edge is the running process of a gateway host.
@@ -143,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := connpool.NewPool(options.Platform.DecodeHead)
+	pool := connpool.NewPool(options.Platform.DecodeHead, options.Dial)
 	memory := buffers.New(int64(float64(s.MemoryMB) * bufferFraction * (1 << 20)))
 	process := allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	e.balances = balances.New(balances.Config{
@@ -161,7 +163,7 @@
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
 		Changed: e.balances.Configure,
 		Serving: func() { e.readiness.markServing() },
-		Forget:  pool.Drain, Dial: connpool.Probe,
+		Forget:  pool.Drain, Dial: pool.Probe,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
