Serve callers of a host without links to upstreams through other hosts

Cause: the host had no other way to an upstream, each request found that out again by attempts to connect of 250 ms, and the host counted as ready.

The director now keeps how connections end for each service (decide/reach). A service that is cut off gets new connections through other hosts, over tunnels; one upstream at a time is probed until the cut is over. Silent, broken and refused connections lead to a probe, so that a cut is known within a second or so. All decisions stay with the host that has the caller. Without a host that helps, requests are refused at once (cut_off, with a short time to come back), and after 0.5 s callers are to move to other hosts.

--- a/internal/decide/placement/health.go
+++ b/internal/decide/placement/health.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/peridotreel/peridotreel/internal/core"
 )
 
 const (
@@ -80,11 +82,21 @@
 		u.startCooldown(now, cooldownFull)
 	case Misdirected:
 		u.startCooldown(now, cooldownMisdirected)
+	case Connected:
+		// An upstream that accepts connections may still not answer.
 	case Abandoned:
 		// A caller that disconnects says nothing about the upstream's health.
 	}
 }
 
+// ClearCooldowns ends the cooldowns of a service's upstreams, as it is known that the links
+// of this host were the cause.
+func (b *LoadBalancer) ClearCooldowns(service core.ServiceName) {
+	for _, u := range b.byService[service] {
+		u.connectionFailures, u.cooldownUntil = 0, time.Time{}
+	}
+}
+
 func (u *upstreamState) startCooldown(now time.Time, duration time.Duration) {
 	if until := now.Add(min(duration, maxCooldown)); until.After(u.cooldownUntil) {
 		u.cooldownUntil = until
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -172,10 +172,12 @@
 	Silent
 	// Abandoned means that the caller disconnected or the time was up.
 	Abandoned
+	// Connected means that a connection was set up for the attempt, which goes on.
+	Connected
 )
 
-// Observe records a signal of an attempt. Any signal but Started, Progressed and
-// Stalled ends the attempt.
+// Observe records a signal of an attempt. Any signal but Started, Progressed, Stalled and
+// Connected ends the attempt.
 func (b *LoadBalancer) Observe(id core.UpstreamID, number uint64, signal Signal, now time.Time) {
 	u := b.upstreams[id]
 	if u == nil {
@@ -185,7 +187,7 @@
 		switch signal {
 		case Started, Progressed:
 			sent.started = true
-		case Stalled:
+		case Stalled, Connected:
 		default:
 			delete(u.attempts, number)
 		}
--- a/internal/decide/reach/reach.go
+++ b/internal/decide/reach/reach.go
@@ -20,6 +20,11 @@
 	// probeInterval is the time between two rounds of probes of a service. A cut lasts for
 	// seconds, and a probe costs a connection.
 	probeInterval = 500 * time.Millisecond
+	// helplessAfter is for how long no other host must have helped before callers are to
+	// move to other hosts, and awayTime for how long they are to after each request that
+	// could not be helped. A host without requests finds out nothing, so the time is bounded.
+	helplessAfter = 500 * time.Millisecond
+	awayTime      = 2 * time.Second
 )
 
 // Table holds what a host knows of its own links. Its callers pass in the current time.
@@ -34,6 +39,9 @@
 	cutOff bool
 	// probedAt is when the latest round of probes was sent.
 	probedAt time.Time
+	// helplessSince is when no other host could help with a request for the first time
+	// since one could, the zero time if one could.
+	helplessSince time.Time
 }
 
 // Change is what a result of an attempt to connect has changed.
@@ -77,10 +85,34 @@
 	if !state.cutOff {
 		return None
 	}
-	state.cutOff = false
+	state.cutOff, state.helplessSince = false, time.Time{}
 	return Regained
 }
 
+// Helped records that another host has set up a connection to an upstream of a service.
+func (t *Table) Helped(service core.ServiceName) {
+	if state, found := t.services[service]; found {
+		state.helplessSince = time.Time{}
+	}
+}
+
+// Helpless records that no other host could help with a request to a service that is cut
+// off. It returns until when callers are to move to other hosts, the zero time if they are
+// not.
+func (t *Table) Helpless(service core.ServiceName, now time.Time) time.Time {
+	state, found := t.services[service]
+	if !found || !state.cutOff {
+		return time.Time{}
+	}
+	if state.helplessSince.IsZero() {
+		state.helplessSince = now
+	}
+	if now.Sub(state.helplessSince) < helplessAfter {
+		return time.Time{}
+	}
+	return now.Add(awayTime)
+}
+
 // Unreachable records that the host could not connect to an upstream itself. listed is the
 // number of upstreams of the service that may be used, 1 or more.
 func (t *Table) Unreachable(service core.ServiceName, upstream core.UpstreamID, listed int, now time.Time) Change {
--- a/internal/decide/reach/reach_test.go
+++ b/internal/decide/reach/reach_test.go
@@ -51,6 +51,27 @@
 	})
 }
 
+// Guards against a host that keeps callers although nobody can help it, and against one that
+// sends them away for a moment's lack of help.
+func TestCallersMoveAwayFromAHostThatNobodyHelps(t *testing.T) {
+	Convey("Given a host that is cut off from a service", t, func() {
+		table := New()
+		So(table.Helpless("models", start).IsZero(), ShouldBeTrue)
+		table.Unreachable("models", "a", 1, start)
+		So(table.Helpless("models", start).IsZero(), ShouldBeTrue)
+		later := start.Add(helplessAfter)
+		Convey("Callers move once nobody has helped for some time", func() {
+			So(table.Helpless("models", later), ShouldEqual, later.Add(awayTime))
+		})
+		Convey("They stay if somebody has, or the cut is over", func() {
+			table.Helped("models")
+			So(table.Helpless("models", later).IsZero(), ShouldBeTrue)
+			table.Connected("models")
+			So(table.Helpless("models", later.Add(helplessAfter)).IsZero(), ShouldBeTrue)
+		})
+	})
+}
+
 // Guards against a cut that is noticed late, as few requests set up connections, and
 // against probes that cost more than they tell.
 func TestProbesOfAService(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/owners"
 	"github.com/peridotreel/peridotreel/internal/tasks/peers"
 	"github.com/peridotreel/peridotreel/internal/tasks/selfload"
+	"github.com/peridotreel/peridotreel/internal/tasks/tunnels"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
 )
 
@@ -109,6 +110,7 @@
 	holds     *holds.Holds
 	load      *selfload.Monitor
 	peers     *peers.Peers
+	tunnels   *tunnels.Server
 	readiness *readiness
 	ready     *http.Server
 	metrics   *http.Server
@@ -155,7 +157,7 @@
 		},
 	})
 	e.load = selfload.New(selfload.Config{Zone: s.Zone, Log: options.Log, Now: options.Now})
-	e.readiness = newReadiness(e.load.Away, options.Log)
+	e.readiness = newReadiness(e.away, options.Log)
 	e.director = director.New(director.Config{
 		Host: s.Host, Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
@@ -173,7 +175,17 @@
 		Confirmed: e.director.ConfirmSoftware,
 	})
 	e.holds = holds.New(holds.Config{Host: s.Host, Store: options.Platform.Store, Registry: e.director, Log: options.Log, Now: options.Now})
-	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log})
+	e.tunnels = tunnels.NewServer(tunnels.ServerConfig{
+		Gate: tunnelGate{e.director}, Dial: pool.Dial, DecodeHead: options.Platform.DecodeHead, Log: options.Log,
+	})
+	helpers := tunnels.NewClient(tunnels.ClientConfig{Host: s.Host, Zone: s.Zone, Log: options.Log, Now: options.Now})
+	totals := func(ctx context.Context) (telemetry.TunnelTotals, error) {
+		return tunnels.Totals(ctx, helpers, e.tunnels)
+	}
+	if err = telemetry.RegisterTunnels(e.telemetry.Meter(), totals); err != nil {
+		return nil, err
+	}
+	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log, Tunnels: e.tunnels.Serve})
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: peerListener.Addr().String(), Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
 		Director: e.director, DecodeConfig: options.Platform.DecodeConfig, Log: options.Log, Now: options.Now,
@@ -188,6 +200,7 @@
 			e.origins.SetMembers(members)
 			e.holds.SetMembers(members)
 			e.load.SetMembers(members)
+			helpers.SetMembers(members)
 		},
 	})
 	e.owners = owners.New(owners.Config{
@@ -207,17 +220,20 @@
 		Shed:    &shed.Filter{Load: e.load},
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
-		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, VerifyStart: options.Platform.VerifyStart, Now: options.Now},
+		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, VerifyStart: options.Platform.VerifyStart, Tunnels: helpers, Now: options.Now},
 		Log:     options.Log, Now: options.Now, Recorder: recorder{requests, refusals}, Began: e.origins.Began, Buffers: memory,
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
-		Buffers: memory, Away: e.load.Away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
+		Buffers: memory, Away: e.away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
 	})
-	e.start(memory, pool, client, server)
+	e.start(memory, pool, helpers, e.tunnels, client, server)
 	return e, e.serveHTTP()
 }
 
+// away reports whether callers are to move to other hosts.
+func (e *Edge) away() bool { return e.load.Away() || e.director.Away() }
+
 // CallersAddress returns the address on which the host listens for callers.
 func (e *Edge) CallersAddress() string { return e.callers.Addr().String() }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -66,6 +66,12 @@
 	e.front.Drain()
 	now := e.options.Now()
 	e.director.SetShutdown(now.Add(grace-exitMargin), now.Add(balancerWait))
+	tunnelsEnded := make(chan struct{})
+	go func() {
+		defer close(tunnelsEnded)
+		// Once the time to serve is over, tunnels end with their task.
+		_ = e.tunnels.Drain(ctx)
+	}()
 	e.handOverBalances()
 	// If ctx ends first, CloseIdle reports it.
 	_ = task.Sleep(ctx, balancerWait)
@@ -75,6 +81,7 @@
 			append(e.inFlightFields(context.WithoutCancel(ctx)), zap.String("event", "drain_incomplete"), zap.Int("open", open), zap.Error(err))...)
 		e.endRequests()
 	}
+	<-tunnelsEnded
 	e.returnTokens()
 	e.group.Stop()
 	_ = e.ready.Close()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -32,7 +32,8 @@
 	"peer_lost": "address", "peer_regained": "address", "upstream_listed": "upstream", "upstream_leaving": "upstream",
 	"upstream_removed": "upstream", "upstream_lapsed": "upstream", "upstream_expired": "upstream", "balance_commit_failed": "team",
 	"pledge_failed": "", "earlier_process_bounded": "team", "limit_named": "upstream", "limit_ended": "upstream",
-	"part_quarantined": "part", "part_released": "part",
+	"part_quarantined": "part", "part_released": "part", "service_lost": "service", "service_regained": "service",
+	"helper_lost": "peer", "helper_regained": "peer",
 }
 
 // stateKey returns the state that the line is about: events of one host with the
@@ -104,6 +105,9 @@
 	if team, found := line.Fields["team"]; found && team != request.Fields["team"] {
 		return false
 	}
+	if service, found := line.Fields["service"]; found && service != request.Fields["service"] {
+		return false
+	}
 	if upstream, found := line.Fields["upstream"].(string); found {
 		attempts, _ := request.Fields["attempts"].(string)
 		return strings.Contains(attempts, upstream)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -21,6 +21,9 @@
 	TimeoutNotRun      RefusalKind = "timeout_not_run"
 	Quarantined        RefusalKind = "quarantined"
 	Limited            RefusalKind = "limited"
+	// CutOff refuses requests to a service of which the host reaches no upstream, neither
+	// itself nor through another host.
+	CutOff RefusalKind = "cut_off"
 	// UnknownOrigin refuses to resume a stream of which it is not known at which
 	// software it began.
 	UnknownOrigin RefusalKind = "unknown_origin"
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
+	"github.com/peridotreel/peridotreel/internal/tasks/tunnels"
 )
 
 // eventBuffer is the number of events of an answer that are buffered while the
@@ -41,6 +42,11 @@
 // error unless that is the given time, in Unix milliseconds.
 type VerifyStart func(ctx context.Context, socket net.Conn, startMillis int64) error
 
+// Tunnels sets up connections to upstreams through other hosts.
+type Tunnels interface {
+	Dial(ctx context.Context, target tunnels.Target) (net.Conn, error)
+}
+
 // Filter sends attempts.
 type Filter struct {
 	Director    Director
@@ -48,7 +54,10 @@
 	Encode      Encode
 	// VerifyStart checks over a new connection when the upstream was started.
 	VerifyStart VerifyStart
-	Now         func() time.Time
+	// Tunnels sets up connections while this host does not reach a service itself. nil
+	// leaves the host without any then.
+	Tunnels Tunnels
+	Now     func() time.Time
 }
 
 // Plan holds what earlier attempts of the request determine for the next one.
@@ -174,24 +183,44 @@
 	upstream := placed.Upstream
 	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched.Route))
 	if err != nil {
-		signal := placement.Unreachable
-		if errors.Is(err, connpool.ErrConnectionLimit) {
-			signal = placement.Full
-		} else if ctx.Err() != nil {
-			signal = placement.Abandoned
+		f.observeUnsent(ctx, placed, err)
+		if errors.Is(err, tunnels.ErrNoHelper) {
+			return nil, &NotSentError{Kind: gateway.CutOff, RetryAfter: gateway.DrainRetryAfter, Reason: err.Error()}
 		}
-		f.Director.Observe(director.Observation{Upstream: upstream.ID, Attempt: placed.Attempt, Signal: signal})
 		return nil, &UnreachableError{Upstream: upstream.ID, Cause: err}
 	}
+	if fresh {
+		f.Director.Observe(director.Observation{Upstream: upstream.ID, Attempt: placed.Attempt, Signal: placement.Connected, Tunnelled: placed.Tunnel})
+	}
 	return &Prepared{Placed: placed, connection: connection, fresh: fresh, matched: matched, plan: plan, filter: f}, nil
 }
 
+// observeUnsent records that no connection was acquired for an attempt.
+func (f *Filter) observeUnsent(ctx context.Context, placed director.Placed, err error) {
+	signal := placement.Unreachable
+	switch {
+	case errors.Is(err, connpool.ErrConnectionLimit):
+		signal = placement.Full
+	case ctx.Err() != nil, errors.Is(err, tunnels.ErrNoHelper):
+		signal = placement.Abandoned
+	}
+	f.Director.Observe(director.Observation{
+		Upstream: placed.Upstream.ID, Attempt: placed.Attempt, Signal: signal, Tunnelled: placed.Tunnel,
+		Helpless: errors.Is(err, tunnels.ErrNoHelper), Refused: director.Refused(err),
+	})
+}
+
 // target returns the upstream process to connect to. While the list is not confirmed, an
 // upstream may have been started again with other software; a stream that may be resumed
 // must not be taken for one of the software that the list names.
 func (f *Filter) target(placed director.Placed, route *gateway.Route) connpool.Target {
 	upstream := placed.Upstream
 	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
+	if placed.Tunnel && f.Tunnels != nil {
+		target.Tunnel = func(ctx context.Context) (net.Conn, error) {
+			return f.Tunnels.Dial(ctx, tunnels.Target{Upstream: upstream.ID, StartMillis: upstream.StartMillis, Service: upstream.Service, Zone: upstream.Zone})
+		}
+	}
 	if placed.ListOutdated && route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
 		target.ListedAt = placed.ListedAt
 		target.Verify = func(ctx context.Context, socket net.Conn) error {
@@ -231,7 +260,7 @@
 func (s *Sent) Observe(signal placement.Signal, head *gateway.AnswerHead) {
 	s.filter.Director.Observe(director.Observation{
 		Upstream: s.Placed.Upstream.ID, StartMillis: s.Placed.Upstream.StartMillis, Attempt: s.Placed.Attempt, Signal: signal, Head: head,
-		Traits: s.traits, Repeat: s.Placed.Repeat,
+		Traits: s.traits, Repeat: s.Placed.Repeat, Tunnelled: s.Placed.Tunnel,
 	})
 }
 
--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -140,7 +140,7 @@
 	f.attempts = slices.DeleteFunc(f.attempts, func(other *attemptInFlight) bool { return other == a })
 	placed := a.Sent.Placed
 	r.attempts = append(r.attempts, attemptRecord{
-		upstream: placed.Upstream.ID, software: placed.Upstream.Software, cost: placed.Cost, affinity: placed.Affinity, newConnection: a.Sent.Fresh,
+		upstream: placed.Upstream.ID, software: placed.Upstream.Software, cost: placed.Cost, affinity: placed.Affinity, newConnection: a.Sent.Fresh, tunnelled: a.Sent.Fresh && placed.Tunnel,
 		ending: outcome.Ending, status: outcome.Status, events: a.Events(),
 		duration: r.pipeline.Now().Sub(a.startedAt), err: outcome.Err,
 	})
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -111,8 +111,10 @@
 	cost          float64
 	affinity      bool
 	newConnection bool
-	ending        relay.Ending
-	status        int
+	// tunnelled is true if the connection was set up through another host.
+	tunnelled bool
+	ending    relay.Ending
+	status    int
 	// events is the number of whole events that the attempt delivered.
 	events   int
 	duration time.Duration
@@ -255,6 +257,11 @@
 	refusal := gateway.Refuse(gateway.NoUpstream, overloadedRetryAfter,
 		"no upstream of service %s took the request: %v; retry later", r.matched.Service.Name, cause)
 	var notSent *attempt.NotSentError
+	if errors.As(cause, &notSent) && notSent.Kind == gateway.CutOff {
+		// Other hosts may reach the service, so the caller need not wait.
+		refusal.Kind, refusal.RetryAfter = notSent.Kind, notSent.RetryAfter
+		return r.capRetryAfter(refusal)
+	}
 	if errors.As(cause, &notSent) {
 		refusal.Kind, refusal.RetryAfter = notSent.Kind, max(notSent.RetryAfter, overloadedRetryAfter)
 	}
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -170,7 +170,10 @@
 		if attempt.software != "" {
 			fmt.Fprintf(&out, ", software %s", attempt.software)
 		}
-		if attempt.newConnection {
+		switch {
+		case attempt.tunnelled:
+			out.WriteString(", new connection through another host")
+		case attempt.newConnection:
 			out.WriteString(", new connection")
 		}
 		if attempt.err != nil {
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/origin"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
+	"github.com/peridotreel/peridotreel/internal/decide/reach"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/decide/roster"
@@ -58,7 +60,8 @@
 	// repeated is true if a trait of requests was in flight at crashes of several upstreams.
 	SuspicionsChanged func(repeated bool)
 	// Dial connects to the address of an upstream and closes the connection. It
-	// tells whether an upstream that closed a connection has crashed.
+	// tells whether an upstream that closed a connection has crashed, and whether this host
+	// reaches upstreams.
 	Dial func(ctx context.Context, address string) error
 }
 
@@ -88,6 +91,8 @@
 	hosts         int
 	limits        *requestlimit.Table
 	notices       *notice.Notices
+	// reach tells which services this host is cut off from.
+	reach *reach.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
 	confirmed  *origin.Confirmed
 	quarantine *quarantine.Registry
@@ -97,7 +102,10 @@
 	members     []string
 	lastAttempt uint64
 	// refused counts requests that were told when to return.
-	refused         uint64
+	refused uint64
+	// awayUntil is when callers need no longer move to other hosts, in Unix nanoseconds. It
+	// is published, as it is read with each answer.
+	awayUntil       atomic.Int64
 	shutdownAt      time.Time
 	shutdownNoticed time.Time
 	expiry          *time.Timer
@@ -110,7 +118,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -164,6 +172,14 @@
 	Traits []quarantine.Trait
 	// Repeat is that of Placed.
 	Repeat bool
+	// Tunnelled is true for an attempt through another host.
+	Tunnelled bool
+	// Helpless is true for an attempt that was not sent because no other host could set up
+	// the connection.
+	Helpless bool
+	// Refused is true if the upstream was unreachable because it, or something on the way,
+	// refused the connection.
+	Refused bool
 }
 
 type offeredConfig struct {
@@ -331,13 +347,18 @@
 	case setShutdown:
 		d.shutdownAt, d.shutdownNoticed = m.at, m.noticed
 	case placeAttempt:
-		m.reply <- d.place(m.request, now)
+		m.reply <- d.place(ctx, m.request, now)
 	case Observation:
 		if m.Head != nil {
 			d.observeHead(m, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
 		d.observeTraits(ctx, m, now)
+		d.observeReach(ctx, m, now)
+	case reachProbed:
+		d.finishProbe(ctx, m, now)
+	case admitTunnel:
+		m.reply <- d.admitTunnel(m.request, now)
 	case crashChecked:
 		d.finishCrashCheck(m, now)
 	case confirmedSoftware:
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -118,6 +118,7 @@
 		_, listed := d.roster.Upstream(id)
 		return listed
 	}, d.config.Now())
+	d.reach.Retain(func(service core.ServiceName) bool { return len(d.usable(service)) > 0 })
 	d.limits.Forget(func(id core.UpstreamID) bool {
 		_, listed := d.roster.Upstream(id)
 		return !listed
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -74,6 +74,9 @@
 	// true if it has not for longer than it holds a call without changes.
 	ListedAt     time.Time
 	ListOutdated bool
+	// Tunnel is true if this host does not reach the service itself, so that a new
+	// connection must be set up through another host.
+	Tunnel bool
 	// Hold is set if Outcome is Held.
 	Hold quarantine.Hold
 	// RetryAfter is when a request may be sent at the earliest if Outcome is Held,
@@ -92,7 +95,7 @@
 const saturatedDelay = 2
 
 // place chooses the upstream for an attempt, or tells why it is not sent.
-func (d *Director) place(request PlacementRequest, now time.Time) Placed {
+func (d *Director) place(ctx context.Context, request PlacementRequest, now time.Time) Placed {
 	budget := d.retryBudget(request.Service)
 	if request.First {
 		budget.RecordRequest(d.config.RetryBound, now)
@@ -121,13 +124,17 @@
 	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
 		return Placed{Outcome: RetryBudgetExhausted}
 	}
+	tunnel := d.reach.CutOff(request.Service)
+	if tunnel {
+		d.probe(ctx, request.Service, "", now)
+	}
 	d.lastAttempt++
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
 	return Placed{
 		Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service), Repeat: d.quarantine.Repeats(request.Traits),
-		ListedAt: d.listConfirmed, ListOutdated: d.lacksUpstreams(now),
+		ListedAt: d.listConfirmed, ListOutdated: d.lacksUpstreams(now), Tunnel: tunnel,
 	}
 }
 
--- /dev/null
+++ b/internal/tasks/director/reach.go
@@ -0,0 +1,210 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/placement"
+	"github.com/peridotreel/peridotreel/internal/decide/reach"
+	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/task"
+)
+
+// reachProbed is the result of a probe of an upstream.
+type reachProbed struct {
+	service  core.ServiceName
+	upstream core.UpstreamID
+	err      error
+}
+
+// usable returns the upstreams of a service that are listed and not leaving, in random
+// order.
+func (d *Director) usable(service core.ServiceName) []core.UpstreamID {
+	var ids []core.UpstreamID
+	for _, upstream := range d.roster.Upstreams() {
+		if upstream.Service == service && !upstream.Leaving {
+			ids = append(ids, upstream.ID)
+		}
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
+// observeReach records what an attempt tells about this host's own links. Those of
+// attempts through other hosts tell nothing about them.
+func (d *Director) observeReach(ctx context.Context, m Observation, now time.Time) {
+	upstream, listed := d.roster.Upstream(m.Upstream)
+	if !listed {
+		return
+	}
+	if m.Tunnelled {
+		d.observeHelp(upstream.Service, m, now)
+		return
+	}
+	switch m.Signal {
+	case placement.Connected:
+		d.reached(upstream.Service)
+	case placement.Unreachable:
+		d.unreachable(upstream.Service, m.Upstream, m.Refused, now)
+		d.probe(ctx, upstream.Service, m.Upstream, now)
+	case placement.Stalled, placement.Silent, placement.Broke, placement.ClosedEarly:
+		d.probe(ctx, upstream.Service, m.Upstream, now)
+	default:
+	}
+}
+
+// observeHelp records whether another host has set up a connection for an attempt. If none
+// could for some time, callers are to move to other hosts.
+func (d *Director) observeHelp(service core.ServiceName, m Observation, now time.Time) {
+	switch {
+	case m.Signal == placement.Connected:
+		d.reach.Helped(service)
+	case m.Helpless:
+		if until := d.reach.Helpless(service, now); !until.IsZero() {
+			d.awayUntil.Store(until.UnixNano())
+		}
+	}
+}
+
+// Away reports whether callers are to move to other hosts, because this one reaches no
+// upstream of a service and no other host can help it.
+func (d *Director) Away() bool { return d.config.Now().UnixNano() < d.awayUntil.Load() }
+
+func (d *Director) reached(service core.ServiceName) {
+	if d.reach.Connected(service) != reach.Regained {
+		return
+	}
+	d.awayUntil.Store(0)
+	d.balancer.ClearCooldowns(service)
+	d.config.Log.Info("this host reaches the upstreams of a service again", zap.String("event", "service_regained"), zap.String("service", string(service)))
+}
+
+// unreachable records that an upstream could not be reached. refused is true if something
+// answered there: what is left of the connections to the service then still works.
+func (d *Director) unreachable(service core.ServiceName, id core.UpstreamID, refused bool, now time.Time) {
+	ids := d.usable(service)
+	if d.reach.Unreachable(service, id, len(ids), now) != reach.Lost {
+		return
+	}
+	d.balancer.ClearCooldowns(service)
+	if !refused {
+		d.config.Forget(ids)
+	}
+	d.config.Log.Warn("this host reaches no upstream of a service; it goes through other hosts until it does",
+		zap.String("event", "service_lost"), zap.String("service", string(service)), zap.Int("upstreams", len(ids)))
+}
+
+// probe connects to upstreams of a service, if a round of probes is due, in goroutines of
+// their own.
+func (d *Director) probe(ctx context.Context, service core.ServiceName, suspect core.UpstreamID, now time.Time) {
+	for _, id := range d.reach.TakeProbes(service, suspect, d.usable(service), now) {
+		upstream, _ := d.roster.Upstream(id)
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+			defer cancel()
+			err := d.config.Dial(ctx, upstream.Address)
+			_ = d.inbox.Send(context.Background(), reachProbed{service, id, err})
+		}()
+	}
+}
+
+func (d *Director) finishProbe(ctx context.Context, m reachProbed, now time.Time) {
+	switch {
+	case ctx.Err() != nil, errors.Is(m.err, syscall.EMFILE), errors.Is(m.err, syscall.ENFILE):
+		// The host itself is why no connection was set up.
+	case m.err == nil:
+		d.reached(m.service)
+	default:
+		if _, listed := d.roster.Upstream(m.upstream); !listed {
+			return
+		}
+		d.unreachable(m.service, m.upstream, Refused(m.err), now)
+		if !d.reach.CutOff(m.service) {
+			d.probe(ctx, m.service, m.upstream, now)
+		}
+	}
+}
+
+// Refused reports whether a failed attempt to connect was answered, by a refusal.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// TunnelVerdict tells whether a connection to an upstream may be set up for another host.
+type TunnelVerdict uint8
+
+// The verdicts.
+const (
+	// TunnelAllowed means that it may.
+	TunnelAllowed TunnelVerdict = iota + 1
+	// TunnelUnknown means that no such upstream is listed.
+	TunnelUnknown
+	// TunnelNotNow means that the upstream leaves, or wants nothing for a time.
+	TunnelNotNow
+	// TunnelCutOff means that this host does not reach the service itself.
+	TunnelCutOff
+)
+
+// TunnelRequest names the upstream to which another host wants a connection.
+type TunnelRequest struct {
+	Upstream    core.UpstreamID
+	StartMillis int64
+}
+
+// TunnelAdmission is the answer to a TunnelRequest.
+type TunnelAdmission struct {
+	Verdict TunnelVerdict
+	// Address is that of the upstream, IP:PORT, if it is allowed.
+	Address string
+	// RetryAfter is when it may be asked for again if it is not now, 0 for never.
+	RetryAfter time.Duration
+}
+
+type admitTunnel struct {
+	request TunnelRequest
+	reply   chan<- TunnelAdmission
+}
+
+// AdmitTunnel tells whether a connection to an upstream may be set up for another host.
+// Only addresses of listed upstreams are given out, and none that this host would need
+// another host for itself, so that no connection goes in circles.
+func (d *Director) AdmitTunnel(ctx context.Context, request TunnelRequest) (TunnelAdmission, error) {
+	return task.Ask(ctx, d.inbox, func(reply chan<- TunnelAdmission) any { return admitTunnel{request, reply} })
+}
+
+func (d *Director) admitTunnel(request TunnelRequest, now time.Time) TunnelAdmission {
+	upstream, listed := d.roster.Upstream(request.Upstream)
+	if !listed || upstream.StartMillis != request.StartMillis {
+		return TunnelAdmission{Verdict: TunnelUnknown}
+	}
+	if d.reach.CutOff(upstream.Service) {
+		return TunnelAdmission{Verdict: TunnelCutOff}
+	}
+	if upstream.Leaving || d.notices.Leaving(upstream) {
+		return TunnelAdmission{Verdict: TunnelNotNow}
+	}
+	if wait := d.notices.Wait(upstream, now); wait > 0 {
+		return TunnelAdmission{Verdict: TunnelNotNow, RetryAfter: wait}
+	}
+	return TunnelAdmission{Verdict: TunnelAllowed, Address: upstream.Address}
+}
+
+// TunnelDialed records whether a connection was set up for another host.
+func (d *Director) TunnelDialed(request TunnelRequest, err error) {
+	signal := placement.Connected
+	if err != nil {
+		signal = placement.Unreachable
+	}
+	d.Observe(Observation{Upstream: request.Upstream, StartMillis: request.StartMillis, Signal: signal, Refused: Refused(err)})
+}
+
+// TunnelObserved records the head of an answer that passed through this host to another.
+func (d *Director) TunnelObserved(request TunnelRequest, head gateway.AnswerHead) {
+	d.Observe(Observation{Upstream: request.Upstream, StartMillis: request.StartMillis, Head: &head, Signal: placement.Started, Tunnelled: true})
+}
