Count refused connections as a crash only while another upstream accepts

A refusal now counts only if one of up to four other upstreams accepts a connection.

TestRefusedTunnels expects the new status where the upstream's port is closed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,6 +111,7 @@
 	load      *selfload.Monitor
 	peers     *peers.Peers
 	tunnels   *tunnels.Server
+	helpers   *tunnels.Client
 	readiness *readiness
 	ready     *http.Server
 	metrics   *http.Server
@@ -165,7 +166,7 @@
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
 		Changed: e.balances.Configure,
 		Serving: func() { e.readiness.markServing() },
-		Forget:  pool.Drain, Dial: pool.Probe,
+		Forget:  pool.Drain, Dial: pool.Probe, DialThrough: e.probeThrough,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
@@ -178,9 +179,9 @@
 	e.tunnels = tunnels.NewServer(tunnels.ServerConfig{
 		Gate: tunnelGate{e.director}, Dial: pool.Dial, DecodeHead: options.Platform.DecodeHead, Log: options.Log,
 	})
-	helpers := tunnels.NewClient(tunnels.ClientConfig{Host: s.Host, Zone: s.Zone, Log: options.Log, Now: options.Now})
+	e.helpers = tunnels.NewClient(tunnels.ClientConfig{Host: s.Host, Zone: s.Zone, Log: options.Log, Now: options.Now})
 	totals := func(ctx context.Context) (telemetry.TunnelTotals, error) {
-		return tunnels.Totals(ctx, helpers, e.tunnels)
+		return tunnels.Totals(ctx, e.helpers, e.tunnels)
 	}
 	if err = telemetry.RegisterTunnels(e.telemetry.Meter(), totals); err != nil {
 		return nil, err
@@ -200,7 +201,7 @@
 			e.origins.SetMembers(members)
 			e.holds.SetMembers(members)
 			e.load.SetMembers(members)
-			helpers.SetMembers(members)
+			e.helpers.SetMembers(members)
 		},
 	})
 	e.owners = owners.New(owners.Config{
@@ -220,14 +221,14 @@
 		Shed:    &shed.Filter{Load: e.load},
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
-		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, VerifyStart: options.Platform.VerifyStart, Tunnels: helpers, Now: options.Now},
+		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, VerifyStart: options.Platform.VerifyStart, Tunnels: e.helpers, Now: options.Now},
 		Log:     options.Log, Now: options.Now, Recorder: recorder{requests, refusals}, Began: e.origins.Began, Buffers: memory,
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
 		Buffers: memory, Away: e.away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
 	})
-	e.start(memory, pool, helpers, e.tunnels, client, server)
+	e.start(memory, pool, e.helpers, e.tunnels, client, server)
 	return e, e.serveHTTP()
 }
 
--- a/internal/edge/tunnels.go
+++ b/internal/edge/tunnels.go
@@ -7,9 +7,15 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
+	"github.com/peridotreel/peridotreel/internal/tasks/tunnels"
 	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
 
+// probeThrough connects to an upstream through another host and closes the connection.
+func (e *Edge) probeThrough(ctx context.Context, upstream gateway.Upstream) error {
+	return e.helpers.Probe(ctx, tunnels.TargetOf(upstream))
+}
+
 // tunnelGate lets the director decide which upstreams this host reaches for others.
 type tunnelGate struct{ director *director.Director }
 
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -218,7 +218,7 @@
 	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
 	if placed.Tunnel && f.Tunnels != nil {
 		target.Tunnel = func(ctx context.Context) (net.Conn, error) {
-			return f.Tunnels.Dial(ctx, tunnels.Target{Upstream: upstream.ID, StartMillis: upstream.StartMillis, Service: upstream.Service, Zone: upstream.Zone})
+			return f.Tunnels.Dial(ctx, tunnels.TargetOf(upstream))
 		}
 	}
 	if placed.ListOutdated && route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -63,6 +63,8 @@
 	// tells whether an upstream that closed a connection has crashed, and whether this host
 	// reaches upstreams.
 	Dial func(ctx context.Context, address string) error
+	// DialThrough does the same through another host, for attempts that went through one.
+	DialThrough func(ctx context.Context, upstream gateway.Upstream) error
 }
 
 // Director is the task. Run must be called once; other methods send messages to
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/rendezvous"
+	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
 const (
@@ -23,6 +25,10 @@
 	// upstream that is up accepts, and one that crashed refuses, within
 	// milliseconds; anything else is not a crash of the upstream alone.
 	crashCheckTimeout = 500 * time.Millisecond
+	// crashComparisons is the number of other upstreams of which one must be reachable for a
+	// refusal to count as a crash. Something between a host and all upstreams may refuse its
+	// connections. Several upstreams may have crashed on the same request.
+	crashComparisons = 4
 	// trialRetryAfter is the delay sent to callers while another host tries a request.
 	trialRetryAfter = 2 * time.Second
 )
@@ -37,6 +43,9 @@
 type crashChecked struct {
 	upstream core.UpstreamID
 	err      error
+	// unsure is true if no other upstream could be reached either, so that the links of
+	// this host may be the cause.
+	unsure bool
 }
 
 // observeTraits records what an attempt tells about the traits of its request.
@@ -71,20 +80,42 @@
 	d.crashChecks[m.Upstream] = &crashCheck{
 		crash: quarantine.Crash{Upstream: m.Upstream, At: now, SameZone: upstream.Zone == d.config.Zone}, lost: []quarantine.Lost{{Traits: m.Traits, Repeat: m.Repeat}},
 	}
+	dial := func(ctx context.Context, upstream gateway.Upstream) error {
+		return d.config.Dial(ctx, upstream.Address)
+	}
+	if m.Tunnelled {
+		dial = d.config.DialThrough
+	}
+	others := d.otherUpstreams(m.Upstream, crashComparisons)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 		defer cancel()
-		err := d.config.Dial(ctx, upstream.Address)
-		_ = d.inbox.Send(context.Background(), crashChecked{m.Upstream, err})
+		checked := crashChecked{upstream: m.Upstream, err: dial(ctx, upstream)}
+		if errors.Is(checked.err, syscall.ECONNREFUSED) && len(others) > 0 {
+			checked.unsure = !slices.ContainsFunc(others, func(other gateway.Upstream) bool { return dial(ctx, other) == nil })
+		}
+		_ = d.inbox.Send(context.Background(), checked)
 	}()
 }
 
+// otherUpstreams returns some upstreams of any service, in random order.
+func (d *Director) otherUpstreams(than core.UpstreamID, count int) []gateway.Upstream {
+	others := slices.DeleteFunc(d.roster.Upstreams(), func(upstream gateway.Upstream) bool { return upstream.ID == than || upstream.Leaving })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), count)]
+}
+
 func (d *Director) finishCrashCheck(m crashChecked, now time.Time) {
 	check := d.crashChecks[m.upstream]
 	delete(d.crashChecks, m.upstream)
 	if check == nil || !errors.Is(m.err, syscall.ECONNREFUSED) {
 		return
 	}
+	if m.unsure {
+		d.config.Log.Info("connections to an upstream and to all others that were tried are refused; it may not have crashed",
+			zap.String("event", "crash_unsure"), zap.String("upstream", string(m.upstream)))
+		return
+	}
 	before := d.quarantine.Holds()
 	d.quarantine.RecordCrash(check.crash, check.lost, now)
 	var ids []string
--- a/internal/tasks/tunnels/client.go
+++ b/internal/tasks/tunnels/client.go
@@ -17,6 +17,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/helpers"
+	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
@@ -36,7 +37,7 @@
 // be sent to this upstream now. Another one should be chosen.
 type UpstreamError struct {
 	Helper core.HostID
-	// Answer has the status NotNow or Unreachable.
+	// Answer has the status NotNow, Unreachable or Refused.
 	Answer tunnel.Answer
 }
 
@@ -45,6 +46,14 @@
 	return fmt.Sprintf("host %s opened no tunnel to the upstream: %s: %s", e.Helper, e.Answer.Status, e.Answer.Reason)
 }
 
+// Unwrap returns syscall.ECONNREFUSED if the upstream refused the helper's connection.
+func (e *UpstreamError) Unwrap() error {
+	if e.Answer.Status == tunnel.Refused {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
 // Target is the upstream to which a tunnel is wanted.
 type Target struct {
 	Upstream core.UpstreamID
@@ -54,6 +63,11 @@
 	Zone        core.ZoneName
 }
 
+// TargetOf returns the target of a listed upstream.
+func TargetOf(upstream gateway.Upstream) Target {
+	return Target{Upstream: upstream.ID, StartMillis: upstream.StartMillis, Service: upstream.Service, Zone: upstream.Zone}
+}
+
 // ClientConfig describes a Client.
 type ClientConfig struct {
 	Host core.HostID
@@ -251,6 +265,16 @@
 	err  error
 }
 
+// Probe opens a tunnel to an upstream and closes it without sending anything. Its error is
+// that of Dial.
+func (c *Client) Probe(ctx context.Context, target Target) error {
+	conn, err := c.Dial(ctx, target)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // try asks one host for a tunnel. The worker that does so goes on when ctx ends, so that
 // the task learns of a host that does not answer whatever the time that requests have.
 func (c *Client) try(ctx context.Context, helper helpers.Host, target Target) (net.Conn, error) {
@@ -297,7 +321,7 @@
 		return nil, helpers.CutOff, refusal
 	case tunnel.NotNow:
 		return nil, helpers.Answered, &UpstreamError{helper.ID, answer}
-	case tunnel.Unreachable:
+	case tunnel.Unreachable, tunnel.Refused:
 		return nil, helpers.Unreachable, &UpstreamError{helper.ID, answer}
 	default:
 		return nil, helpers.Answered, refusal
--- a/internal/tasks/tunnels/server.go
+++ b/internal/tasks/tunnels/server.go
@@ -227,6 +227,9 @@
 	switch {
 	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 		return nil, tunnel.Answer{Status: tunnel.Busy, Reason: "no file descriptor is free"}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.config.Gate.Dialed(request, err)
+		return nil, tunnel.Answer{Status: tunnel.Refused, Reason: err.Error()}
 	case err != nil:
 		s.config.Gate.Dialed(request, err)
 		return nil, tunnel.Answer{Status: tunnel.Unreachable, Reason: err.Error()}
--- a/internal/tasks/tunnels/tunnels_test.go
+++ b/internal/tasks/tunnels/tunnels_test.go
@@ -386,7 +386,7 @@
 			_, err := client.Dial(t.Context(), target)
 			var refused *tunnels.UpstreamError
 			So(errors.As(err, &refused), ShouldBeTrue)
-			So(refused.Answer.Status, ShouldEqual, tunnel.Unreachable)
+			So(refused.Answer.Status, ShouldEqual, tunnel.Refused)
 			So(<-h.gate.dialed, ShouldNotBeNil)
 		})
 		Convey("a helper that is cut off is not asked again at once", func() {
--- a/internal/tunnel/wire.go
+++ b/internal/tunnel/wire.go
@@ -70,7 +70,9 @@
 	CutOff
 	// Unreachable means that the peer reaches the service, but not this upstream.
 	Unreachable
-	lastStatus = Unreachable
+	// Refused means the same, and that the connection was refused: nothing listens there.
+	Refused
+	lastStatus = Refused
 )
 
 // String returns the status as it is used in metrics and logs.
@@ -88,6 +90,8 @@
 		return "cut_off"
 	case Unreachable:
 		return "unreachable"
+	case Refused:
+		return "refused"
 	default:
 		return fmt.Sprintf("status_%d", uint8(s))
 	}
