Keep untold callers' connections open until a stopping host ends

What callers saw: around the SIGTERM of its host, a caller that sends its next request on a kept connection gets a reset.

Cause: from 2.5 s after the SIGTERM on, each connection without a request was closed within 20 ms, although the host went on for the requests in progress. The head of a stream that began before the SIGTERM says nothing of a close, so that its caller could not know. The same happened to all connections as the requests left were ended: they were closed beside the writing of the last answers.

Change: idle connections close once no request is in progress, which is when the host ends anyway, and all the same shortly before it ends beside callers that do not take their last answers. A request that arrives before is served, or refused as draining, and its answer says that the connection ends.

TestAnUntoldCallerIsAnsweredWhileItsHostStops and TestAnUntoldCallerIsAnsweredWhileTheLastRequestsEnd failed before: "Expected: nil, Actual: unexpected EOF" for the next request. TestIdleConnectionsCloseBesideARequestThatDoesNotEnd covers the new order Finish.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -22,6 +22,9 @@
 	// lastAnswersTimeout limits the time for answering requests that are unfinished
 	// when the time to serve is over.
 	lastAnswersTimeout = 200 * time.Millisecond
+	// lastRequestsTimeout limits the time for answering requests that arrive as idle
+	// connections are closed while callers do not take their answers.
+	lastRequestsTimeout = 50 * time.Millisecond
 	// returnTimeout limits the time for returning tokens to the store.
 	returnTimeout = 500 * time.Millisecond
 )
@@ -85,15 +88,24 @@
 
 // endRequests answers the requests that are unfinished.
 func (e *Edge) endRequests() {
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
-	defer cancel()
 	e.front.EndRequests()
-	if err := e.front.CloseIdle(ctx); err != nil {
+	if e.closeIdle(lastAnswersTimeout) == nil {
+		return
+	}
+	e.front.Finish()
+	if err := e.closeIdle(lastRequestsTimeout); err != nil {
+		ctx := context.Background()
 		e.options.Log.Warn("some callers did not take their last answer in time; closing their connections",
-			append(e.inFlightFields(context.WithoutCancel(ctx)), zap.String("event", "callers_cut"), zap.Error(err))...)
+			append(e.inFlightFields(ctx), zap.String("event", "callers_cut"), zap.Error(err))...)
 	}
 }
 
+func (e *Edge) closeIdle(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return e.front.CloseIdle(ctx)
+}
+
 // handOverBalances passes the ownership of this host's balances to the next
 // owners.
 func (e *Edge) handOverBalances() {
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -142,11 +142,11 @@
 	since := c.server.config.Now()
 	idle := time.NewTimer(c.idleTimeout(ctx))
 	defer idle.Stop()
-	stopping := c.server.closingIdle
 	idleCause := gateway.CloseIdle
 	if c.refusing {
 		idleCause = gateway.CloseLimit
 	}
+	stop := stopWait{closingIdle: c.server.closingIdle, finishing: c.server.finishing, ended: ctx.Done()}
 	for {
 		select {
 		case err := <-c.peekResults:
@@ -159,27 +159,54 @@
 				return c.interruptPeek(idleCause)
 			}
 			idle.Reset(left)
-		case <-stopping:
-			if c.served {
-				return c.interruptPeek(gateway.CloseDraining)
-			}
-			// The balancer still sends connections to a draining host if it has
-			// no better one, so a new connection is allowed one request.
-			stopping = nil
-			idleCause = gateway.CloseDraining
-			idle.Reset(newConnectionWait)
-			since = c.server.config.Now().Add(newConnectionWait - c.idleTimeout(ctx))
+		case <-stop.closingIdle:
+			stop.beginLast(c.served)
+		case <-stop.finishing:
+			stop.beginLast(c.served)
+			stop.finishing = nil
+		case <-stop.last:
+			stop.last = nil
 		case <-c.evicted:
 			return c.interruptPeek(gateway.CloseLimit)
-		case <-ctx.Done():
-			if errors.Is(context.Cause(ctx), gateway.ErrHostStopping) {
-				return c.interruptPeek(gateway.CloseDraining)
+		case <-stop.ended:
+			if !errors.Is(context.Cause(ctx), gateway.ErrHostStopping) {
+				return c.interruptPeek(gateway.CloseHostEnded)
 			}
-			return c.interruptPeek(gateway.CloseHostEnded)
+			// The connection stays until the answers to the requests in progress are
+			// written: its caller's next request is refused.
+			stop.beginLast(true)
+			stop.ended, stop.last = nil, nil
+		}
+		if stop.over() {
+			return c.interruptPeek(gateway.CloseDraining)
 		}
 	}
 }
 
+// stopWait is how long the wait for a request lasts while the server stops. The channels
+// are nil once their events were received.
+type stopWait struct {
+	closingIdle, finishing, ended <-chan struct{}
+	// last is the time that a new connection has for its first request. The balancer still
+	// sends connections to a draining host if it has no better one.
+	last <-chan time.Time
+}
+
+// beginLast begins the last time for a request, unless it has begun. A connection on which
+// one was served has none.
+func (w *stopWait) beginLast(served bool) {
+	if w.closingIdle == nil {
+		return
+	}
+	w.closingIdle = nil
+	if !served {
+		w.last = time.After(newConnectionWait)
+	}
+}
+
+// over reports whether no request is waited for any more.
+func (w *stopWait) over() bool { return w.finishing == nil && w.last == nil }
+
 // past is a read deadline that interrupts a read at once.
 var past = time.Unix(1, 0)
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -78,10 +78,12 @@
 type Server struct {
 	config Config
 	inbox  *task.Inbox[any]
-	// draining is closed when each answer must end its connection, closingIdle
-	// when idle connections must close.
+	// draining is closed when each answer must end its connection, closingIdle when
+	// connections without a request have a last time to send one, and finishing when idle
+	// connections must close.
 	draining    chan struct{}
 	closingIdle chan struct{}
+	finishing   chan struct{}
 	// endTimeout is the constant, except in tests.
 	endTimeout time.Duration
 }
@@ -103,6 +105,7 @@
 type acceptEnded struct{}
 type closeIdle struct{ reply chan<- struct{} }
 type endRequests struct{}
+type finish struct{}
 
 // NewServer returns a server.
 func NewServer(config Config) *Server {
@@ -111,7 +114,7 @@
 	}
 	return &Server{
 		config: config, inbox: task.NewInbox[any](inboxCapacity),
-		draining: make(chan struct{}), closingIdle: make(chan struct{}), endTimeout: endTimeout,
+		draining: make(chan struct{}), closingIdle: make(chan struct{}), finishing: make(chan struct{}), endTimeout: endTimeout,
 	}
 }
 
@@ -119,9 +122,10 @@
 // the inbox is full, as the order must not be lost.
 func (s *Server) Drain() { _ = s.inbox.Send(context.Background(), beginDrain{}) }
 
-// CloseIdle closes idle connections and waits until all others have closed or
-// ctx ends. New connections are accepted for one request each until none is
-// open; then the listener is closed.
+// CloseIdle closes idle connections once no request is in progress, and waits until all
+// have closed or ctx ends. Until then a caller that was not told of the close can send its
+// next request. New connections are accepted for one request each until none is open; then
+// the listener is closed.
 func (s *Server) CloseIdle(ctx context.Context) error {
 	_, err := task.Ask(ctx, s.inbox, func(reply chan<- struct{}) any { return closeIdle{reply} })
 	return err
@@ -138,6 +142,10 @@
 // waits while the inbox is full.
 func (s *Server) EndRequests() { _ = s.inbox.Send(context.Background(), endRequests{}) }
 
+// Finish closes idle connections although requests are in progress, since the server is
+// about to end. Like Drain, it waits while the inbox is full.
+func (s *Server) Finish() { _ = s.inbox.Send(context.Background(), finish{}) }
+
 // Run accepts and serves connections until ctx ends, then closes the listener
 // and all connections.
 func (s *Server) Run(ctx context.Context) {
@@ -167,12 +175,15 @@
 	requests    context.Context
 	endRequests context.CancelCauseFunc
 	open        map[*connection]bool
-	table       *connlimit.Table[*connection]
+	// busy has the open connections with a request in progress.
+	busy  map[*connection]bool
+	table *connlimit.Table[*connection]
 	// waiting is answered once another connection may be accepted.
 	waiting     chan<- struct{}
 	idleReplies []chan<- struct{}
 	draining    bool
 	closingIdle bool
+	finishing   bool
 	accepting   bool
 	// endingAccept is true once endAccepting was called.
 	endingAccept bool
@@ -188,10 +199,16 @@
 	case connectionOpened:
 		t.admit(m)
 	case connectionIdle:
+		delete(t.busy, m.connection)
 		t.table.Idle(m.connection, t.server.config.Now())
 	case connectionBusy:
+		if t.busy == nil {
+			t.busy = make(map[*connection]bool)
+		}
+		t.busy[m.connection] = true
 		t.table.Busy(m.connection)
 	case connectionClosed:
+		delete(t.busy, m.connection)
 		delete(t.open, m.connection)
 		t.table.Close(m.connection)
 	case descriptorLacking:
@@ -208,14 +225,29 @@
 			close(t.server.draining)
 		}
 	case closeIdle:
-		if !t.closingIdle {
-			t.closingIdle = true
-			close(t.server.closingIdle)
-		}
+		t.closeIdle()
 		t.idleReplies = append(t.idleReplies, m.reply)
 	case endRequests:
 		t.endRequests(gateway.ErrHostStopping)
+		t.closeIdle()
 		t.endAccepting()
+	case finish:
+		t.closeIdle()
+		t.finish()
+	}
+}
+
+func (t *serverState) closeIdle() {
+	if !t.closingIdle {
+		t.closingIdle = true
+		close(t.server.closingIdle)
+	}
+}
+
+func (t *serverState) finish() {
+	if !t.finishing {
+		t.finishing = true
+		close(t.server.finishing)
 	}
 }
 
@@ -247,7 +279,10 @@
 		t.waiting <- struct{}{}
 		t.waiting = nil
 	}
-	if t.closingIdle && len(t.open) == 0 {
+	if t.closingIdle && len(t.busy) == 0 {
+		t.finish()
+	}
+	if t.finishing && len(t.open) == 0 {
 		// A connection that was accepted in the meantime is still served.
 		t.endAccepting()
 	}
