serve: keep untold callers' connections open until the last request ends

What callers saw: the next request on a kept connection of a stopping host of the product's own path got a reset or an end, while the host ran on for other requests. Found by reading, beside the same fault of the gateway's front end.

Cause: Shutdown of net/http closes idle connections at once, and those with a request in progress as soon as its answer is written, although the answer's head may have been written before the stop and tell of no close.

Change: Shutdown is called once no request is in progress, or the time to serve is over. Until then answers say that the connection ends, as they did before.

TestAStoppingHostServesKeptConnectionsUntilItsLastRequestEnds failed before ("Expected: nil, Actual: unexpected EOF" for the next request).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -260,6 +260,8 @@
 	}
 	// If only serving ends first, Shutdown reports it.
 	_ = task.Sleep(serving, time.Duration(h.options.Settings.Drain.BalancerWait))
+	// Shutdown closes idle connections, whose callers were not told and may still send.
+	_ = h.tasks.connections.AwaitIdle(serving)
 	if ctx.Err() != nil {
 		return h.abort(ctx.Err())
 	}
--- a/internal/localfleet/stop_test.go
+++ b/internal/localfleet/stop_test.go
@@ -23,6 +23,9 @@
 const (
 	shortStop = 4 * time.Second
 	longStop  = 8 * time.Second
+	// afterBalancerWait is longer than a stopping host of a local fleet waits for its load
+	// balancer, and shorter than the time that longStop leaves to serve.
+	afterBalancerWait = time.Second
 )
 
 // withoutEnd makes upstreams answer later than any deadline.
@@ -159,6 +162,49 @@
 	})
 }
 
+// keep opens a connection and returns a function that sends a request over it, and
+// returns the status, and whether the answer ends the connection.
+func keep(host *localfleet.RunningHost) (listModels func() (status int, last bool, err error)) {
+	connection, err := net.Dial("tcp", host.CallerAddress())
+	So(err, ShouldBeNil)
+	Reset(func() { _ = connection.Close() })
+	reader := bufio.NewReader(connection)
+	return func() (status int, last bool, err error) {
+		_, err = io.WriteString(connection, "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+callerKey+"\r\n\r\n")
+		So(err, ShouldBeNil)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return 0, false, err
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		return response.StatusCode, response.Close, response.Body.Close()
+	}
+}
+
+// Guards against closing a kept connection while the host still runs for other requests,
+// although its caller was not told: its next request got no answer.
+func TestAStoppingHostServesKeptConnectionsUntilItsLastRequestEnds(t *testing.T) {
+	Convey("Given a kept connection to a host that stops, and a request in progress", t, func() {
+		f := start(1, 1)
+		host := f.running()[0]
+		listModels := keep(host)
+		_, last, err := listModels()
+		So(err, ShouldBeNil)
+		So(last, ShouldBeFalse)
+		held := hold(host, "/services/ledger/payouts", newKey())
+		wait := f.stopWithin(longStop, host)
+		f.waitUntil("the host is stopping", func() bool { return host.Ready() != nil })
+		time.Sleep(afterBalancerWait)
+		status, last, err := listModels()
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+		So(last, ShouldBeTrue)
+		held.sendBody()
+		So(held.outcome(), ShouldStartWith, "503 host_draining")
+		So(wait(), ShouldBeNil)
+	})
+}
+
 // Guards against closing kept connections at the start of a planned stop, while callers
 // still use them: a request that crosses the close gets no answer, although net/http may
 // have read it and passed it on.
@@ -166,21 +212,7 @@
 	Convey("Given a kept connection to a host whose load balancer has not noticed the stop", t, func() {
 		f := start(1, 1, func(config *localfleet.Config) { config.BalancerWait = time.Hour })
 		host := f.running()[0]
-		connection, err := net.Dial("tcp", host.CallerAddress())
-		So(err, ShouldBeNil)
-		Reset(func() { _ = connection.Close() })
-		reader := bufio.NewReader(connection)
-		// listModels returns the status, and whether the answer ends the connection.
-		listModels := func() (status int, last bool, err error) {
-			_, err = io.WriteString(connection, "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+callerKey+"\r\n\r\n")
-			So(err, ShouldBeNil)
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				return 0, false, err
-			}
-			_, _ = io.Copy(io.Discard, response.Body)
-			return response.StatusCode, response.Close, response.Body.Close()
-		}
+		listModels := keep(host)
 		_, last, err := listModels()
 		So(err, ShouldBeNil)
 		So(last, ShouldBeFalse)
--- a/internal/tasks/connections/connections.go
+++ b/internal/tasks/connections/connections.go
@@ -56,6 +56,7 @@
 type beginDrain struct{}
 type endHost struct{}
 type awaitClosed struct{ reply chan<- struct{} }
+type awaitIdle struct{ reply chan<- struct{} }
 
 // New returns the task.
 func New(account Account) *Connections {
@@ -94,6 +95,13 @@
 	return err
 }
 
+// AwaitIdle waits until no request is in progress on any connection. The error is
+// task.ErrStopped, or that of ctx.
+func (c *Connections) AwaitIdle(ctx context.Context) error {
+	_, err := task.Ask(ctx, c.inbox, func(reply chan<- struct{}) any { return awaitIdle{reply} })
+	return err
+}
+
 // send waits while the inbox is full. What is reported after the task has stopped is not
 // counted.
 func (c *Connections) send(message any) { _ = c.inbox.Send(context.Background(), message) }
@@ -124,6 +132,7 @@
 	open                map[net.Conn]*followed
 	draining, hostEnded bool
 	waiting             []chan<- struct{}
+	waitingForIdle      []chan<- struct{}
 }
 
 func (s *connectionsState) handle(message any) {
@@ -157,7 +166,10 @@
 	case awaitClosed:
 		s.waiting = append(s.waiting, m.reply)
 		s.answerWaiting()
+	case awaitIdle:
+		s.waitingForIdle = append(s.waitingForIdle, m.reply)
 	}
+	s.answerIdle()
 }
 
 func (s *connectionsState) update(connection net.Conn, change func(*callerend.Connection)) {
@@ -191,6 +203,22 @@
 	s.answerWaiting()
 }
 
+// answerIdle answers those that wait until no request is in progress.
+func (s *connectionsState) answerIdle() {
+	if len(s.waitingForIdle) == 0 {
+		return
+	}
+	for _, entry := range s.open {
+		if entry.seen.Phase != callerend.Waiting {
+			return
+		}
+	}
+	for _, reply := range s.waitingForIdle {
+		reply <- struct{}{}
+	}
+	s.waitingForIdle = nil
+}
+
 func (s *connectionsState) answerWaiting() {
 	if len(s.open) > 0 {
 		return
