Look again for a request right before a connection is closed

What callers saw: the next request on a kept connection got a reset as its host closed idle connections in a stop.

Cause: the last look for a request ends with its deadline. A process that is short of processor time learns of that some time later, and closed the connection without looking at what had arrived meanwhile.

Change: the kernel is asked without waiting before the connection is given up, and if it has bytes, they are read. What is left is a request that arrives within the few instructions before the close.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -216,7 +216,8 @@
 func (c *connection) interruptPeek(cause gateway.CloseCause) gateway.CloseCause {
 	_ = c.socket.SetReadDeadline(past)
 	err := <-c.peekResults
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	for look := true; look && errors.Is(err, os.ErrDeadlineExceeded); look = kernelHasUnread(c.socket) {
+		// A process that is short of processor time learns late that the look has ended.
 		_ = c.socket.SetReadDeadline(time.Now().Add(lastLookTimeout))
 		_, err = c.reader.Peek(1)
 	}
