Look again for connections right before the listener is closed

What a caller would see: a reset on a connection that it has opened in a stop, after the last look for connections and before the listener is closed. Found by reading, as the same cause as that of the last look on connections: a process that is short of processor time learns late that a look has ended.

TestAConnectionThatArrivesAfterTheLastLookIsAnswered failed before ("read: connection reset by peer").

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -5,6 +5,7 @@
 	"syscall"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/peridotreel/peridotreel/internal/eventlog"
 	"github.com/peridotreel/peridotreel/internal/gateway"
@@ -55,3 +56,22 @@
 	})
 	return unread
 }
+
+// connectionWaits reports whether the kernel has a connection that was not accepted. It
+// does not wait.
+func connectionWaits(listener net.Listener) bool {
+	owner, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := owner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	_ = raw.Control(func(descriptor uintptr) {
+		count, err := unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0) //nolint:gosec // descriptors are small
+		waits = err == nil && count > 0
+	})
+	return waits
+}
--- a/internal/front/lastlook_test.go
+++ b/internal/front/lastlook_test.go
@@ -69,3 +69,46 @@
 		})
 	}
 }
+
+// lateListener is a listener to which a caller connects as the last look for connections
+// has found none, and before the process, which is short of processor time, closes it.
+type lateListener struct {
+	*net.TCPListener
+	arrive func()
+	looks  int
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	connection, err := l.TCPListener.Accept()
+	if err != nil {
+		if l.looks++; l.looks == 2 {
+			l.arrive()
+		}
+	}
+	return connection, err
+}
+
+// Guards against closing the listener after a caller has connected between the end of the
+// last look and the close: the caller gets a reset.
+func TestAConnectionThatArrivesAfterTheLastLookIsAnswered(t *testing.T) {
+	Convey("Given a caller that connects after the last look in a stop", t, func() {
+		listener := &lateListener{TCPListener: listen().(*net.TCPListener)}
+		var own net.Conn
+		arrived := make(chan error, 1)
+		listener.arrive = func() {
+			var err error
+			if own, err = net.Dial("tcp", listener.Addr().String()); err == nil {
+				_, err = io.WriteString(own, plainRequest)
+			}
+			arrived <- err
+		}
+		l := startLimitedServer(listener)
+		l.server.Drain()
+		l.server.EndRequests()
+		So(<-arrived, ShouldBeNil)
+		Reset(func() { _ = own.Close() })
+		got, err := readReply(bufio.NewReader(own))
+		So(err, ShouldBeNil)
+		So(got.close, ShouldBeTrue)
+	})
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -345,7 +345,7 @@
 		case err == nil:
 		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded) && !until.IsZero():
+		case errors.Is(err, os.ErrDeadlineExceeded) && !until.IsZero() && !connectionWaits(s.config.Listener):
 			_ = s.config.Listener.Close()
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
