Log the start of an upstream and the wait before an attempt is sent

No line names the start of an upstream, to which what it says is tied; the lines of the list and of an upstream that says it leaves now do. A request may wait for a connection after it was placed; the attempts of a request now say how long it took until they were sent, from 50 ms on.

--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -41,6 +41,8 @@
 type attemptInFlight struct {
 	*relay.Attempt
 	startedAt time.Time
+	// sentAfter is the time from startedAt until the request was sent.
+	sentAfter time.Duration
 }
 
 // preparation is the result of preparing an attempt.
@@ -66,7 +68,7 @@
 			Sent: sent, Answer: r.answer, Stream: r.matched.Route.Retry.Stream(), Progress: &r.progress,
 			Memory: r.pipeline.Buffers.Account(), Now: r.pipeline.Now, Began: r.recordOrigin(sent.Placed.Upstream.Software),
 		}),
-		startedAt: startedAt,
+		startedAt: startedAt, sentAfter: r.pipeline.Now().Sub(startedAt),
 	})
 	f.awaitSilence()
 }
@@ -142,7 +144,7 @@
 	r.attempts = append(r.attempts, attemptRecord{
 		upstream: placed.Upstream.ID, software: placed.Upstream.Software, cost: placed.Cost, affinity: placed.Affinity, newConnection: a.Sent.Fresh,
 		ending: outcome.Ending, status: outcome.Status, events: a.Events(),
-		duration: r.pipeline.Now().Sub(a.startedAt), err: outcome.Err,
+		duration: r.pipeline.Now().Sub(a.startedAt), sentAfter: a.sentAfter, err: outcome.Err,
 	})
 	if outcome.Ending != relay.Superseded {
 		r.lastOutcome = outcome
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -116,7 +116,10 @@
 	// events is the number of whole events that the attempt delivered.
 	events   int
 	duration time.Duration
-	err      error
+	// sentAfter is the part of duration in which an upstream was chosen and a connection
+	// acquired.
+	sentAfter time.Duration
+	err       error
 }
 
 func (r *requestRun) serve(ctx context.Context) error {
--- a/internal/opaque/report.go
+++ b/internal/opaque/report.go
@@ -149,6 +149,10 @@
 	return slices.ContainsFunc(r.attempts, func(a attemptRecord) bool { return a.ending == relay.Broke })
 }
 
+// loggedSendDelay is the time before an attempt is sent from which it is logged. The
+// upstream may have said meanwhile that it leaves.
+const loggedSendDelay = 50 * time.Millisecond
+
 // describeAttempts formats the attempts on one line.
 func (r *requestRun) describeAttempts() string {
 	var out strings.Builder
@@ -164,6 +168,9 @@
 			fmt.Fprintf(&out, " after %d events", attempt.events)
 		}
 		fmt.Fprintf(&out, " in %s, cost %.0f", attempt.duration.Round(time.Millisecond), attempt.cost)
+		if attempt.sentAfter >= loggedSendDelay {
+			fmt.Fprintf(&out, ", sent after %s", attempt.sentAfter.Round(time.Millisecond))
+		}
 		if attempt.affinity {
 			out.WriteString(", home")
 		}
--- a/internal/opaque/report_test.go
+++ b/internal/opaque/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -37,3 +38,13 @@
 		})
 	}
 }
+
+// Guards against a late request to an upstream that leaves, of which the log does not tell
+// whether it was placed late or waited after that.
+func TestTheLogTellsHowLongAnAttemptWaited(t *testing.T) {
+	Convey("Given attempts that were sent after 49 and 240 ms", t, func() {
+		attempts := []attemptRecord{{upstream: "u1", sentAfter: 49 * time.Millisecond}, {upstream: "u2", sentAfter: 240 * time.Millisecond}}
+		request := requestRun{attempts: attempts}
+		So(request.describeAttempts(), ShouldEqual, "u1  in 0s, cost 0; u2  in 0s, cost 0, sent after 240ms")
+	})
+}
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -134,7 +134,7 @@
 		d.config.Log.Info("upstream "+string(change.Kind), zap.String("event", "upstream_"+string(change.Kind)),
 			zap.String("upstream", string(change.Upstream.ID)), zap.String("service", string(change.Upstream.Service)),
 			zap.String("address", change.Upstream.Address), zap.String("zone", string(change.Upstream.Zone)), zap.String("software", change.Upstream.Software),
-			zap.String("list_version", revision.String()))
+			zap.Int64("start", change.Upstream.StartMillis), zap.String("list_version", revision.String()))
 	}
 	listed := d.listedSoftware()
 	d.confirmed.Listed(listed, d.config.Now())
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -40,7 +40,7 @@
 func (d *Director) observeNotice(m Observation, now time.Time) {
 	if m.Head.Leaving && d.notices.Leaves(m.Upstream, m.StartMillis, now) {
 		d.config.Log.Info("upstream says that it leaves", zap.String("event", "upstream_leaving"),
-			zap.String("upstream", string(m.Upstream)), zap.String("source", "own answer"))
+			zap.String("upstream", string(m.Upstream)), zap.Int64("start", m.StartMillis), zap.String("source", "own answer"))
 		if upstream, listed := d.roster.Upstream(m.Upstream); listed && d.notices.Leaving(upstream) {
 			d.config.Forget([]core.UpstreamID{m.Upstream})
 		}
