Do not keep a removed upstream because a call to the store failed

Callers' requests reached upstreams whose entry had been removed later than 2 s after the store had acknowledged that, which DRAIN forbids, while calls went on failing now and then. Upstreams that never list themselves as draining serve on meanwhile.

Cause: an entry that vanishes around an outage of the store lapses and is used until 2 s after the outage, and each failed call counted as an outage; each also put off the end of the entries that had lapsed. An entry expires only after three heartbeats of 1.2 s without one, so that a shorter failure removes none.

An outage now counts from 2 s on. TestFailedCallsDoNotKeepARemovedUpstream fails before (all three cases: lapsed instead of removed, and an entry that never ends).

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -14,6 +14,11 @@
 // about two seconds.
 const RecoveryGrace = 2 * time.Second
 
+// minOutage is the shortest outage that may have removed an entry. An entry expires
+// after three heartbeats of 1.2 s without one, the last of which may be one heartbeat
+// before the outage; the rest allows for late heartbeats.
+const minOutage = 2 * time.Second
+
 // departureRetention is how long the removal of an entry is remembered. The store
 // may come back from a copy that is some seconds old and still has the entry.
 const departureRetention = time.Minute
@@ -25,7 +30,7 @@
 	departures map[core.UpstreamID]*departure
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
-	// graceUntil is when the grace after an outage ends.
+	// graceUntil is when the grace after an outage of at least minOutage ends.
 	graceUntil time.Time
 }
 
@@ -60,10 +65,16 @@
 
 // StoreRegained records that the store answers again.
 func (r *Roster) StoreRegained(now time.Time) {
-	if !r.outageSince.IsZero() {
-		r.outageSince = time.Time{}
+	if r.outage(now) {
 		r.graceUntil = now.Add(RecoveryGrace)
 	}
+	r.outageSince = time.Time{}
+}
+
+// outage reports whether the store has not answered for long enough that entries may
+// have expired for that. A single failed call says nothing about the entries.
+func (r *Roster) outage(now time.Time) bool {
+	return !r.outageSince.IsZero() && now.Sub(r.outageSince) >= minOutage
 }
 
 // StoreReturned records that the store has come back from an older copy. Entries
@@ -178,7 +189,7 @@
 // inOutageWindow reports whether entries that vanish now may have lapsed
 // because of a store outage.
 func (r *Roster) inOutageWindow(now time.Time) bool {
-	return !r.outageSince.IsZero() || now.Before(r.graceUntil)
+	return r.outage(now) || now.Before(r.graceUntil)
 }
 
 // RetainOnly applies a full read of the list: it removes all entries that are
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -61,6 +61,44 @@
 	})
 }
 
+// Guards against sending requests to an upstream that was removed while calls to the store
+// failed now and then: such a failure removes no entry, and must not keep one either.
+func TestFailedCallsDoNotKeepARemovedUpstream(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	given := func() *Roster {
+		r := New()
+		_, _ = r.Put(gateway.Upstream{ID: "u1", Address: "a"}, core.Revision{Number: 1})
+		return r
+	}
+	Convey("Given a removal that is read right after a failed call", t, func() {
+		r := given()
+		r.StoreLost(at(0))
+		change, _ := r.Remove("u1", core.Revision{Number: 2}, at(0.3))
+		So(change.Kind, ShouldEqual, Removed)
+		So(r.Upstreams(), ShouldBeEmpty)
+	})
+	Convey("Given a removal a second after a failed call", t, func() {
+		r := given()
+		r.StoreLost(at(0))
+		r.StoreRegained(at(0.3))
+		change, _ := r.Remove("u1", core.Revision{Number: 2}, at(1.3))
+		So(change.Kind, ShouldEqual, Removed)
+	})
+	Convey("Given an entry that lapsed in an outage, and failed calls after it", t, func() {
+		r := given()
+		r.StoreLost(at(0))
+		_, _ = r.Remove("u1", core.Revision{Number: 2}, at(5))
+		r.StoreRegained(at(5))
+		for second := 6.0; second < 10; second++ {
+			r.StoreLost(at(second))
+			r.StoreRegained(at(second + 0.3))
+			_, _ = r.Expire(at(second + 0.3))
+		}
+		So(r.Upstreams(), ShouldBeEmpty)
+	})
+}
+
 // Guards against sending requests to upstreams that have left, because the store
 // has come back from a copy that lists them as ready, against dropping upstreams
 // that the copy lacks, and against rows that are ignored because their version is
