Do not take an upstream's earlier start from a copy of the store

Callers' requests reached an upstream that had said in an answer that it leaves, when the store came back from a copy that is older than the upstream's latest start.

Cause: the copy's row names the earlier start, and it was taken as the upstream's present one. What the upstream said is kept for the start that it said it in, so that it counted as ready again; an entry that was `draining` or removed was listed again as well.

A row of an earlier start that comes with a new era is now passed over, like one that lists as ready what has left; a later revision in that era was written by the upstream itself and counts, also with a clock that was set back.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -126,6 +126,10 @@
 		known.revision = revision
 		return Change{}, false
 	}
+	if found && known.superseded(upstream, revision) {
+		known.revision = revision
+		return Change{}, false
+	}
 	if !found && r.revived(upstream, revision) {
 		return Change{}, false
 	}
@@ -145,12 +149,19 @@
 // that starts again under its id has another start time.
 func sameProcess(a, b gateway.Upstream) bool { return a.StartMillis == b.StartMillis }
 
+// superseded reports whether a row is of an earlier process of the upstream, and listed
+// only because the store has come back from an older copy. As for revived, a later
+// revision was written by the upstream itself.
+func (e *entry) superseded(upstream gateway.Upstream, revision core.Revision) bool {
+	return upstream.StartMillis < e.upstream.StartMillis && (revision.Era > e.revision.Era || revision == e.revision)
+}
+
 // revived reports whether an entry that was removed is back only because the store
 // has come back from an older copy. The first revision in a later era may be that
 // of the copy; a later one was written by the upstream itself.
 func (r *Roster) revived(upstream gateway.Upstream, revision core.Revision) bool {
 	departed, found := r.departures[upstream.ID]
-	if !found || !sameProcess(departed.upstream, upstream) {
+	if !found || upstream.StartMillis > departed.upstream.StartMillis {
 		return false
 	}
 	if revision.Era > departed.revision.Era {
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -136,6 +136,34 @@
 				So(changed, ShouldBeTrue)
 			})
 		})
+		Convey("The copy does not take back that it has started again", func() {
+			restarted := leaving
+			restarted.StartMillis = 9
+			_, _ = r.Put(restarted, before(510))
+			for range 2 { // a read of the list and its repetition
+				_, changed := r.Put(upstream, after(250))
+				So(changed, ShouldBeFalse)
+				known, _ := r.Upstream("u1")
+				So(known, ShouldResemble, restarted)
+			}
+			Convey("until it writes its row itself, with a clock that was set back", func() {
+				_, changed := r.Put(upstream, after(270))
+				So(changed, ShouldBeTrue)
+			})
+			Convey("nor once it was removed", func() {
+				_, _ = r.Remove("u1", after(255), now)
+				_, changed := r.Put(upstream, after(250))
+				So(changed, ShouldBeFalse)
+			})
+			Convey("nor once it was removed before the return", func() {
+				r = New()
+				_, _ = r.Put(restarted, before(510))
+				_, _ = r.Remove("u1", before(520), now)
+				r.StoreReturned(now)
+				_, changed := r.Put(upstream, after(250))
+				So(changed, ShouldBeFalse)
+			})
+		})
 		Convey("Once it was removed, the copy does not list it again", func() {
 			_, _ = r.Remove("u1", before(520), now)
 			r.StoreReturned(now)
