Tie a notice of leaving to the start of the upstream that gave it

Callers' requests reached an upstream that had said in an answer that it leaves: one request from each host, as soon as the host had read the upstream's new entry.

Cause: what an upstream says is kept for the start that its entry named when the request was placed. While the store is away the entry may be of an earlier start; the later one, under the same id and address, answers. Once its entry is read, the notice counted for a start that had ended, and the upstream as ready.

Over a list that is not confirmed, an upstream that says that it leaves is now asked for its start, over a connection of its own and once for each listed start, as for streams that may be resumed. If it is another one, the first later start that is listed counts as leaving.

--- a/internal/decide/notice/notice.go
+++ b/internal/decide/notice/notice.go
@@ -41,6 +41,10 @@
 	start   int64
 	at      time.Time
 	leaving bool
+	// startChecked is true once CheckStart was true, and laterLeaves if it was found that
+	// a later start, which is not listed yet, leaves.
+	startChecked bool
+	laterLeaves  bool
 	// quietUntil is when this host returns, and lastSent when it sent a request since.
 	quietUntil time.Time
 	lastSent   time.Time
@@ -79,6 +83,33 @@
 	return true
 }
 
+// CheckStart reports, once for each start, whether it is to be found out which start
+// says that it leaves: the list may be outdated.
+func (n *Notices) CheckStart(id core.UpstreamID, start int64, now time.Time) bool {
+	known := n.of(id, start, now)
+	if known == nil || known.startChecked {
+		return false
+	}
+	known.startChecked = true
+	return true
+}
+
+// LaterLeaves records that not this start but a later one has said that it leaves.
+func (n *Notices) LaterLeaves(id core.UpstreamID, start int64, now time.Time) {
+	if known := n.of(id, start, now); known != nil {
+		known.laterLeaves = true
+	}
+}
+
+// Listed records which start of an upstream is listed. The first one that is later than a
+// start for which LaterLeaves was called leaves.
+func (n *Notices) Listed(upstream gateway.Upstream, now time.Time) {
+	known, found := n.said[upstream.ID]
+	if found && known.laterLeaves && known.start < upstream.StartMillis {
+		n.Leaves(upstream.ID, upstream.StartMillis, now)
+	}
+}
+
 // Quiet records that a start of an upstream wants nothing for a time, at most
 // MaxQuiet. It reports whether it was not quiet before.
 func (n *Notices) Quiet(id core.UpstreamID, start int64, duration time.Duration, now time.Time) bool {
--- a/internal/decide/notice/notice_test.go
+++ b/internal/decide/notice/notice_test.go
@@ -44,6 +44,33 @@
 	})
 }
 
+// Guards against work for a start of an upstream that said that it leaves before it was
+// listed, against holding that against the starts after it, and against a check for each
+// answer.
+func TestALaterStartLeavesOnceItIsListed(t *testing.T) {
+	Convey("Given an answer under the listed start, and that a later one gave it", t, func() {
+		n := New("h")
+		So(n.Leaves("u", 5, at(0)), ShouldBeTrue)
+		So(n.CheckStart("u", 5, at(0)), ShouldBeTrue)
+		So(n.CheckStart("u", 5, at(0)), ShouldBeFalse)
+		n.LaterLeaves("u", 5, at(0))
+		n.Listed(listed(5), at(1))
+		So(n.Leaving(listed(5)), ShouldBeTrue)
+		Convey("the first later start that is listed leaves, the next does not", func() {
+			n.Listed(listed(6), at(2))
+			So(n.Leaving(listed(6)), ShouldBeTrue)
+			n.Listed(listed(7), at(3))
+			So(n.Leaving(listed(7)), ShouldBeFalse)
+		})
+	})
+	Convey("Given an answer that the listed start gave itself", t, func() {
+		n := New("h")
+		n.Leaves("u", 5, at(0))
+		n.Listed(listed(6), at(1))
+		So(n.Leaving(listed(6)), ShouldBeFalse)
+	})
+}
+
 // Guards against requests in the time for which an upstream wants none, and against
 // values that would silence one for good.
 func TestAQuietUpstreamGetsNothing(t *testing.T) {
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
+	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
 )
 
@@ -26,6 +27,8 @@
 type Director interface {
 	Place(ctx context.Context, query director.PlacementRequest) (director.Placed, error)
 	Observe(observation director.Observation)
+	CheckStart(ctx context.Context, upstream core.UpstreamID, startMillis int64) (bool, error)
+	LaterStartLeaves(upstream core.UpstreamID, startMillis int64)
 }
 
 // Connections provides connections to upstreams.
@@ -37,8 +40,11 @@
 // and what follows, which is not a copy of the request's body.
 type Encode func(request *gateway.Request, dispatch gateway.Dispatch) (start, rest []byte)
 
+// ErrOtherStart means that another process than the listed one has an upstream's address.
+var ErrOtherStart = errors.New("the upstream was started again since its entry was written; wait for its new entry")
+
 // VerifyStart asks an upstream over a new connection when it was started, and returns an
-// error unless that is the given time, in Unix milliseconds.
+// error unless that is the given time, in Unix milliseconds: ErrOtherStart if it is another.
 type VerifyStart func(ctx context.Context, socket net.Conn, startMillis int64) error
 
 // Filter sends attempts.
@@ -193,14 +199,54 @@
 	upstream := placed.Upstream
 	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
 	if placed.ListOutdated && route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
-		target.ListedAt = placed.ListedAt
-		target.Verify = func(ctx context.Context, socket net.Conn) error {
-			return f.VerifyStart(ctx, socket, upstream.StartMillis)
-		}
+		f.verify(&target, placed)
 	}
 	return target
 }
 
+// verify lets a connection be used only if it leads to the listed process.
+func (f *Filter) verify(target *connpool.Target, placed director.Placed) {
+	target.ListedAt = placed.ListedAt
+	target.Verify = func(ctx context.Context, socket net.Conn) error {
+		return f.VerifyStart(ctx, socket, placed.Upstream.StartMillis)
+	}
+}
+
+const (
+	// startCheckTimeout bounds the check of an upstream's start. The upstream is to get
+	// nothing new from 2 s after it said so.
+	startCheckTimeout = 1500 * time.Millisecond
+	// startCheckInterval is the pause after a failed check.
+	startCheckInterval = 100 * time.Millisecond
+)
+
+// checkStart finds out whether an upstream that says that it leaves is a later start than
+// the one that is listed: what it says then holds for that start, once it is listed.
+func (f *Filter) checkStart(placed director.Placed) {
+	ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
+	defer cancel()
+	upstream := placed.Upstream
+	if due, err := f.Director.CheckStart(ctx, upstream.ID, upstream.StartMillis); err != nil || !due {
+		return
+	}
+	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
+	f.verify(&target, placed)
+	for {
+		connection, _, err := f.Connections.Acquire(ctx, target)
+		switch {
+		case err == nil:
+			connection.Release()
+			return
+		case errors.Is(err, ErrOtherStart):
+			f.Director.LaterStartLeaves(upstream.ID, upstream.StartMillis)
+			return
+		}
+		if task.Sleep(ctx, startCheckInterval) != nil {
+			return
+		}
+	}
+}
+
 // Send sends the attempt. ctx ends it.
 func (p *Prepared) Send(ctx context.Context) *Sent {
 	matched := p.matched
@@ -233,6 +279,9 @@
 		Upstream: s.Placed.Upstream.ID, StartMillis: s.Placed.Upstream.StartMillis, Attempt: s.Placed.Attempt, Signal: signal, Head: head,
 		Traits: s.traits, Repeat: s.Placed.Repeat,
 	})
+	if head != nil && head.Leaving && !head.WrongInstance && s.Placed.ListOutdated && s.Placed.Upstream.StartMillis != 0 {
+		go s.filter.checkStart(s.Placed)
+	}
 }
 
 // End ends the attempt. If the answer is not complete, the connection to the
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -142,6 +142,17 @@
 
 type setShutdown struct{ at, noticed time.Time }
 
+type checkStart struct {
+	upstream    core.UpstreamID
+	startMillis int64
+	reply       chan<- bool
+}
+
+type laterStartLeaves struct {
+	upstream    core.UpstreamID
+	startMillis int64
+}
+
 type getConfig struct{ reply chan<- ConfigState }
 
 type placeAttempt struct {
@@ -240,6 +251,17 @@
 	_ = d.inbox.Send(context.Background(), observation)
 }
 
+// CheckStart reports whether the caller is to find out which start of an upstream says
+// that it leaves. It is true for one caller for each start.
+func (d *Director) CheckStart(ctx context.Context, upstream core.UpstreamID, startMillis int64) (bool, error) {
+	return task.Ask(ctx, d.inbox, func(reply chan<- bool) any { return checkStart{upstream, startMillis, reply} })
+}
+
+// LaterStartLeaves records that a later start of an upstream than the given one leaves.
+func (d *Director) LaterStartLeaves(upstream core.UpstreamID, startMillis int64) {
+	_ = d.inbox.Send(context.Background(), laterStartLeaves{upstream, startMillis})
+}
+
 // Update passes on rows that a follower read.
 func (d *Director) Update(update follower.Update) {
 	_ = d.inbox.Send(context.Background(), update)
@@ -338,6 +360,10 @@
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
 		d.observeTraits(ctx, m, now)
+	case checkStart:
+		m.reply <- d.notices.CheckStart(m.upstream, m.startMillis, now)
+	case laterStartLeaves:
+		d.observeLaterStart(m, now)
 	case crashChecked:
 		d.finishCrashCheck(m, now)
 	case confirmedSoftware:
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// observeLaterStart records that a later start of an upstream leaves, which may be listed
+// by now.
+func (d *Director) observeLaterStart(m laterStartLeaves, now time.Time) {
+	d.notices.LaterLeaves(m.upstream, m.startMillis, now)
+	if upstream, listed := d.roster.Upstream(m.upstream); listed {
+		d.notices.Listed(upstream, now)
+	}
+	d.config.Log.Info("a later start of an upstream says that it leaves", zap.String("event", "upstream_leaving"),
+		zap.String("upstream", string(m.upstream)), zap.Int64("later_than", m.startMillis), zap.String("source", "own answer"))
+}
+
 // wait returns how long an upstream is to get no request from this host, 0 if it may
 // get one now, and a negative time if that is not known. It reports false if it gets
 // none any more.
