Do not keep a removed upstream because one call got no answer

Callers' requests reached an upstream whose entry had been removed later than 2 s after that, where the connection of a host's call to the store had been cut without an end.

Cause: such a call fails 2.2 s after it began, and the time since the answer before it counted as an outage of the store, over 2 s long. The store had answered other calls.

An outage now begins with the call that failed, and counts from 2.4 s on: an entry expires after three intervals of 1.2 s without a heartbeat, the first of which may lie before it.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -15,9 +15,9 @@
 const RecoveryGrace = 2 * time.Second
 
 // minOutage is the shortest outage that may have removed an entry. An entry expires
-// after three heartbeats of 1.2 s without one, the last of which may be one heartbeat
-// before the outage; the rest allows for late heartbeats.
-const minOutage = 2 * time.Second
+// after three intervals of 1.2 s without a heartbeat, the first of which may lie before
+// the outage. A call that gets no answer fails sooner.
+const minOutage = 2400 * time.Millisecond
 
 // departureRetention is how long the removal of an entry is remembered. The store
 // may come back from a copy that is some seconds old and still has the entry.
@@ -56,10 +56,10 @@
 	return &Roster{entries: make(map[core.UpstreamID]*entry), departures: make(map[core.UpstreamID]*departure)}
 }
 
-// StoreLost records that the store has not answered since about the given time.
-func (r *Roster) StoreLost(now time.Time) {
+// StoreLost records that the store has not answered a call that began at the given time.
+func (r *Roster) StoreLost(began time.Time) {
 	if r.outageSince.IsZero() {
-		r.outageSince = now
+		r.outageSince = began
 	}
 }
 
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -164,7 +164,7 @@
 	if health.Reachable {
 		d.roster.StoreRegained(health.Since)
 	} else {
-		d.roster.StoreLost(health.LastAnswer)
+		d.roster.StoreLost(health.Since)
 	}
 	d.expireLapsed()
 }
--- a/internal/tasks/follower/follower.go
+++ b/internal/tasks/follower/follower.go
@@ -47,11 +47,11 @@
 
 // Health reports whether the store answers.
 type Health struct {
-	Table      string
-	Reachable  bool
-	Cause      error
-	Since      time.Time
-	LastAnswer time.Time
+	Table     string
+	Reachable bool
+	Cause     error
+	// Since is when the store answered again, or when the call that failed began.
+	Since time.Time
 }
 
 // Follower is the task that follows one table. It passes updates and the
@@ -97,7 +97,7 @@
 			if !reachable {
 				reachable = true
 				f.Log.Info("store is reachable again", zap.String("event", "store_regained"), zap.String("table", f.Table), revisionField("version", at.reached))
-				f.Health(Health{Table: f.Table, Reachable: true, Since: lastAnswer, LastAnswer: lastAnswer})
+				f.Health(Health{Table: f.Table, Reachable: true, Since: lastAnswer})
 			}
 			// The loop checks ctx itself.
 			if remaining := f.MinInterval - f.Now().Sub(began); remaining > 0 {
@@ -116,9 +116,7 @@
 			f.Log.Warn("store is unreachable", zap.String("event", "store_lost"), zap.String("table", f.Table),
 				revisionField("version", at.reached), zap.Error(err))
 		}
-		// Sent on each failure, so that the receiver knows the time of the last
-		// answer.
-		f.Health(Health{Table: f.Table, Cause: err, Since: began, LastAnswer: lastAnswer})
+		f.Health(Health{Table: f.Table, Cause: err, Since: began})
 		if f.Now().Sub(lastAnswer) > maxFeedGap {
 			at.synced = false
 		}
