Take an upstream as gone when a peer knows that its entry was removed

Callers' requests reached an upstream 2.9 and 3.1 s after its entry had been removed, at a host whose connections to the store had been cut.

Cause: the host's peers told it of the removal 0.7 s after it, but an entry that vanishes in an outage lapses, whoever tells, and the host took its own lack of answers for an outage of the store. It used the entry until 2 s after its next answer.

A lapsed entry that a peer's newer list lacks has now expired. So that this does not drop upstreams after an outage of all hosts, in which entries may expire, a host lists its own lapsed entries to its peers until they expire there.

TestPeersTellWhichEntriesAreGone fails before in both cases.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -217,6 +217,25 @@
 	return changes
 }
 
+// Lapsed reports whether an entry has lapsed.
+func (r *Roster) Lapsed(id core.UpstreamID) bool {
+	known, found := r.entries[id]
+	return found && known.lapsed
+}
+
+// ExpireUnlisted removes lapsed entries that the newer list of a peer lacks. A peer lists
+// its own lapsed entries too, so that it knows these to be gone.
+func (r *Roster) ExpireUnlisted(listed map[core.UpstreamID]bool, revision core.Revision, now time.Time) []Change {
+	var changes []Change
+	for id, known := range r.entries {
+		if known.lapsed && !listed[id] && !known.revision.Newer(revision) {
+			r.depart(known.upstream, revision, now)
+			changes = append(changes, Change{Upstream: known.upstream, Kind: Expired})
+		}
+	}
+	return changes
+}
+
 // Expire removes lapsed entries that were not listed again within the grace
 // after an outage. It returns when it has to be called next, zero for never.
 func (r *Roster) Expire(now time.Time) ([]Change, time.Time) {
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -26,6 +26,7 @@
 	case d.config.UpstreamTable:
 		d.listConfirmed = update.At
 		d.applyUpstreamRows(update.Rows, update.Full, update.Revision, update.At)
+		d.expireLapsed()
 	}
 }
 
@@ -66,7 +67,8 @@
 	}
 }
 
-func (d *Director) applyUpstreamRows(rows []rowstore.Row, full bool, revision core.Revision, now time.Time) {
+// applyUpstreamRows applies rows of the list and returns the upstreams among them.
+func (d *Director) applyUpstreamRows(rows []rowstore.Row, full bool, revision core.Revision, now time.Time) map[core.UpstreamID]bool {
 	if revision.Era > d.listRevision.Era && d.listRevision.Number > 0 {
 		d.roster.StoreReturned(now)
 	}
@@ -80,8 +82,8 @@
 	for _, row := range rows {
 		id := core.UpstreamID(row.Key)
 		if row.Deleted {
-			delete(d.rowsByID, row.Key)
 			record(d.roster.Remove(id, row.Revision, now))
+			d.forgetRow(row.Key)
 			continue
 		}
 		present[row.Key] = true
@@ -100,13 +102,13 @@
 		record(d.roster.Put(upstream, row.Revision))
 	}
 	if full {
+		changes = append(changes, d.roster.RetainOnly(listed, revision, now)...)
 		for key := range d.rowsByID {
 			// Malformed rows stay known, so that each version is logged once.
 			if !present[key] {
-				delete(d.rowsByID, key)
+				d.forgetRow(key)
 			}
 		}
-		changes = append(changes, d.roster.RetainOnly(listed, revision, now)...)
 	}
 	if full || len(rows) > 0 {
 		d.upstreamRows = slices.Collect(maps.Values(d.rowsByID))
@@ -115,15 +117,38 @@
 		d.listRevision = revision
 	}
 	d.applyRosterChanges(changes, revision)
-	d.expireLapsed()
+	return listed
+}
+
+// forgetRow drops the row of an upstream that is gone. Those of lapsed ones are kept, so
+// that peers do not take them as gone.
+func (d *Director) forgetRow(key string) {
+	if !d.roster.Lapsed(core.UpstreamID(key)) {
+		delete(d.rowsByID, key)
+	}
 }
 
 // applyPeerUpstreams applies a peer's upstream list if it is newer than this
 // host's.
 func (d *Director) applyPeerUpstreams(offer offeredUpstreams, now time.Time) {
-	if offer.revision.Newer(d.listRevision) {
-		d.applyUpstreamRows(offer.rows, true, offer.revision, now)
+	if !offer.revision.Newer(d.listRevision) {
+		return
+	}
+	listed := d.applyUpstreamRows(offer.rows, true, offer.revision, now)
+	d.expire(d.roster.ExpireUnlisted(listed, offer.revision, now))
+	d.expireLapsed()
+}
+
+// expire applies that lapsed entries have expired.
+func (d *Director) expire(changes []roster.Change) {
+	if len(changes) == 0 {
+		return
 	}
+	for _, change := range changes {
+		delete(d.rowsByID, string(change.Upstream.ID))
+	}
+	d.upstreamRows = slices.Collect(maps.Values(d.rowsByID))
+	d.applyRosterChanges(changes, d.listRevision)
 }
 
 func (d *Director) applyRosterChanges(changes []roster.Change, revision core.Revision) {
@@ -172,7 +197,7 @@
 func (d *Director) expireLapsed() {
 	now := d.config.Now()
 	changes, next := d.roster.Expire(now)
-	d.applyRosterChanges(changes, d.listRevision)
+	d.expire(changes)
 	if !next.IsZero() {
 		d.expiry.Reset(max(next.Sub(now), time.Millisecond))
 	}
