--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -14,6 +14,11 @@
 // about two seconds.
 const RecoveryGrace = 2 * time.Second
 
+// minOutage is the shortest outage that may have removed an entry. An entry expires
+// after three intervals of 1.2 s without a heartbeat, the first of which may lie before
+// the outage. A call that gets no answer fails sooner.
+const minOutage = 2400 * time.Millisecond
+
 // departureRetention is how long the removal of an entry is remembered. The store
 // may come back from a copy that is some seconds old and still has the entry.
 const departureRetention = time.Minute
@@ -25,7 +30,7 @@
 	departures map[core.UpstreamID]*departure
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
-	// graceUntil is when the grace after an outage ends.
+	// graceUntil is when the grace after an outage of at least minOutage ends.
 	graceUntil time.Time
 }
 
@@ -51,19 +56,25 @@
 	return &Roster{entries: make(map[core.UpstreamID]*entry), departures: make(map[core.UpstreamID]*departure)}
 }
 
-// StoreLost records that the store has not answered since about the given time.
-func (r *Roster) StoreLost(now time.Time) {
+// StoreLost records that the store has not answered a call that began at the given time.
+func (r *Roster) StoreLost(began time.Time) {
 	if r.outageSince.IsZero() {
-		r.outageSince = now
+		r.outageSince = began
 	}
 }
 
 // StoreRegained records that the store answers again.
 func (r *Roster) StoreRegained(now time.Time) {
-	if !r.outageSince.IsZero() {
-		r.outageSince = time.Time{}
+	if r.outage(now) {
 		r.graceUntil = now.Add(RecoveryGrace)
 	}
+	r.outageSince = time.Time{}
+}
+
+// outage reports whether the store has not answered for long enough that entries may
+// have expired for that. A single failed call says nothing about the entries.
+func (r *Roster) outage(now time.Time) bool {
+	return !r.outageSince.IsZero() && now.Sub(r.outageSince) >= minOutage
 }
 
 // StoreReturned records that the store has come back from an older copy. Entries
@@ -115,6 +126,10 @@
 		known.revision = revision
 		return Change{}, false
 	}
+	if found && known.superseded(upstream, revision) {
+		known.revision = revision
+		return Change{}, false
+	}
 	if !found && r.revived(upstream, revision) {
 		return Change{}, false
 	}
@@ -134,12 +149,19 @@
 // that starts again under its id has another start time.
 func sameProcess(a, b gateway.Upstream) bool { return a.StartMillis == b.StartMillis }
 
+// superseded reports whether a row is of an earlier process of the upstream, and listed
+// only because the store has come back from an older copy. As for revived, a later
+// revision was written by the upstream itself.
+func (e *entry) superseded(upstream gateway.Upstream, revision core.Revision) bool {
+	return upstream.StartMillis < e.upstream.StartMillis && (revision.Era > e.revision.Era || revision == e.revision)
+}
+
 // revived reports whether an entry that was removed is back only because the store
 // has come back from an older copy. The first revision in a later era may be that
 // of the copy; a later one was written by the upstream itself.
 func (r *Roster) revived(upstream gateway.Upstream, revision core.Revision) bool {
 	departed, found := r.departures[upstream.ID]
-	if !found || !sameProcess(departed.upstream, upstream) {
+	if !found || upstream.StartMillis > departed.upstream.StartMillis {
 		return false
 	}
 	if revision.Era > departed.revision.Era {
@@ -178,7 +200,7 @@
 // inOutageWindow reports whether entries that vanish now may have lapsed
 // because of a store outage.
 func (r *Roster) inOutageWindow(now time.Time) bool {
-	return !r.outageSince.IsZero() || now.Before(r.graceUntil)
+	return r.outage(now) || now.Before(r.graceUntil)
 }
 
 // RetainOnly applies a full read of the list: it removes all entries that are
@@ -195,6 +217,25 @@
 	return changes
 }
 
+// Lapsed reports whether an entry has lapsed.
+func (r *Roster) Lapsed(id core.UpstreamID) bool {
+	known, found := r.entries[id]
+	return found && known.lapsed
+}
+
+// ExpireUnlisted removes lapsed entries that the newer list of a peer lacks. A peer lists
+// its own lapsed entries too, so that it knows these to be gone.
+func (r *Roster) ExpireUnlisted(listed map[core.UpstreamID]bool, revision core.Revision, now time.Time) []Change {
+	var changes []Change
+	for id, known := range r.entries {
+		if known.lapsed && !listed[id] && !known.revision.Newer(revision) {
+			r.depart(known.upstream, revision, now)
+			changes = append(changes, Change{Upstream: known.upstream, Kind: Expired})
+		}
+	}
+	return changes
+}
+
 // Expire removes lapsed entries that were not listed again within the grace
 // after an outage. It returns when it has to be called next, zero for never.
 func (r *Roster) Expire(now time.Time) ([]Change, time.Time) {
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -61,6 +61,44 @@
 	})
 }
 
+// Guards against sending requests to an upstream that was removed while calls to the store
+// failed now and then: such a failure removes no entry, and must not keep one either.
+func TestFailedCallsDoNotKeepARemovedUpstream(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	given := func() *Roster {
+		r := New()
+		_, _ = r.Put(gateway.Upstream{ID: "u1", Address: "a"}, core.Revision{Number: 1})
+		return r
+	}
+	Convey("Given a removal that is read right after a failed call", t, func() {
+		r := given()
+		r.StoreLost(at(0))
+		change, _ := r.Remove("u1", core.Revision{Number: 2}, at(0.3))
+		So(change.Kind, ShouldEqual, Removed)
+		So(r.Upstreams(), ShouldBeEmpty)
+	})
+	Convey("Given a removal a second after a failed call", t, func() {
+		r := given()
+		r.StoreLost(at(0))
+		r.StoreRegained(at(0.3))
+		change, _ := r.Remove("u1", core.Revision{Number: 2}, at(1.3))
+		So(change.Kind, ShouldEqual, Removed)
+	})
+	Convey("Given an entry that lapsed in an outage, and failed calls after it", t, func() {
+		r := given()
+		r.StoreLost(at(0))
+		_, _ = r.Remove("u1", core.Revision{Number: 2}, at(5))
+		r.StoreRegained(at(5))
+		for second := 6.0; second < 10; second++ {
+			r.StoreLost(at(second))
+			r.StoreRegained(at(second + 0.3))
+			_, _ = r.Expire(at(second + 0.3))
+		}
+		So(r.Upstreams(), ShouldBeEmpty)
+	})
+}
+
 // Guards against sending requests to upstreams that have left, because the store
 // has come back from a copy that lists them as ready, against dropping upstreams
 // that the copy lacks, and against rows that are ignored because their version is
@@ -98,6 +136,34 @@
 				So(changed, ShouldBeTrue)
 			})
 		})
+		Convey("The copy does not take back that it has started again", func() {
+			restarted := leaving
+			restarted.StartMillis = 9
+			_, _ = r.Put(restarted, before(510))
+			for range 2 { // a read of the list and its repetition
+				_, changed := r.Put(upstream, after(250))
+				So(changed, ShouldBeFalse)
+				known, _ := r.Upstream("u1")
+				So(known, ShouldResemble, restarted)
+			}
+			Convey("until it writes its row itself, with a clock that was set back", func() {
+				_, changed := r.Put(upstream, after(270))
+				So(changed, ShouldBeTrue)
+			})
+			Convey("nor once it was removed", func() {
+				_, _ = r.Remove("u1", after(255), now)
+				_, changed := r.Put(upstream, after(250))
+				So(changed, ShouldBeFalse)
+			})
+			Convey("nor once it was removed before the return", func() {
+				r = New()
+				_, _ = r.Put(restarted, before(510))
+				_, _ = r.Remove("u1", before(520), now)
+				r.StoreReturned(now)
+				_, changed := r.Put(upstream, after(250))
+				So(changed, ShouldBeFalse)
+			})
+		})
 		Convey("Once it was removed, the copy does not list it again", func() {
 			_, _ = r.Remove("u1", before(520), now)
 			r.StoreReturned(now)
