Read the head of the answer that follows an upstream's report

Heads of answers to no request are now passed over with their body. TestTheHeadAfterAReportIsRead failed before (nothing or the report was observed).

--- a/internal/tasks/tunnels/head.go
+++ b/internal/tasks/tunnels/head.go
@@ -15,19 +15,26 @@
 // endOfHead ends the head of an HTTP message.
 var endOfHead = []byte("\r\n\r\n")
 
-// headReader finds the head of the first final answer among bytes that pass by.
+// headReader finds the head of the first final answer to a request among bytes that pass by.
 type headReader struct {
 	decode  func(response *http.Response) gateway.AnswerHead
 	observe func(head gateway.AnswerHead)
 	// partial is what has passed of a head that is not complete.
 	partial []byte
 	passed  int
-	done    bool
+	// skip is the number of bytes left of the body of an answer to no request.
+	skip int64
+	done bool
 }
 
 // read takes the next bytes, which it does not keep.
 func (h *headReader) read(next []byte) {
 	for !h.done && len(next) > 0 {
+		if h.skip > 0 {
+			skipped := min(h.skip, int64(len(next)))
+			next, h.skip = next[skipped:], h.skip-skipped
+			continue
+		}
 		head := next
 		if len(h.partial) > 0 {
 			h.partial = append(h.partial, next...)
@@ -59,7 +66,14 @@
 	case err != nil || h.passed > maxHeadBytes:
 		h.done = true
 	case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
+		decoded := h.decode(response)
+		if decoded.ID == "" && response.ContentLength >= 0 {
+			// An upstream that is asked for its report first, on the same connection, says
+			// there nothing of what it wants.
+			h.skip, h.passed = response.ContentLength, 0
+			return
+		}
 		h.done = true
-		h.observe(h.decode(response))
+		h.observe(decoded)
 	}
 }
--- a/internal/tasks/tunnels/head_test.go
+++ b/internal/tasks/tunnels/head_test.go
@@ -22,7 +22,7 @@
 		var statuses []int
 		h := &headReader{
 			decode: func(response *http.Response) gateway.AnswerHead {
-				return gateway.AnswerHead{Status: response.StatusCode}
+				return gateway.AnswerHead{ID: "id", Status: response.StatusCode}
 			},
 			observe: func(head gateway.AnswerHead) { statuses = append(statuses, head.Status) },
 		}
@@ -45,3 +45,27 @@
 		}
 	})
 }
+
+// Guards against notices that the helper misses because the upstream was asked for its
+// report first, over the same connection.
+func TestTheHeadAfterAReportIsRead(t *testing.T) {
+	report := "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":5}"
+	answer := "HTTP/1.1 503 Busy\r\nId: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+	for part := 1; part < len(report+answer); part++ {
+		var heads []gateway.AnswerHead
+		h := &headReader{
+			decode: func(r *http.Response) gateway.AnswerHead {
+				return gateway.AnswerHead{ID: r.Header.Get("Id"), Leaving: r.Header.Get("Server-Leaving") == "1"}
+			},
+			observe: func(head gateway.AnswerHead) { heads = append(heads, head) },
+		}
+		for rest := []byte(report + answer); len(rest) > 0; {
+			n := min(part, len(rest))
+			h.read(rest[:n])
+			rest = rest[n:]
+		}
+		if len(heads) != 1 || !heads[0].Leaving {
+			t.Fatalf("in parts of %d bytes: observed %v, want the notice of the second answer", part, heads)
+		}
+	}
+}
