--- a/internal/tasks/tunnels/client.go
+++ b/internal/tasks/tunnels/client.go
@@ -321,7 +321,10 @@
 		return nil, helpers.CutOff, refusal
 	case tunnel.NotNow:
 		return nil, helpers.Answered, &UpstreamError{helper.ID, answer}
-	case tunnel.Unreachable, tunnel.Refused:
+	case tunnel.Refused:
+		// The helper's links work as far as this tells: nothing listens there.
+		return nil, helpers.Answered, &UpstreamError{helper.ID, answer}
+	case tunnel.Unreachable:
 		return nil, helpers.Unreachable, &UpstreamError{helper.ID, answer}
 	default:
 		return nil, helpers.Answered, refusal
--- a/internal/tasks/tunnels/tunnels_test.go
+++ b/internal/tasks/tunnels/tunnels_test.go
@@ -389,6 +389,20 @@
 			So(refused.Answer.Status, ShouldEqual, tunnel.Refused)
 			So(<-h.gate.dialed, ShouldNotBeNil)
 		})
+		Convey("a helper is not given up because upstreams refuse connections", func() {
+			closed := []string{"u-0", "u-1"}
+			for _, id := range closed {
+				gone, _ := startUpstream()
+				h.gate.listed[core.UpstreamID(id)] = gone.Addr().String()
+				So(gone.Close(), ShouldBeNil)
+				_, err := client.Dial(t.Context(), tunnels.Target{Upstream: core.UpstreamID(id), Service: "s"})
+				So(errors.Is(err, syscall.ECONNREFUSED), ShouldBeTrue)
+			}
+			h.gate.listed["u"] = listener.Addr().String()
+			conn, err := client.Dial(t.Context(), target)
+			So(err, ShouldBeNil)
+			So(conn.Close(), ShouldBeNil)
+		})
 		Convey("a helper that is cut off is not asked again at once", func() {
 			h.gate.verdict = tunnel.Answer{Status: tunnel.CutOff}
 			_, err := client.Dial(t.Context(), target)
