Close connections through other hosts that were not used, and name unverified ones

Connections whose process could not be verified have an error of their own (ErrUnverified), as they were set up.

--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -77,7 +77,7 @@
 	}
 	if err != nil {
 		_ = socket.Close()
-		return nil, fmt.Errorf("the process of upstream %s at %s could not be verified: %w", target.Upstream, target.Address, err)
+		return nil, fmt.Errorf("%w: upstream %s at %s: %w", ErrUnverified, target.Upstream, target.Address, err)
 	}
 	return socket, nil
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -19,6 +19,10 @@
 // about whether the upstream can be reached.
 var ErrConnectionLimit = errors.New("no further connection to the upstream can be opened now; choose another")
 
+// ErrUnverified means that a connection was set up, and that it is not known to lead to the
+// listed process of the upstream.
+var ErrUnverified = errors.New("the process that has the upstream's address could not be verified")
+
 // Target identifies the upstream process to connect to.
 type Target struct {
 	Upstream core.UpstreamID
@@ -199,7 +203,7 @@
 		p.dialed(poolOf(m.target.Upstream), m)
 	case released:
 		u := poolOf(m.connection.upstream)
-		if u.draining || ctx.Err() != nil {
+		if u.draining || m.connection.single || ctx.Err() != nil {
 			close(m.connection.stop)
 			return
 		}
