--- a/internal/decide/reach/reach.go
+++ b/internal/decide/reach/reach.go
@@ -17,6 +17,11 @@
 	// failureMemory is how long a failed attempt to connect counts. It exceeds the time in
 	// which requests to a service of few upstreams try them one after the other.
 	failureMemory = 3 * time.Second
+	// staleAfter is the age from which the latest failure tells nothing about the present, as
+	// on a host without requests. The next attempt is then made by the host itself.
+	staleAfter = 3 * time.Second
+	// answeredLately is the age up to which an answer shows that open connections still work.
+	answeredLately = 500 * time.Millisecond
 	// probeInterval is the time between two rounds of probes of a service. A cut lasts for
 	// seconds, and a probe costs a connection.
 	probeInterval = 500 * time.Millisecond
@@ -37,6 +42,9 @@
 	failed map[core.UpstreamID]time.Time
 	// cutOff is true from the failures that show the cut until a connection.
 	cutOff bool
+	// failedAt is when an upstream was unreachable last, answeredAt when one answered over
+	// a connection of this host.
+	failedAt, answeredAt time.Time
 	// probedAt is when the latest round of probes was sent.
 	probedAt time.Time
 	// helplessSince is when no other host could help with a request for the first time
@@ -70,9 +78,18 @@
 }
 
 // CutOff reports whether the host has lost its links to all upstreams of a service.
-func (t *Table) CutOff(service core.ServiceName) bool {
+func (t *Table) CutOff(service core.ServiceName, now time.Time) bool {
 	state, found := t.services[service]
-	return found && state.cutOff
+	return found && state.cutOff && now.Sub(state.failedAt) < staleAfter
+}
+
+// Answered records that an upstream has answered over a connection of this host.
+func (t *Table) Answered(service core.ServiceName, now time.Time) { t.state(service).answeredAt = now }
+
+// AnsweredLately reports whether open connections to a service still work.
+func (t *Table) AnsweredLately(service core.ServiceName, now time.Time) bool {
+	state, found := t.services[service]
+	return found && !state.answeredAt.IsZero() && now.Sub(state.answeredAt) < answeredLately
 }
 
 // Connected records that the host has set up a connection to an upstream itself.
@@ -101,7 +118,7 @@
 // not.
 func (t *Table) Helpless(service core.ServiceName, now time.Time) time.Time {
 	state, found := t.services[service]
-	if !found || !state.cutOff {
+	if !found || !t.CutOff(service, now) {
 		return time.Time{}
 	}
 	if state.helplessSince.IsZero() {
@@ -117,7 +134,7 @@
 // number of upstreams of the service that may be used, 1 or more.
 func (t *Table) Unreachable(service core.ServiceName, upstream core.UpstreamID, listed int, now time.Time) Change {
 	state := t.state(service)
-	state.failed[upstream] = now
+	state.failed[upstream], state.failedAt = now, now
 	for id, at := range state.failed {
 		if now.Sub(at) > failureMemory {
 			delete(state.failed, id)
--- a/internal/decide/reach/reach_test.go
+++ b/internal/decide/reach/reach_test.go
@@ -25,13 +25,13 @@
 			So(fail("a", 0), ShouldEqual, None)
 			So(fail("a", 100*time.Millisecond), ShouldEqual, None)
 			So(fail("b", 200*time.Millisecond), ShouldEqual, None)
-			So(table.CutOff("models"), ShouldBeFalse)
+			So(table.CutOff("models", start.Add(400*time.Millisecond)), ShouldBeFalse)
 			So(fail("c", 300*time.Millisecond), ShouldEqual, Lost)
 			So(fail("d", 400*time.Millisecond), ShouldEqual, None)
-			So(table.CutOff("models"), ShouldBeTrue)
-			So(table.CutOff("ledger"), ShouldBeFalse)
+			So(table.CutOff("models", start.Add(400*time.Millisecond)), ShouldBeTrue)
+			So(table.CutOff("ledger", start), ShouldBeFalse)
 			So(table.Connected("models"), ShouldEqual, Regained)
-			So(table.CutOff("models"), ShouldBeFalse)
+			So(table.CutOff("models", start.Add(400*time.Millisecond)), ShouldBeFalse)
 			So(fail("e", 500*time.Millisecond), ShouldEqual, None)
 		})
 		Convey("A connection in between, or a long time, does not", func() {
@@ -51,6 +51,28 @@
 	})
 }
 
+// Guards against a host without requests that takes a cut of long ago for one of now: its
+// next request was refused, and it helped no other host.
+func TestAnOldCutTellsNothing(t *testing.T) {
+	Convey("Given a host that was cut off and then had no requests", t, func() {
+		table := New()
+		table.Unreachable("models", "a", 1, start)
+		later := start.Add(staleAfter)
+		So(table.CutOff("models", later.Add(-1)), ShouldBeTrue)
+		So(table.CutOff("models", later), ShouldBeFalse)
+		So(table.Helpless("models", later).IsZero(), ShouldBeTrue)
+		Convey("One further failure shows that the cut goes on", func() {
+			table.Unreachable("models", "b", 9, later)
+			So(table.CutOff("models", later), ShouldBeTrue)
+		})
+		Convey("A connection ends it", func() {
+			So(table.Connected("models"), ShouldEqual, Regained)
+			table.Unreachable("models", "b", 9, later)
+			So(table.CutOff("models", later), ShouldBeFalse)
+		})
+	})
+}
+
 // Guards against a host that keeps callers although nobody can help it, and against one that
 // sends them away for a moment's lack of help.
 func TestCallersMoveAwayFromAHostThatNobodyHelps(t *testing.T) {
@@ -102,7 +124,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "connected") {
 				table.Connected("s")
-				if table.CutOff("s") {
+				if table.CutOff("s", now) {
 					t.Fatal("cut off after a connection")
 				}
 				continue
@@ -112,7 +134,7 @@
 		for id := range upstreams {
 			table.Unreachable("s", core.UpstreamID(fmt.Sprint(id+1)), upstreams, now)
 		}
-		if !table.CutOff("s") {
+		if !table.CutOff("s", now) {
 			t.Fatal("not cut off although all upstreams are unreachable")
 		}
 	})
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -212,7 +212,8 @@
 	}
 	f.Director.Observe(director.Observation{
 		Upstream: placed.Upstream.ID, Attempt: placed.Attempt, Signal: signal, Tunnelled: placed.Tunnel,
-		Helpless: errors.Is(err, tunnels.ErrNoHelper), Refused: director.Refused(err),
+		Helpless:    errors.Is(err, tunnels.ErrNoHelper),
+		Unconnected: signal == placement.Abandoned, Unverified: errors.Is(err, connpool.ErrUnverified),
 	})
 }
 
@@ -306,7 +307,7 @@
 func (s *Sent) Observe(signal placement.Signal, head *gateway.AnswerHead) {
 	s.filter.Director.Observe(director.Observation{
 		Upstream: s.Placed.Upstream.ID, StartMillis: s.Placed.Upstream.StartMillis, Attempt: s.Placed.Attempt, Signal: signal, Head: head,
-		Traits: s.traits, Repeat: s.Placed.Repeat, Tunnelled: s.Placed.Tunnel,
+		Traits: s.traits, Repeat: s.Placed.Repeat, Tunnelled: s.Placed.Tunnel && s.Fresh,
 	})
 	if head != nil && head.Leaving && !head.WrongInstance && s.Placed.ListOutdated && s.Placed.Upstream.StartMillis != 0 {
 		go s.filter.checkStart(s.Placed)
--- a/internal/tasks/director/crash_test.go
+++ b/internal/tasks/director/crash_test.go
@@ -26,14 +26,15 @@
 type crashFixture struct {
 	director *Director
 	now      atomic.Int64
+	revision int64
 	// refusing tells which addresses refuse connections, those of tunnels too.
 	refusing func(address string) bool
-	// finished has a value for each check that has ended.
-	finished chan struct{}
+	// finished has the line of each check that has ended.
+	finished chan string
 }
 
 func newCrashFixture() *crashFixture {
-	f := &crashFixture{finished: make(chan struct{}, 16)}
+	f := &crashFixture{finished: make(chan string, 16)}
 	f.now.Store(time.Unix(1_800_000_000, 0).UnixNano())
 	dial := func(_ context.Context, address string) error {
 		if f.refusing(address) {
@@ -44,7 +45,7 @@
 	// Each check ends with one of two lines.
 	finished := zap.Hooks(func(entry zapcore.Entry) error {
 		if strings.Contains(entry.Message, "crashed") {
-			f.finished <- struct{}{}
+			f.finished <- entry.Message
 		}
 		return nil
 	})
@@ -52,7 +53,8 @@
 	f.director = New(Config{
 		Host: "host-1", Zone: "a", UpstreamTable: "upstreams", Log: log, Now: func() time.Time { return time.Unix(0, f.now.Load()) },
 		DecodeUpstream: func(id string, _ []byte) (gateway.Upstream, error) {
-			return gateway.Upstream{ID: core.UpstreamID(id), Service: "s", Address: id, Zone: "a"}, nil
+			service, _, _ := strings.Cut(id, "-")
+			return gateway.Upstream{ID: core.UpstreamID(id), Service: core.ServiceName(service), Address: id, Zone: "a"}, nil
 		},
 		Listed: func(map[core.ServiceName][]string) {}, Forget: func([]core.UpstreamID) {}, Serving: func() {},
 		SuspicionsChanged: func(bool) {}, Dial: dial,
@@ -68,14 +70,22 @@
 		cancel()
 		<-ended
 	})
-	rows := make([]rowstore.Row, 4)
-	for i := range rows {
-		rows[i] = rowstore.Row{Key: fmt.Sprint("u-", i), Revision: core.Revision{Number: 1}}
-	}
-	f.director.Update(follower.Update{Table: "upstreams", Full: true, Revision: core.Revision{Number: 1}, At: time.Unix(0, f.now.Load()), Rows: rows})
+	f.list("u-0", "u-1", "u-2", "u-3")
 	return f
 }
 
+// list adds upstreams, of the service that their id begins with.
+func (f *crashFixture) list(ids ...string) {
+	f.revision++
+	rows := make([]rowstore.Row, len(ids))
+	for i, id := range ids {
+		rows[i] = rowstore.Row{Key: id, Revision: core.Revision{Number: f.revision}}
+	}
+	f.director.Update(follower.Update{
+		Table: "upstreams", Full: f.revision == 1, Revision: core.Revision{Number: f.revision}, At: time.Unix(0, f.now.Load()), Rows: rows,
+	})
+}
+
 // lose reports that upstreams, one after the other, closed the connection of a request with
 // the same prompt part before they answered.
 func (f *crashFixture) lose(tunnelled bool) {
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -190,9 +190,10 @@
 	// Helpless is true for an attempt that was not sent because no other host could set up
 	// the connection.
 	Helpless bool
-	// Refused is true if the upstream was unreachable because it, or something on the way,
-	// refused the connection.
-	Refused bool
+	// Unconnected is true for an attempt that ended before it had a connection, though none
+	// had failed. Unverified is true for one whose connection led to another process.
+	Unconnected bool
+	Unverified  bool
 }
 
 type offeredConfig struct {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -124,7 +124,7 @@
 	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
 		return Placed{Outcome: RetryBudgetExhausted}
 	}
-	tunnel := d.reach.CutOff(request.Service)
+	tunnel := d.reach.CutOff(request.Service, now)
 	if tunnel {
 		d.probe(ctx, request.Service, "", now)
 	}
--- a/internal/tasks/director/quarantine.go
+++ b/internal/tasks/director/quarantine.go
@@ -92,12 +92,28 @@
 		defer cancel()
 		checked := crashChecked{upstream: m.Upstream, err: dial(ctx, upstream)}
 		if errors.Is(checked.err, syscall.ECONNREFUSED) && len(others) > 0 {
-			checked.unsure = !slices.ContainsFunc(others, func(other gateway.Upstream) bool { return dial(ctx, other) == nil })
+			checked.unsure = !anyAccepts(ctx, others, dial)
 		}
 		_ = d.inbox.Send(context.Background(), checked)
 	}()
 }
 
+// anyAccepts reports whether one of the upstreams accepts a connection.
+func anyAccepts(ctx context.Context, upstreams []gateway.Upstream, dial func(context.Context, gateway.Upstream) error) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	results := make(chan error, len(upstreams))
+	for _, upstream := range upstreams {
+		go func() { results <- dial(ctx, upstream) }()
+	}
+	for range upstreams {
+		if <-results == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // otherUpstreams returns some upstreams of any service, in random order.
 func (d *Director) otherUpstreams(than core.UpstreamID, count int) []gateway.Upstream {
 	others := slices.DeleteFunc(d.roster.Upstreams(), func(upstream gateway.Upstream) bool { return upstream.ID == than || upstream.Leaving })
--- a/internal/tasks/director/reach.go
+++ b/internal/tasks/director/reach.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -47,18 +48,31 @@
 		d.observeHelp(upstream.Service, m, now)
 		return
 	}
-	switch m.Signal {
-	case placement.Connected:
+	switch {
+	case m.Signal == placement.Connected, m.Unverified:
 		d.reached(upstream.Service)
-	case placement.Unreachable:
-		d.unreachable(upstream.Service, m.Upstream, m.Refused, now)
+	case m.Signal == placement.Unreachable:
+		d.unreachable(upstream.Service, m.Upstream, now)
+		d.probe(ctx, upstream.Service, m.Upstream, now)
+	case m.Signal == placement.Stalled, m.Signal == placement.Silent, m.Signal == placement.Broke, m.Signal == placement.ClosedEarly:
+		d.dropSilent(upstream.Service, now)
 		d.probe(ctx, upstream.Service, m.Upstream, now)
-	case placement.Stalled, placement.Silent, placement.Broke, placement.ClosedEarly:
+	case m.Unconnected:
 		d.probe(ctx, upstream.Service, m.Upstream, now)
+	case m.Signal == placement.Started, m.Signal == placement.Progressed, m.Signal == placement.Succeeded:
+		d.reach.Answered(upstream.Service, now)
 	default:
 	}
 }
 
+// dropSilent closes the idle connections to a service that is cut off, unless an upstream
+// has answered over one lately: where only new connections are refused, they live on.
+func (d *Director) dropSilent(service core.ServiceName, now time.Time) {
+	if d.reach.CutOff(service, now) && !d.reach.AnsweredLately(service, now) {
+		d.config.Forget(d.usable(service))
+	}
+}
+
 // observeHelp records whether another host has set up a connection for an attempt. If none
 // could for some time, callers are to move to other hosts.
 func (d *Director) observeHelp(service core.ServiceName, m Observation, now time.Time) {
@@ -66,14 +80,22 @@
 	case m.Signal == placement.Connected:
 		d.reach.Helped(service)
 	case m.Helpless:
-		if until := d.reach.Helpless(service, now); !until.IsZero() {
+		if until := d.reach.Helpless(service, now); !until.IsZero() && d.reachesNone(now) {
 			d.awayUntil.Store(until.UnixNano())
 		}
 	}
 }
 
+// reachesNone reports whether this host is cut off from all services. One that serves some
+// keeps its callers: a service may be down as a whole.
+func (d *Director) reachesNone(now time.Time) bool {
+	return !slices.ContainsFunc(d.roster.Upstreams(), func(upstream gateway.Upstream) bool {
+		return !upstream.Leaving && !d.reach.CutOff(upstream.Service, now)
+	})
+}
+
 // Away reports whether callers are to move to other hosts, because this one reaches no
-// upstream of a service and no other host can help it.
+// upstream and no other host can help it.
 func (d *Director) Away() bool { return d.config.Now().UnixNano() < d.awayUntil.Load() }
 
 func (d *Director) reached(service core.ServiceName) {
@@ -85,17 +107,14 @@
 	d.config.Log.Info("this host reaches the upstreams of a service again", zap.String("event", "service_regained"), zap.String("service", string(service)))
 }
 
-// unreachable records that an upstream could not be reached. refused is true if something
-// answered there: what is left of the connections to the service then still works.
-func (d *Director) unreachable(service core.ServiceName, id core.UpstreamID, refused bool, now time.Time) {
+// unreachable records that an upstream could not be reached.
+func (d *Director) unreachable(service core.ServiceName, id core.UpstreamID, now time.Time) {
 	ids := d.usable(service)
 	if d.reach.Unreachable(service, id, len(ids), now) != reach.Lost {
 		return
 	}
 	d.balancer.ClearCooldowns(service)
-	if !refused {
-		d.config.Forget(ids)
-	}
+	d.dropSilent(service, now)
 	d.config.Log.Warn("this host reaches no upstream of a service; it goes through other hosts until it does",
 		zap.String("event", "service_lost"), zap.String("service", string(service)), zap.Int("upstreams", len(ids)))
 }
@@ -124,18 +143,13 @@
 		if _, listed := d.roster.Upstream(m.upstream); !listed {
 			return
 		}
-		d.unreachable(m.service, m.upstream, Refused(m.err), now)
-		if !d.reach.CutOff(m.service) {
+		d.unreachable(m.service, m.upstream, now)
+		if !d.reach.CutOff(m.service, now) {
 			d.probe(ctx, m.service, m.upstream, now)
 		}
 	}
 }
 
-// Refused reports whether a failed attempt to connect was answered, by a refusal.
-func Refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // TunnelVerdict tells whether a connection to an upstream may be set up for another host.
 type TunnelVerdict uint8
 
@@ -183,7 +197,7 @@
 	if !listed || upstream.StartMillis != request.StartMillis {
 		return TunnelAdmission{Verdict: TunnelUnknown}
 	}
-	if d.reach.CutOff(upstream.Service) {
+	if d.reach.CutOff(upstream.Service, now) {
 		return TunnelAdmission{Verdict: TunnelCutOff}
 	}
 	if upstream.Leaving || d.notices.Leaving(upstream) {
@@ -201,7 +215,7 @@
 	if err != nil {
 		signal = placement.Unreachable
 	}
-	d.Observe(Observation{Upstream: request.Upstream, StartMillis: request.StartMillis, Signal: signal, Refused: Refused(err)})
+	d.Observe(Observation{Upstream: request.Upstream, StartMillis: request.StartMillis, Signal: signal})
 }
 
 // TunnelObserved records the head of an answer that passed through this host to another.
