--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -19,6 +19,10 @@
 // about whether the upstream can be reached.
 var ErrConnectionLimit = errors.New("no further connection to the upstream can be opened now; choose another")
 
+// ErrUnverified means that a connection was set up, and that it is not known to lead to the
+// listed process of the upstream.
+var ErrUnverified = errors.New("the process that has the upstream's address could not be verified")
+
 // Target identifies the upstream process to connect to.
 type Target struct {
 	Upstream core.UpstreamID
@@ -32,6 +36,9 @@
 	// ListedAt is when the list was last confirmed. If Verify is set, idle connections
 	// that were set up later are used only if they were verified.
 	ListedAt time.Time
+	// Tunnel sets up a new connection through another host. It is nil if this host sets it
+	// up itself. Such a connection carries one request.
+	Tunnel func(ctx context.Context) (net.Conn, error)
 }
 
 // accepts reports whether an idle connection leads to the listed process.
@@ -45,6 +52,7 @@
 type Pool struct {
 	inbox  *task.Inbox[any]
 	decode DecodeHead
+	dial   DialFunc
 }
 
 type acquire struct {
@@ -112,9 +120,13 @@
 	return nil
 }
 
-// NewPool returns a pool whose connections convert response heads with decode.
-func NewPool(decode DecodeHead) *Pool {
-	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode}
+// NewPool returns a pool whose connections convert response heads with decode and are set
+// up with dial, or with Dial if that is nil.
+func NewPool(decode DecodeHead, dial DialFunc) *Pool {
+	if dial == nil {
+		dial = Dial
+	}
+	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode, dial: dial}
 }
 
 // Acquire returns a connection to the upstream and whether it is new. After an
@@ -191,7 +203,7 @@
 		p.dialed(poolOf(m.target.Upstream), m)
 	case released:
 		u := poolOf(m.connection.upstream)
-		if u.draining || ctx.Err() != nil {
+		if u.draining || m.connection.single || ctx.Err() != nil {
 			close(m.connection.stop)
 			return
 		}
@@ -233,7 +245,7 @@
 		return
 	}
 	if u.open < request.target.MaxConnections {
-		p.dial(u, request)
+		p.setUp(u, request)
 		return
 	}
 	if len(u.idle) == 0 || u.open > request.target.MaxConnections {
@@ -250,14 +262,14 @@
 func (p *Pool) dialNext(u *upstreamPool) {
 	request := u.waiting[0]
 	u.waiting = slices.Delete(u.waiting, 0, 1)
-	p.dial(u, request)
+	p.setUp(u, request)
 }
 
-// dial sets up a connection for a request.
-func (p *Pool) dial(u *upstreamPool, request acquire) {
+// setUp sets up a connection for a request.
+func (p *Pool) setUp(u *upstreamPool, request acquire) {
 	u.open++
 	go func() {
-		socket, err := dialVerified(request.ctx, request.target)
+		socket, err := p.dialVerified(request.ctx, &request.target)
 		_ = p.inbox.Send(context.Background(), dialed{request.target, socket, err, request})
 	}()
 }
@@ -269,6 +281,7 @@
 		return
 	}
 	connection := newConnection(p, m.target.Upstream, m.socket, p.decode)
+	connection.single = m.target.Tunnel != nil
 	connection.setUpAt, connection.verified = time.Now(), m.target.Verify != nil
 	go connection.run()
 	m.request.reply <- acquired{connection: connection, isNew: true}
