Keep brittle upstreams from falling over

Upstreams that are brittle say how many requests they can turn away in a second for want of room; they fall over beyond that. Hosts ignored it: placement ranks full upstreams last but sends to them, and each host that is turned away offers the request to the next one.

internal/decide/brittle divides the slots of a brittle upstream among the hosts. Few hosts borrow beyond their share, repeats and attempts beside a silent one need a quarter of the slots free, and a host that was turned away pauses. The director asks it before each placement; what finds no room is refused at once (limited) with a time to return, one caller after the other. Hosts tell each other which services are brittle. Upstreams that do not say that they are brittle are placed as before.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -56,6 +56,9 @@
 	// RequestLimit is the number of requests a second that the upstream takes from
 	// all hosts together, nil if it names none.
 	RequestLimit *float64
+	// MaxRejections is the number of requests that a brittle upstream can turn away in
+	// a second for want of room without falling over, nil if it is not brittle.
+	MaxRejections *int
 	// Leaving is true if the upstream says that it leaves.
 	Leaving bool
 	// Quiet is how long an upstream that turned the request away wants nothing from
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/brittle"
 	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/origin"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
@@ -88,6 +89,7 @@
 	hosts         int
 	limits        *requestlimit.Table
 	notices       *notice.Notices
+	brittle       *brittle.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
 	confirmed  *origin.Confirmed
 	quarantine *quarantine.Registry
@@ -110,7 +112,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -202,6 +204,7 @@
 	Loads      []placement.PeerLoad
 	Quarantine quarantine.Report
 	Limits     []requestlimit.Entry
+	Brittle    []brittle.Entry
 }
 
 // LocalState is what this host sends to its peers, and what it needs from them.
@@ -214,6 +217,7 @@
 	Loads        []placement.PeerLoad
 	Quarantine   quarantine.Report
 	Limits       []requestlimit.Entry
+	Brittle      []brittle.Entry
 	// LacksConfig and LacksUpstreams are true if the host has no recent answer of
 	// the store about the configuration or the upstream list. LacksConfig is also true
 	// if a peer has a newer configuration.
@@ -317,6 +321,7 @@
 		case <-forget.C:
 			d.expireQuarantine()
 			d.forgetLimits()
+			d.forgetBrittle()
 		case <-ctx.Done():
 			return
 		}
@@ -337,6 +342,7 @@
 			d.observeHead(m, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
+		d.observeEnd(m, now)
 		d.observeTraits(ctx, m, now)
 	case crashChecked:
 		d.finishCrashCheck(m, now)
@@ -373,7 +379,7 @@
 			digest = &m.peer.Quarantine.Digest
 		}
 		state := d.localState(now)
-		state.Quarantine, state.Limits = d.quarantine.Report(digest, now), d.limits.Report(now)
+		state.Quarantine, state.Limits, state.Brittle = d.quarantine.Report(digest, now), d.limits.Report(now), d.brittle.Report(now)
 		m.reply <- state
 	}
 }
@@ -385,6 +391,7 @@
 		d.members = append(d.members, string(member.Host))
 	}
 	d.limits.SetMembers(list.members)
+	d.brittle.SetHosts(d.members)
 }
 
 func (d *Director) receive(peer PeerState, now time.Time) {
@@ -399,6 +406,7 @@
 	for _, change := range d.limits.Merge(peer.Limits, d.zoneOf, now) {
 		d.logLimit(change, "peer "+string(peer.Host))
 	}
+	d.mergeBrittle(peer, now)
 }
 
 func (d *Director) lacksConfig(now time.Time) bool {
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -26,6 +26,7 @@
 		return
 	}
 	d.observeNotice(m, now)
+	d.observeBrittle(m, now)
 	zone, listed := d.zoneOf(m.Upstream)
 	if !listed {
 		return
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
-	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
@@ -52,7 +51,8 @@
 	// its upstream: one of its traits was in flight at another crash.
 	Suspected
 	// Limited means that upstreams are left, but the request limits that they name
-	// allow this host no request now, or they want none for a time.
+	// allow this host no request now, they want none for a time, or they are brittle and
+	// have no room.
 	Limited
 	// Saturated means that the request would wait longer than its MaxWait at the
 	// best upstream.
@@ -105,13 +105,13 @@
 	}
 	request.Usable = func(id core.UpstreamID) bool {
 		wait, usable := d.wait(id, now)
-		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now))
+		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
 	}
 	choice, found := d.balancer.Choose(request.Query, now)
 	if !found {
 		if wait, limited := d.limitedFor(request.Query, now); limited {
 			d.refused++
-			return Placed{Outcome: Limited, RetryAfter: notice.SpreadDelay(wait, d.refused)}
+			return Placed{Outcome: Limited, RetryAfter: d.returnDelay(request.Service, wait, now)}
 		}
 		return Placed{Outcome: NoUpstream}
 	}
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -16,6 +16,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/brittle"
 	"github.com/peridotreel/peridotreel/internal/decide/hosttable"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
@@ -120,6 +121,7 @@
 	Loads         []placement.PeerLoad
 	Quarantine    quarantine.Report
 	Limits        []requestlimit.Entry
+	Brittle       []brittle.Entry
 	// WantsConfig and WantsServers ask for the configuration and the rows of
 	// upstreams if they are newer than the versions above.
 	WantsConfig  bool
@@ -138,6 +140,7 @@
 	Loads         []placement.PeerLoad
 	Quarantine    quarantine.Report
 	Limits        []requestlimit.Entry
+	Brittle       []brittle.Entry
 }
 
 // New returns the task.
@@ -162,12 +165,12 @@
 func (h *Handler) Exchange(args Args, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits})
+	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle})
 	if err != nil {
 		return err
 	}
 	*reply = Reply{
-		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, ConfigAge: known.ConfigAge,
+		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge,
 	}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
@@ -354,7 +357,7 @@
 		local.LacksConfig, local.LacksUpstreams = false, false
 	}
 	args := Args{
-		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits,
+		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle,
 		WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
 	}
 	if local.Config != nil {
@@ -378,7 +381,7 @@
 	if len(reply.Rows) > 0 {
 		p.config.Director.OfferUpstreams(reply.Rows, reply.ListRevision)
 	}
-	p.config.Director.Receive(director.PeerState{Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine, Limits: reply.Limits})
+	p.config.Director.Receive(director.PeerState{Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine, Limits: reply.Limits, Brittle: reply.Brittle})
 }
 
 func (p *Peers) callRecall(ctx context.Context, address string, m recallRequest) {
