Derive the user timeout of upstream connections from their probes

As on Linux, TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. The 4 s of connections to upstreams equalled idle 1 s + 3 probes at 1 s by coincidence only: a change of either would have ended connections before all probes were lost, or later than the probes say.

The timeout is now computed from them. Its value and the options of the sockets are unchanged.

--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -14,14 +14,16 @@
 	// takes a few milliseconds and accepting a connection about one, so a longer
 	// wait means a lost packet or an upstream that is unreachable.
 	dialTimeout = 250 * time.Millisecond
-	// keepAliveIdle and keepAliveInterval detect silent connections within
-	// keepAliveCount+1 seconds, less than the longest gap within a stream.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount are the probes of connections
+	// that are silent. An upstream's kernel answers them while its process is silent.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	// unackedTimeout closes a connection on which sent bytes remain
-	// unacknowledged.
-	unackedTimeout = 4 * time.Second
+	// unackedTimeout closes a connection on which sent bytes, or probes, remain
+	// unacknowledged. As TCP_USER_TIMEOUT it replaces keepAliveCount, so it is the time
+	// that all probes take. It also ends a connection whose upstream has read nothing
+	// for so long while bytes wait to be sent.
+	unackedTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 	// tcpUserTimeout is the number of the socket option TCP_USER_TIMEOUT, which
 	// package syscall lacks.
 	tcpUserTimeout = 0x12
