Allocate what is known of brittle upstreams when there is any

The maps of brittle.Table are made with the first upstream that is brittle, so that a host without any has nothing but an empty table.

--- a/internal/decide/brittle/brittle.go
+++ b/internal/decide/brittle/brittle.go
@@ -52,7 +52,7 @@
 }
 
 // Table is what one host knows of brittle upstreams. Its callers pass in the current
-// time.
+// time. Its maps are nil until an upstream is brittle.
 type Table struct {
 	self      core.HostID
 	hosts     []string
@@ -63,10 +63,7 @@
 
 // New returns the table of a host.
 func New(self core.HostID) *Table {
-	return &Table{
-		self: self, upstreams: make(map[core.UpstreamID]*upstreamState), services: make(map[core.ServiceName]*serviceState),
-		positions: make(map[core.UpstreamID]int),
-	}
+	return &Table{self: self}
 }
 
 // SetHosts replaces the hosts that divide the slots.
@@ -128,6 +125,9 @@
 		return nil
 	case !found || state.start < start:
 		state = &upstreamState{start: start}
+		if t.upstreams == nil {
+			t.upstreams = make(map[core.UpstreamID]*upstreamState)
+		}
 		t.upstreams[id] = state
 	}
 	return state
--- a/internal/decide/brittle/room.go
+++ b/internal/decide/brittle/room.go
@@ -111,6 +111,9 @@
 		if position < 0 {
 			position = len(t.hosts)
 		}
+		if t.positions == nil {
+			t.positions = make(map[core.UpstreamID]int)
+		}
 		t.positions[id] = position
 	}
 	return position
--- a/internal/decide/brittle/service.go
+++ b/internal/decide/brittle/service.go
@@ -49,6 +49,9 @@
 			return false
 		}
 		service = &serviceState{freeing: initialFreeing}
+		if t.services == nil {
+			t.services = make(map[core.ServiceName]*serviceState)
+		}
 		t.services[name] = service
 	}
 	if named.at.After(service.at) {
