Lend slots of brittle upstreams with few slots and a high tolerance

A host borrowed only if more slots were free than there are borrowers. An upstream of 6 slots that can turn 20 requests away a second has 9 borrowers in a fleet of 9, so that none ever borrowed. A quarter of the slots is enough now.

--- a/internal/decide/brittle/room.go
+++ b/internal/decide/brittle/room.go
@@ -22,6 +22,9 @@
 	// that the upstream can turn away in a second. Each borrows one slot at a time, so
 	// that they alone are turned away at most half as often as the upstream can.
 	borrowersPerTolerance = 0.5
+	// lendingFraction is the fraction of the slots of which more must be free to be lent,
+	// unless there are fewer borrowers: shares that are lent turn their owners away.
+	lendingFraction = 0.25
 	// minPause is the shortest time for which a host that was turned away sends the
 	// upstream nothing, and maxFirstPause the longest after one rejection.
 	minPause      = 1500 * time.Millisecond
@@ -94,7 +97,7 @@
 	if t.position(id) < t.hostCount()-borrowers {
 		return false
 	}
-	return occupancy.Unanswered == 0 && free > borrowers
+	return occupancy.Unanswered == 0 && free > min(borrowers, int(lendingFraction*float64(occupancy.Slots)))
 }
 
 func (t *Table) hostCount() int { return max(len(t.hosts), 1) }
