Keep hosts off brittle upstreams whose queues are still full

Upstreams that become brittle have the queue of before.

Hosts forgot an upstream's load report after 1.5 s and then expected free slots.

Hosts that were turned away many times all paused for up to 90 s. Now the first host in the order of the upstream tries often, each one after it half as often; a pause holds although the upstream counts as sound; and hosts take it for sound one after the other.

--- a/internal/decide/brittle/brittle.go
+++ b/internal/decide/brittle/brittle.go
@@ -9,6 +9,7 @@
 package brittle
 
 import (
+	"math"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -22,6 +23,8 @@
 	// lingerTime is how long an attempt that was given up still counts: the upstream
 	// notices the end of its connection late.
 	lingerTime = time.Second
+	// forgetAfter is longer than any host takes a service for brittle.
+	forgetAfter = time.Minute
 	// maxUpstreams bounds the upstreams that are known.
 	maxUpstreams = 16384
 	// MaxTolerance bounds the requests that an upstream may say it can turn away in a
@@ -154,16 +157,29 @@
 	if state, found := t.upstreams[upstream.ID]; found && state.start == upstream.StartMillis && state.fresh(now) {
 		return state.tolerance, state.tolerance >= 0
 	}
-	if service, found := t.services[upstream.Service]; found && service.fresh(now) {
+	service, found := t.services[upstream.Service]
+	if found && !service.at.IsZero() && now.Sub(service.at) <= freshFor+t.lapseDelay(upstream.ID) {
 		return service.tolerance, true
 	}
 	return 0, false
 }
 
+// lapseDelay returns how much later than others this host takes an upstream for sound
+// that nobody heard of. The hosts that try it first tell the others.
+func (t *Table) lapseDelay(id core.UpstreamID) time.Duration {
+	return time.Duration(math.Log2(float64(1+t.position(id))) * float64(time.Second))
+}
+
+// paused reports whether this host was turned away by an upstream and waits.
+func (t *Table) paused(upstream gateway.Upstream, now time.Time) bool {
+	state, found := t.upstreams[upstream.ID]
+	return found && state.start == upstream.StartMillis && now.Before(state.pausedUntil)
+}
+
 // Brittle reports whether an upstream that is listed counts as brittle.
 func (t *Table) Brittle(upstream gateway.Upstream, now time.Time) bool {
 	_, brittle := t.tolerance(upstream, now)
-	return brittle
+	return brittle || t.paused(upstream, now)
 }
 
 // Forget removes upstreams that are not listed, and what is no longer fresh.
@@ -175,7 +191,7 @@
 		}
 	}
 	for name, service := range t.services {
-		if !service.fresh(now) {
+		if now.Sub(service.at) > forgetAfter {
 			delete(t.services, name)
 		}
 	}
--- a/internal/decide/brittle/room.go
+++ b/internal/decide/brittle/room.go
@@ -29,8 +29,11 @@
 	// upstream nothing, and maxFirstPause the longest after one rejection.
 	minPause      = 1500 * time.Millisecond
 	maxFirstPause = 4 * time.Second
+	// firstPause is the time in seconds between two rejections of the first host in the
+	// order, for an upstream that can turn one request away in a second.
+	firstPause = 4.0
 	// maxPause bounds the time after many rejections in a row.
-	maxPause = time.Minute
+	maxPause = 30 * time.Second
 	// maxDoublings bounds how often the pause doubles.
 	maxDoublings = 5
 )
@@ -38,14 +41,14 @@
 // MaySend reports whether a request may be sent to an upstream that is listed. repeat is
 // true if an earlier attempt of it may have reached an upstream.
 func (t *Table) MaySend(upstream gateway.Upstream, occupancy placement.Occupancy, repeat bool, now time.Time) bool {
+	if t.paused(upstream, now) {
+		return false
+	}
 	tolerance, brittle := t.tolerance(upstream, now)
 	if !brittle {
 		return true
 	}
 	if state, found := t.upstreams[upstream.ID]; found && state.start == upstream.StartMillis {
-		if now.Before(state.pausedUntil) {
-			return false
-		}
 		state.expireLingering(now)
 		occupancy.Own += len(state.lingering)
 		occupancy.Total += len(state.lingering)
@@ -123,11 +126,12 @@
 }
 
 // pause returns for how long this host sends nothing after it was turned away a number
-// of times in a row. If all hosts that may send are turned away again and again, they
-// together are so half as often as the upstream can bear.
+// of times in a row. If all hosts are turned away again and again, each in the order of the
+// upstream tries half as often as the one before it, up to maxPause; the first one tries
+// often enough for all to hear that the upstream is still brittle.
 func (t *Table) pause(id core.UpstreamID, tolerance, rejections int) time.Duration {
-	all := 2 * float64(t.hostCount()) / max(float64(tolerance), 1) * float64(time.Second)
-	longest := time.Duration(min(max(all, float64(minPause)), float64(maxPause)))
+	own := firstPause / max(float64(tolerance), 1) * math.Exp2(float64(t.position(id)))
+	longest := time.Duration(min(max(own*float64(time.Second), float64(minPause)), float64(maxPause)))
 	pause := min(longest, maxFirstPause) << min(rejections-1, maxDoublings)
 	spread := float64(rendezvous.Weight(string(id), string(t.self))) / math.MaxUint64
 	return time.Duration((1 + spread/2) * float64(min(pause, longest)))
