--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/brittle"
 	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/origin"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
@@ -93,6 +94,7 @@
 	hosts         int
 	limits        *requestlimit.Table
 	notices       *notice.Notices
+	brittle       *brittle.Table
 	// reach tells which services this host is cut off from.
 	reach *reach.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
@@ -120,7 +122,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -232,6 +234,7 @@
 	Loads      []placement.PeerLoad
 	Quarantine quarantine.Report
 	Limits     []requestlimit.Entry
+	Brittle    []brittle.Entry
 }
 
 // LocalState is what this host sends to its peers, and what it needs from them.
@@ -244,6 +247,7 @@
 	Loads        []placement.PeerLoad
 	Quarantine   quarantine.Report
 	Limits       []requestlimit.Entry
+	Brittle      []brittle.Entry
 	// LacksConfig and LacksUpstreams are true if the host has no recent answer of
 	// the store about the configuration or the upstream list. LacksConfig is also true
 	// if a peer has a newer configuration.
@@ -358,6 +362,7 @@
 		case <-forget.C:
 			d.expireQuarantine()
 			d.forgetLimits()
+			d.forgetBrittle()
 		case <-ctx.Done():
 			return
 		}
@@ -378,6 +383,7 @@
 			d.observeHead(m, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
+		d.observeEnd(m, now)
 		d.observeTraits(ctx, m, now)
 		d.observeReach(ctx, m, now)
 	case reachProbed:
@@ -423,7 +429,7 @@
 			digest = &m.peer.Quarantine.Digest
 		}
 		state := d.localState(now)
-		state.Quarantine, state.Limits = d.quarantine.Report(digest, now), d.limits.Report(now)
+		state.Quarantine, state.Limits, state.Brittle = d.quarantine.Report(digest, now), d.limits.Report(now), d.brittle.Report(now)
 		m.reply <- state
 	}
 }
@@ -435,6 +441,7 @@
 		d.members = append(d.members, string(member.Host))
 	}
 	d.limits.SetMembers(list.members)
+	d.brittle.SetHosts(d.members)
 }
 
 func (d *Director) receive(peer PeerState, now time.Time) {
@@ -449,6 +456,7 @@
 	for _, change := range d.limits.Merge(peer.Limits, d.zoneOf, now) {
 		d.logLimit(change, "peer "+string(peer.Host))
 	}
+	d.mergeBrittle(peer, now)
 }
 
 func (d *Director) lacksConfig(now time.Time) bool {
