Serve callers of a serve host without links to upstreams through other hosts

A host of the second front end that lost its links to all engines and services refused all its callers although its peers reached them: 12 of 12 requests with connections refused and 12 of 12 with connections that hang (503 no_upstream), until the links were back.

The balancer now owns what the host knows of its links (decide/reach, by model or service), from each attempt to connect, and probes when polls fail or streams are silent. Upstreams that are cut off are reached over tunnels, by a transport that keeps no connection, so that net/http repeats nothing; an attempt that finds the cut itself goes on through another host, as it did not run. They are not polled meanwhile, and their failures are forgotten, as they were those of the links. A stream that broke with the links resumes on its engine, without a retry, as it holds the answer. The host serves tunnels of others to listed upstreams that do not leave and that it reaches itself.

--- a/internal/filter/attempt/attempt.go
+++ b/internal/filter/attempt/attempt.go
@@ -48,6 +48,10 @@
 	Call(ctx context.Context, request Request) (*core.ServiceAnswer, error)
 	// Probe checks on a new connection whether an upstream responds.
 	Probe(ctx context.Context, target core.Target) error
+	// LinksLost reports whether this host, and not the upstream, is why a connection to it
+	// broke: it reaches none of the upstreams that serve the same work. It connects to find
+	// out, so that ctx must be bounded.
+	LinksLost(ctx context.Context, target core.Target) bool
 }
 
 // Filter makes attempts.
@@ -77,3 +81,9 @@
 func (f *Filter) Probe(ctx context.Context, target core.Target) error {
 	return f.upstreams.Probe(ctx, target)
 }
+
+// LinksLost reports whether this host has lost its links to the target and all others that
+// serve the same work.
+func (f *Filter) LinksLost(ctx context.Context, target core.Target) bool {
+	return f.upstreams.LinksLost(ctx, target)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/peridotreel/peridotreel/internal/settings"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
+	"github.com/peridotreel/peridotreel/internal/upstream"
 )
 
 // headerTimeout limits the time to read a request's headers, so that slow or
@@ -36,6 +37,8 @@
 	Now func() time.Time
 	// Dial opens connections to peers; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialUpstream opens connections to upstreams; nil means TCP.
+	DialUpstream upstream.DialFunc
 }
 
 // Host is one process of the fleet.
@@ -270,6 +273,8 @@
 			return h.abort(errors.Join(unfinished, err))
 		}
 	}
+	// If only serving ends first, the tunnels of other hosts end with the host.
+	_ = h.tasks.tunnels.Drain(serving)
 	err := errors.Join(unfinished, h.tasks.drain(ctx))
 	_ = h.admin.Close()
 	h.group.Stop()
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -24,6 +24,7 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/members"
 	"github.com/peridotreel/peridotreel/internal/tasks/shares"
 	"github.com/peridotreel/peridotreel/internal/tasks/teams"
+	"github.com/peridotreel/peridotreel/internal/tasks/tunnels"
 	"github.com/peridotreel/peridotreel/internal/telemetry"
 	"github.com/peridotreel/peridotreel/internal/upstream"
 	"github.com/peridotreel/peridotreel/internal/upstream/wire"
@@ -43,6 +44,9 @@
 	balancer *balancer.Task
 	calls    *calls.Task
 	upstream *upstream.Client
+	// tunnels serves the tunnels of other hosts, and helpers opens this host's through them.
+	tunnels *tunnels.Server
+	helpers *tunnels.Client
 	// endings has the account of callers' requests and connections, and connections
 	// reports the latter to it.
 	endings     *endings.Endings
@@ -87,11 +91,10 @@
 	t := &tasks{
 		store:  store,
 		client: peerrpc.NewClient(peerrpc.ClientConfig{Traffic: traffic, Dial: options.Dial}),
-		server: peerrpc.NewServer(peerrpc.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log}),
 	}
 	t.endings = endings.New()
 	t.connections = connections.New(t.endings)
-	t.upstream = upstream.NewClient(upstream.WithLoads(t.reportAnswerLoad))
+	t.upstream = upstream.NewClient(upstream.WithLoads(t.reportAnswerLoad), upstream.WithDial(options.DialUpstream), upstream.WithLinks(links{t}))
 	t.members = members.New(members.Config{
 		Self: self, Zone: config.Zone, Address: opened.peers.Addr().String(), Directory: store,
 		Seeds: config.Peers, Caller: t.client, Now: now, Seed: seed, Log: log, Meter: meter,
@@ -117,11 +120,21 @@
 	})
 	t.calls = calls.New(calls.Config{Self: self, Zone: config.Zone, Peers: t.members, Caller: t.client, Now: now, Meter: meter})
 	t.admitter = admitter.New(admitter.Config{Peers: t.members, Caller: t.client, Now: now, Log: log, Meter: meter})
+	t.helpers = tunnels.NewClient(tunnels.ClientConfig{Host: config.Host, Zone: config.Zone, Dial: options.Dial, Log: log, Now: now})
 	t.balancer = balancer.New(balancer.Config{
 		Directory: store, LoadClient: loadReporter{t.upstream}, Capacities: t.admitter,
+		Connect: t.upstream.Connect, LinksLost: t.upstream.DropIdleConnections, HostsListed: t.helpers.SetMembers,
 		Self: config.Host, Zone: config.Zone, Now: now, Seed: seed, Log: log, Meter: meter,
 	})
-	return t, errors.Join(traffic.Observe(meter), telemetry.RegisterEndings(meter, t.endings.Totals), t.register())
+	t.tunnels = tunnels.NewServer(tunnels.ServerConfig{
+		Gate: tunnelGate{t.balancer}, Dial: t.upstream.Dial, DecodeHead: decodeHead, Log: log,
+	})
+	t.server = peerrpc.NewServer(peerrpc.ServerConfig{Listener: opened.peers, Traffic: traffic, Log: log, Tunnels: t.tunnels.Serve})
+	totals := func(ctx context.Context) (telemetry.TunnelTotals, error) {
+		return tunnels.Totals(ctx, t.helpers, t.tunnels)
+	}
+	return t, errors.Join(traffic.Observe(meter), telemetry.RegisterEndings(meter, t.endings.Totals), telemetry.RegisterTunnels(meter, totals),
+		t.register())
 }
 
 // reportAnswerLoad passes the load report in an engine's answer to the balancer.
@@ -150,7 +163,9 @@
 	group.Start(t.claimant)
 	group.Start(t.calls)
 	group.Start(t.admitter)
+	group.Start(t.helpers)
 	group.Start(t.balancer)
+	group.Start(t.tunnels)
 	group.Start(t.server)
 }
 
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -22,6 +22,7 @@
 	platformstandin "github.com/peridotreel/peridotreel/internal/standin/platform"
 	upstreamstandin "github.com/peridotreel/peridotreel/internal/standin/upstream"
 	"github.com/peridotreel/peridotreel/internal/task"
+	"github.com/peridotreel/peridotreel/internal/upstream"
 )
 
 const (
@@ -63,6 +64,9 @@
 	// BalancerWait is how long a host that is drained still takes requests; 0 takes a
 	// short time.
 	BalancerWait time.Duration
+	// DialUpstream returns the function by which a host opens connections to upstreams, nil
+	// for TCP. It may be nil.
+	DialUpstream func(host core.HostID) upstream.DialFunc
 	Log          *zap.Logger
 }
 
@@ -226,6 +230,10 @@
 // StartHost starts one host and adds it to the platform's list. A host that
 // reuses a name gets a higher incarnation.
 func (f *Fleet) StartHost(name core.HostID, zone core.ZoneName) (*RunningHost, error) {
+	var dialUpstream upstream.DialFunc
+	if f.config.DialUpstream != nil {
+		dialUpstream = f.config.DialUpstream(name)
+	}
 	started, err := host.New(host.Options{
 		Settings: &settings.Settings{
 			Host: name, Zone: zone, Platform: "http://" + f.forwarders[zone].Address(),
@@ -233,9 +241,10 @@
 			Drain:     settings.Drain{BalancerWait: settings.Duration(cmp.Or(f.config.BalancerWait, defaultBalancerWait)), Limit: settings.Duration(drainLimit)},
 			Operators: f.config.Operators,
 		},
-		Dial:        f.network.dialer(zone),
-		Incarnation: f.nextIncarnation(),
-		Log:         f.config.Log.With(zap.String("host", string(name))),
+		Dial:         f.network.dialer(zone),
+		DialUpstream: dialUpstream,
+		Incarnation:  f.nextIncarnation(),
+		Log:          f.config.Log.With(zap.String("host", string(name))),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/localfleet/harness_test.go
+++ b/internal/localfleet/harness_test.go
@@ -81,7 +81,7 @@
 		Classes: []core.ClassRow{{Name: "chat", MaxTokens: 64}},
 	}
 	So(fleet.Budgets().TopUp(ctx, teamName, prepaid, "first-payment", "test"), ShouldBeNil)
-	So(fleet.CreateRows(ctx, []core.TeamRow{f.row}, []core.ServiceRow{{Service: "ledger", Cost: callCost}}), ShouldBeNil)
+	So(fleet.CreateRows(ctx, []core.TeamRow{f.row}, []core.ServiceRow{{Service: "ledger", Cost: callCost, Rules: []core.ServiceRule{{Method: http.MethodGet, Idempotent: true}}}}), ShouldBeNil)
 	So(fleet.StartHosts(ctx), ShouldBeNil)
 	f.waitUntil("every host sees all hosts of the fleet", func() bool {
 		for _, running := range f.running() {
--- a/internal/measure/slopes/entry.go
+++ b/internal/measure/slopes/entry.go
@@ -64,6 +64,7 @@
 func (f *fakeUpstream) Finished(core.RequestID)                                 {}
 func (f *fakeUpstream) Observe(route.Observation)                               {}
 func (f *fakeUpstream) Probe(context.Context, core.Target) error                { return nil }
+func (f *fakeUpstream) LinksLost(context.Context, core.Target) bool             { return false }
 func (f *fakeUpstream) Claim(context.Context, *core.Work) (*core.Answer, error) { return nil, nil }
 func (f *fakeUpstream) Complete(context.Context, *core.Work, *core.Answer)      {}
 func (f *fakeUpstream) Release(*core.Work)                                      {}
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -43,6 +43,7 @@
 	serviceErrors []error
 	requests      []attempt.Request
 	probeErr      error
+	linksLost     bool
 	// goOn, if set, sends what a silent stream delivers after silencePause.
 	goOn          func(request attempt.Request, results chan<- attempt.Result)
 	unlisted      []core.UpstreamID
@@ -97,6 +98,8 @@
 }
 func (f *fakes) Probe(context.Context, core.Target) error { return f.probeErr }
 
+func (f *fakes) LinksLost(context.Context, core.Target) bool { return f.linksLost }
+
 func (f *fakes) Find(context.Context, core.RequestID) (core.Target, bool) {
 	if f.earlierTarget == nil {
 		return core.Target{}, false
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -240,3 +240,22 @@
 		So(f.claims, ShouldBeEmpty)
 	})
 }
+
+// Guards against an answer that is run once more, or given up for want of retries, when the
+// links of this host broke and not its upstream; the upstream still holds it.
+func TestAnAnswerThatBrokeWithTheLinksResumesOnItsUpstream(t *testing.T) {
+	for lost, expected := range map[bool]struct {
+		resume   core.UpstreamID
+		excluded int
+	}{true: {resume: "u1"}, false: {excluded: 1}} {
+		Convey("A stream breaks off", t, func() {
+			f := &fakes{script: script{brokenStream(2), completeStream}, linksLost: lost}
+			received, err := serve(t, f, completionCall())
+			So(err, ShouldBeNil)
+			So(received.text.String(), ShouldEqual, "abcd")
+			So(f.picks, ShouldHaveLength, 2)
+			So(f.picks[1].Resume, ShouldEqual, expected.resume)
+			So(f.picks[1].Excluded, ShouldHaveLength, expected.excluded)
+		})
+	}
+}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -109,6 +109,18 @@
 	return target, nil
 }
 
+// brokeWithLinks reports whether an answer broke off because this host lost its links to
+// all upstreams of the work. The upstream still holds the answer, and is reached through
+// another host.
+func (e *exchange) brokeWithLinks(ctx context.Context, target core.Target, err error) bool {
+	if fault.From(err).Run == fault.NotRun || !mayRepeat(e.work, err) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return e.pipeline.Attempt.LinksLost(ctx, target)
+}
+
 // mayAskAgain reports whether an upstream that holds the answer may be asked for it once
 // more after it failed with err: it keeps the answer if it only refused the connection.
 func (e *exchange) mayAskAgain(err error) bool {
@@ -157,7 +169,11 @@
 			plan.lastErr = outcome.Err
 			plan.newConnection = false
 			plan.query.Resume = ""
-			plan.query.Excluded = append(plan.query.Excluded, target.Upstream)
+			if e.brokeWithLinks(ctx, target, outcome.Err) {
+				plan.query.Resume = target.Upstream
+			} else {
+				plan.query.Excluded = append(plan.query.Excluded, target.Upstream)
+			}
 		}
 		if !mayRepeat(e.work, plan.lastErr) {
 			return result{delivered: answer.Cursor.Delivered() > 0}, plan.lastErr
--- a/internal/tasks/balancer/balancer.go
+++ b/internal/tasks/balancer/balancer.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/reach"
 	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
 	"github.com/peridotreel/peridotreel/internal/filter/route"
@@ -56,6 +58,15 @@
 	Directory platform.Directory
 	// LoadClient may be nil; the view then relies on this host's own attempts.
 	LoadClient LoadClient
+	// Connect sets up a connection to an upstream and closes it. nil means that no upstream
+	// is probed.
+	Connect func(ctx context.Context, address string) error
+	// LinksLost is called when this host has lost its links to the upstreams of a pool; open
+	// connections may be silent. It may be nil, and must not call the task.
+	LinksLost func()
+	// HostsListed is told the listed hosts that do not leave after each read of the list.
+	// It may be nil, and must not call the task.
+	HostsListed func(members []allowance.Member)
 	// Capacities may be nil.
 	Capacities CapacitySink
 	Self       core.HostID
@@ -89,6 +100,13 @@
 	random  *rand.Rand
 	metrics metrics
 	polls   polls
+	// reach has what this host knows of its own links; cutOff is a snapshot of it that
+	// others read.
+	reach  *reach.Table
+	cutOff atomic.Pointer[cutOffSet]
+	// probing counts the probes under way, for whose end probeWaiters wait.
+	probing      int
+	probeWaiters []chan<- struct{}
 
 	listReading    bool
 	listFailed     bool
@@ -126,9 +144,11 @@
 		random:  rand.New(rand.NewPCG(config.Seed, 0)),
 		metrics: newMetrics(config.Meter, config.Log),
 		polls:   newPolls(),
+		reach:   reach.New(),
 		hosts:   1,
 	}
 	t.models.Store(&modelSet{})
+	t.cutOff.Store(&cutOffSet{})
 	return t
 }
 
@@ -175,6 +195,7 @@
 		t.view.Evaluate(now)
 		t.publishModels()
 		t.publishCapacities(now)
+		t.probeCutOff(now)
 	}
 	if t.config.LoadClient != nil && !now.Before(t.polls.next) {
 		t.startPoll(ctx, now)
--- a/internal/tasks/balancer/pick.go
+++ b/internal/tasks/balancer/pick.go
@@ -167,6 +167,10 @@
 		t.view.RecordFirstToken(now, pool, o.Target, o.Elapsed, o.Estimate)
 		return
 	}
+	if o.Kind == route.Silent {
+		// After one that broke, the next connection shows more than a probe would.
+		t.suspect(o.Target, now)
+	}
 	outcome := upstreams.Cancelled
 	switch o.Kind {
 	case route.Finished:
--- a/internal/tasks/balancer/poll.go
+++ b/internal/tasks/balancer/poll.go
@@ -78,7 +78,8 @@
 }
 
 // nextPollTarget returns the target whose last poll is oldest, among the pools
-// in use or among all. An upstream of several pools is polled once.
+// in use or among all. An upstream of several pools is polled once, and one that this host
+// is cut off from is not: polls would wait for their time-out, or take up other hosts.
 func (t *Task) nextPollTarget(now time.Time, onlyActive bool) (core.Target, bool) {
 	var due core.Target
 	var oldest time.Time
@@ -87,7 +88,7 @@
 		target := member.Target()
 		last := t.polls.lastPolls[target.Upstream]
 		active := now.Sub(t.polls.poolUsedAt[pool]) < poolActiveTime
-		if last.running || !member.Usable() || now.Sub(last.startedAt) < evaluateInterval || (onlyActive && !active) {
+		if last.running || !member.Usable() || !t.reaches(target.Upstream) || now.Sub(last.startedAt) < evaluateInterval || (onlyActive && !active) {
 			return
 		}
 		if !found || last.startedAt.Before(oldest) || (last.startedAt.Equal(oldest) && target.Upstream < due.Upstream) {
@@ -128,6 +129,9 @@
 	// one.
 	if m.err != nil || m.report.Upstream != m.target.Upstream {
 		t.metrics.countMissingReport()
+		if m.err != nil {
+			t.suspect(m.target, now)
+		}
 		return
 	}
 	t.view.ApplyReport(now, m.report)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -27,9 +27,9 @@
 		return nil, fault.Refuse(fault.InvalidRequest, "the path or method can't be sent; correct it").WithCause(err)
 	}
 	setCallHeaders(outgoing, request)
-	response, err := c.send(outgoing, request.NewConnection)
+	response, err := c.send(outgoing, request.Target, request.NewConnection)
 	if errors.Is(context.Cause(ctx), attempt.ErrAnsweredOnNewConnection) {
-		c.dropIdleConnections()
+		c.DropIdleConnections()
 	}
 	if err != nil {
 		return nil, err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -46,7 +47,12 @@
 	// is idempotent or it has an Idempotency-Key header.
 	pooled *http.Transport
 	// unpooled uses each connection once, so net/http never repeats a request.
-	unpooled             *http.Transport
+	unpooled *http.Transport
+	// tunnelled is unpooled over tunnels through other hosts.
+	tunnelled *http.Transport
+	// connect opens connections, and dial also reports to links how that ended.
+	connect, dial        DialFunc
+	links                Links
 	controlTimeout       time.Duration
 	cancellationDisabled atomic.Bool
 	onLoad               LoadFunc
@@ -63,6 +69,35 @@
 	dialTimeout    time.Duration
 	controlTimeout time.Duration
 	onLoad         LoadFunc
+	dial           DialFunc
+	links          Links
+}
+
+// DialFunc opens a connection to an upstream.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Links tells whether this host reaches upstreams itself, and opens connections through
+// other hosts (decision 22).
+type Links interface {
+	// CutOff reports whether an upstream is to be reached through another host.
+	CutOff(upstream core.UpstreamID) bool
+	// Dialed is told of each attempt to connect without another host. CutOff takes a
+	// failure into account once it has returned.
+	Dialed(address string, err error)
+	// Tunnel opens a connection through another host, which carries one request. If it
+	// returns an error, the upstream got nothing.
+	Tunnel(ctx context.Context, target core.Target) (net.Conn, error)
+}
+
+// WithLinks sets the links; nil means that upstreams are reached directly only.
+func WithLinks(links Links) Option {
+	return func(o *options) { o.links = links }
+}
+
+// WithDial sets the function that opens connections to upstreams; nil means TCP. Tests cut
+// a host's links by it.
+func WithDial(dial DialFunc) Option {
+	return func(o *options) { o.dial = dial }
 }
 
 // WithLoads sets the function that receives the loads in engines' answers.
@@ -88,8 +123,13 @@
 	for _, option := range opts {
 		option(&settings)
 	}
-	dial := dialer(settings.dialTimeout)
+	connect := dialer(settings.dial, settings.dialTimeout)
+	dial := reportingDialer(connect, settings.links)
 	return &Client{
+		connect: connect, dial: dial, links: settings.links,
+		tunnelled: &http.Transport{
+			DialContext: tunnelDialer(settings.links), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		},
 		pooled: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerUpstream,
 			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
@@ -101,10 +141,10 @@
 	}
 }
 
-// dropIdleConnections closes all idle connections after one connection went
+// DropIdleConnections closes all idle connections after one connection went
 // silent. The cause affects the others to the same upstream as well; closing
 // those to other upstreams only costs new connections.
-func (c *Client) dropIdleConnections() {
+func (c *Client) DropIdleConnections() {
 	c.pooled.CloseIdleConnections()
 }
 
@@ -119,6 +159,32 @@
 	c.cancellationDisabled.Store(true)
 }
 
+// send sends one request to a target, through another host if this one is cut off from
+// it, and returns the response. Errors are of type *fault.Error. If no connection was
+// obtained, no byte was written and the request did not run. Redirects are not followed,
+// as that would repeat the request.
+func (c *Client) send(request *http.Request, target core.Target, newConnection bool) (*http.Response, error) {
+	if c.links == nil {
+		return roundTrip(c.transport(newConnection), request)
+	}
+	if !c.links.CutOff(target.Upstream) {
+		// Should this attempt show the cut, it goes through another host, as it did not run.
+		response, err := roundTrip(c.transport(newConnection), request)
+		if err == nil || fault.From(err).Run != fault.NotRun || request.Context().Err() != nil || !c.links.CutOff(target.Upstream) {
+			return response, err
+		}
+	}
+	request = request.Clone(withTunnelTarget(request.Context(), target))
+	if request.GetBody != nil {
+		body, err := request.GetBody()
+		if err != nil {
+			return nil, fault.Refuse(fault.Internal, "the request's body can't be read once more").WithCause(err)
+		}
+		request.Body = body
+	}
+	return roundTrip(c.tunnelled, request)
+}
+
 func (c *Client) transport(newConnection bool) *http.Transport {
 	if newConnection {
 		return c.unpooled
@@ -126,15 +192,12 @@
 	return c.pooled
 }
 
-// send sends one request and returns the response. Errors are of type
-// *fault.Error. If no connection was obtained, no byte was written and the
-// request did not run. Redirects are not followed, as that would repeat the
-// request.
-func (c *Client) send(request *http.Request, newConnection bool) (*http.Response, error) {
+// roundTrip sends a request over a transport. Its errors are those of send.
+func roundTrip(transport *http.Transport, request *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	response, err := c.transport(newConnection).RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	switch {
 	case err == nil:
 		return response, nil
@@ -147,6 +210,45 @@
 	}
 }
 
+// Dial sets up a connection without another host, as for another host's tunnel. The result
+// is not reported to the client's links.
+func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := c.connect(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if opened, ok := connection.(*socket); ok {
+		// The relay of a tunnel reads the state of the connection itself.
+		return opened.Conn, nil
+	}
+	return connection, nil
+}
+
+// Connect sets up a connection without another host and closes it. The result is not
+// reported to the client's links.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	connection, err := c.connect(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
+
+// LinksLost implements attempt.Upstreams.
+func (c *Client) LinksLost(ctx context.Context, target core.Target) bool {
+	if c.links == nil {
+		return false
+	}
+	if !c.links.CutOff(target.Upstream) {
+		connection, err := c.dial(ctx, "tcp", target.Address)
+		if err == nil {
+			_ = connection.Close()
+			return false
+		}
+	}
+	return c.links.CutOff(target.Upstream)
+}
+
 // refusalError converts a response that refuses a request to an error and closes
 // its body. The request counts as not run only if the upstream says so.
 func refusalError(response *http.Response) *fault.Error {
@@ -220,7 +322,7 @@
 	if err != nil {
 		return nil, addressError(target, err)
 	}
-	return c.send(request, newConnection)
+	return c.send(request, target, newConnection)
 }
 
 func addressError(target core.Target, err error) *fault.Error {
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -17,10 +17,14 @@
 	written chan error
 }
 
-// dialer returns the function that opens connections to upstreams.
-func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	dial := (&net.Dialer{Timeout: timeout}).DialContext
+// dialer returns the function that opens connections to upstreams by dial, nil for TCP.
+func dialer(dial DialFunc, timeout time.Duration) DialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
 		connection, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := t.client.send(outgoing, t.request.NewConnection)
+	response, err := t.client.send(outgoing, t.request.Target, t.request.NewConnection)
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +191,7 @@
 func (t *streamTask) fail(ctx context.Context, err error) {
 	resumed := errors.Is(context.Cause(ctx), attempt.ErrKeepRunning)
 	if resumed {
-		t.client.dropIdleConnections()
+		t.client.DropIdleConnections()
 	}
 	if ctx.Err() == nil {
 		select {
@@ -221,7 +221,7 @@
 	}
 	request.Header.Set(wire.HeaderAttempt, strconv.Itoa(t.request.Attempt))
 	// The request uses a new connection, as the pooled ones may be silent too.
-	response, err := t.client.send(request, true)
+	response, err := t.client.send(request, t.request.Target, true)
 	if err == nil {
 		response.Body.Close()
 	}
