Let a serve host try upstreams again of which it has known nothing for some time

The merge of tunnels on the product's own path gives the table of links the present time: what was known before a pause of the process tells nothing, and the published set of upstreams that are cut off is renewed with each evaluation while it is not empty.

--- a/internal/tasks/balancer/list.go
+++ b/internal/tasks/balancer/list.go
@@ -51,7 +51,7 @@
 	t.view.SetHostCount(t.hosts)
 	t.view.ApplyList(now, entries)
 	t.polls.removeGone(t.view)
-	t.retainReach()
+	t.retainReach(t.config.Now())
 	if t.config.HostsListed != nil {
 		t.config.HostsListed(hostsOf(m.members))
 	}
--- a/internal/tasks/balancer/reach.go
+++ b/internal/tasks/balancer/reach.go
@@ -108,7 +108,7 @@
 		changed = t.lose(pool, target.Upstream, now) || changed
 	}
 	if changed {
-		t.publishCutOff()
+		t.publishCutOff(now)
 	}
 	if err != nil {
 		t.probe(target, pools, now)
@@ -140,18 +140,18 @@
 }
 
 // retainReach forgets the links to pools that are gone, and applies the list to CutOff.
-func (t *Task) retainReach() {
+func (t *Task) retainReach(now time.Time) {
 	known := make(map[core.ServiceName]bool)
 	t.view.EachPool(func(pool upstreams.Pool) { known[reachName(pool)] = len(t.view.UsableOf(pool)) > 0 })
 	t.reach.Retain(func(name core.ServiceName) bool { return known[name] })
-	t.publishCutOff()
+	t.publishCutOff(now)
 }
 
 // publishCutOff replaces the snapshot that CutOff reads.
-func (t *Task) publishCutOff() {
+func (t *Task) publishCutOff(now time.Time) {
 	set := make(cutOffSet)
 	t.view.EachPool(func(pool upstreams.Pool) {
-		if !t.reach.CutOff(reachName(pool)) {
+		if !t.reach.CutOff(reachName(pool), now) {
 			return
 		}
 		for _, target := range t.view.UsableOf(pool) {
@@ -169,10 +169,14 @@
 	}
 }
 
-// probeCutOff probes the pools that this host is cut off from, if a round is due.
+// probeCutOff probes the pools that this host is cut off from, if a round is due. Those of
+// which it has known nothing for some time, as after a pause, are tried again.
 func (t *Task) probeCutOff(now time.Time) {
+	if len(*t.cutOff.Load()) > 0 {
+		t.publishCutOff(now)
+	}
 	t.view.EachPool(func(pool upstreams.Pool) {
-		if t.reach.CutOff(reachName(pool)) {
+		if t.reach.CutOff(reachName(pool), now) {
 			t.probe(core.Target{}, []upstreams.Pool{pool}, now)
 		}
 	})
