Take the hosts that may help a serve host from its view of the fleet

In a run of all tests of internal/localfleet with the race detector, 2 of 8 streams ended as not run (no_upstream) when the links of their host were reset about 0.1 s after the fleet had started.

The task of members now tells each view that it publishes, and hosts that are alive may be asked for tunnels. A host that dies, or leaves, is no longer asked as soon as that is known.

TestStreamsGoOnThroughOthersWhenTheirHostLosesItsLinks: 5 of 5 runs pass with the race detector, 2 of 3 did before.

--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -95,8 +95,10 @@
 	t.endings = endings.New()
 	t.connections = connections.New(t.endings)
 	t.upstream = upstream.NewClient(upstream.WithLoads(t.reportAnswerLoad), upstream.WithDial(options.DialUpstream), upstream.WithLinks(links{t}))
+	t.helpers = tunnels.NewClient(tunnels.ClientConfig{Host: config.Host, Zone: config.Zone, Dial: options.Dial, Log: log, Now: now})
 	t.members = members.New(members.Config{
-		Self: self, Zone: config.Zone, Address: opened.peers.Addr().String(), Directory: store,
+		PeersChanged: t.setHelpers,
+		Self:         self, Zone: config.Zone, Address: opened.peers.Addr().String(), Directory: store,
 		Seeds: config.Peers, Caller: t.client, Now: now, Seed: seed, Log: log, Meter: meter,
 	})
 	t.teams = teams.New(teams.Config{
@@ -120,10 +122,9 @@
 	})
 	t.calls = calls.New(calls.Config{Self: self, Zone: config.Zone, Peers: t.members, Caller: t.client, Now: now, Meter: meter})
 	t.admitter = admitter.New(admitter.Config{Peers: t.members, Caller: t.client, Now: now, Log: log, Meter: meter})
-	t.helpers = tunnels.NewClient(tunnels.ClientConfig{Host: config.Host, Zone: config.Zone, Dial: options.Dial, Log: log, Now: now})
 	t.balancer = balancer.New(balancer.Config{
 		Directory: store, LoadClient: loadReporter{t.upstream}, Capacities: t.admitter,
-		Connect: t.upstream.Connect, LinksLost: t.upstream.DropIdleConnections, HostsListed: t.helpers.SetMembers,
+		Connect: t.upstream.Connect, LinksLost: t.upstream.DropIdleConnections,
 		Self: config.Host, Zone: config.Zone, Now: now, Seed: seed, Log: log, Meter: meter,
 	})
 	t.tunnels = tunnels.NewServer(tunnels.ServerConfig{
@@ -156,6 +157,7 @@
 // those before it.
 func (t *tasks) start(group *task.Group) {
 	group.Start(t.client)
+	group.Start(t.helpers)
 	group.Start(t.members)
 	group.Start(t.teams)
 	group.Start(t.shares)
@@ -163,7 +165,6 @@
 	group.Start(t.claimant)
 	group.Start(t.calls)
 	group.Start(t.admitter)
-	group.Start(t.helpers)
 	group.Start(t.balancer)
 	group.Start(t.tunnels)
 	group.Start(t.server)
--- a/internal/host/tunnels.go
+++ b/internal/host/tunnels.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/tasks/balancer"
 	"github.com/peridotreel/peridotreel/internal/tasks/tunnels"
@@ -35,6 +36,17 @@
 	})
 }
 
+// setHelpers passes on the hosts that are alive, which may be asked for tunnels.
+func (t *tasks) setHelpers(view *core.PeerView) {
+	var hosts []allowance.Member
+	for i := range view.Peers {
+		if peer := &view.Peers[i]; peer.State == core.PeerAlive {
+			hosts = append(hosts, allowance.Member{Host: peer.Ref.Host, Zone: peer.Zone, Address: peer.Address})
+		}
+	}
+	t.helpers.SetMembers(hosts)
+}
+
 // tunnelGate lets the balancer decide which upstreams this host reaches for others.
 type tunnelGate struct{ balancer *balancer.Task }
 
--- a/internal/tasks/balancer/balancer.go
+++ b/internal/tasks/balancer/balancer.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
-	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/reach"
 	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
 	"github.com/peridotreel/peridotreel/internal/filter/classify"
@@ -64,9 +63,6 @@
 	// LinksLost is called when this host has lost its links to the upstreams of a pool; open
 	// connections may be silent. It may be nil, and must not call the task.
 	LinksLost func()
-	// HostsListed is told the listed hosts that do not leave after each read of the list.
-	// It may be nil, and must not call the task.
-	HostsListed func(members []allowance.Member)
 	// Capacities may be nil.
 	Capacities CapacitySink
 	Self       core.HostID
--- a/internal/tasks/balancer/list.go
+++ b/internal/tasks/balancer/list.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotreel/peridotreel/internal/core"
-	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/upstreams"
 	"github.com/peridotreel/peridotreel/internal/platform"
 )
@@ -52,9 +51,6 @@
 	t.view.ApplyList(now, entries)
 	t.polls.removeGone(t.view)
 	t.retainReach()
-	if t.config.HostsListed != nil {
-		t.config.HostsListed(hostsOf(m.members))
-	}
 	t.publishModels()
 	t.loaded.Store(t.loaded.Load() || len(entries) > 0)
 	t.publishCapacities(now)
@@ -94,14 +90,3 @@
 	}
 	return entries, hosts
 }
-
-// hostsOf returns the listed hosts that do not leave.
-func hostsOf(members []platform.Member) []allowance.Member {
-	var hosts []allowance.Member
-	for i := range members {
-		if member := &members[i]; member.Role == platform.RoleHost && !member.Leaving {
-			hosts = append(hosts, allowance.Member{Host: core.HostID(member.ID), Zone: member.Zone, Address: member.Address})
-		}
-	}
-	return hosts
-}
--- a/internal/tasks/members/members.go
+++ b/internal/tasks/members/members.go
@@ -50,6 +50,9 @@
 	// Seeds are addresses to contact while no other host is known to be alive.
 	Seeds  []string
 	Caller peerrpc.Caller
+	// PeersChanged is told each view that is published. It may be nil, and must not call
+	// the task.
+	PeersChanged func(view *core.PeerView)
 	// Now is the clock; nil takes time.Now.
 	Now  func() time.Time
 	Seed uint64
@@ -315,6 +318,9 @@
 	view := s.protocol.View(s.task.config.Now())
 	s.task.logChanges(s.task.Peers(), view)
 	s.task.view.Store(&snapshot{peers: view, minWire: s.protocol.MinWire()})
+	if changed := s.task.config.PeersChanged; changed != nil {
+		changed(view)
+	}
 }
 
 var (
