Take a service as cut off only if six of its upstreams are unreachable

Three unreachable upstreams showed a cut. Six do now, or all if there are fewer; the first failure has two others probed, and further ones the rest.

--- a/internal/decide/reach/reach.go
+++ b/internal/decide/reach/reach.go
@@ -11,9 +11,12 @@
 
 const (
 	// neededFailures is the number of upstreams that must be unreachable one after the
-	// other, without one that is not, before a service counts as cut off. Two may end at
-	// the same moment on their own.
-	neededFailures = 3
+	// other, without one that is not, before a service counts as cut off. Four of nine may
+	// be down at the same moment, as by a request that crashes them.
+	neededFailures = 6
+	// firstProbes is the number of upstreams that are probed after a first failure. Most
+	// failures are those of a single upstream.
+	firstProbes = 2
 	// failureMemory is how long a failed attempt to connect counts. It exceeds the time in
 	// which requests to a service of few upstreams try them one after the other.
 	failureMemory = 3 * time.Second
@@ -45,8 +48,10 @@
 	// failedAt is when an upstream was unreachable last, answeredAt when one answered over
 	// a connection of this host.
 	failedAt, answeredAt time.Time
-	// probedAt is when the latest round of probes was sent.
-	probedAt time.Time
+	// probedAt is when the latest round of probes was sent, and probedWith the number of
+	// failures known then.
+	probedAt   time.Time
+	probedWith int
 	// helplessSince is when no other host could help with a request for the first time
 	// since one could, the zero time if one could.
 	helplessSince time.Time
@@ -151,25 +156,31 @@
 // suspect is the upstream that gave the reason, "" if there is none; listed has the
 // upstreams of the service that may be used, in an order that differs between rounds.
 //
-//   - A service of which an upstream was unreachable has as many others probed as would show
-//     a cut, so that requests need not find them one after the other.
+//   - A service of which an upstream was unreachable has two others probed, and if these are
+//     as well, as many as would show a cut: requests need not find them one after the other.
 //   - Else the suspect is probed, whose connections broke or are silent.
 //   - One that is cut off has one upstream probed, which tells when the cut is over.
 func (t *Table) TakeProbes(service core.ServiceName, suspect core.UpstreamID, listed []core.UpstreamID, now time.Time) []core.UpstreamID {
 	state := t.state(service)
-	if len(listed) == 0 || now.Sub(state.probedAt) < probeInterval {
+	// Further failures after a round of probes are followed up at once.
+	followUp := !state.cutOff && len(state.failed) > max(state.probedWith, 1)
+	if len(listed) == 0 || (now.Sub(state.probedAt) < probeInterval && !followUp) {
 		return nil
 	}
-	state.probedAt = now
+	state.probedAt, state.probedWith = now, len(state.failed)
 	switch {
 	case state.cutOff:
 		return listed[:1]
 	case len(state.failed) == 0 && suspect != "":
 		return []core.UpstreamID{suspect}
 	}
+	limit := neededFailures - len(state.failed)
+	if len(state.failed) == 1 {
+		limit = firstProbes
+	}
 	var probes []core.UpstreamID
 	for _, id := range listed {
-		if _, failed := state.failed[id]; !failed && len(probes)+len(state.failed) < neededFailures {
+		if _, failed := state.failed[id]; !failed && len(probes) < limit {
 			probes = append(probes, id)
 		}
 	}
