--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
@@ -19,6 +20,10 @@
 // the outage. A call that gets no answer fails sooner.
 const minOutage = 2400 * time.Millisecond
 
+// outageMemory is the time over which outages add up, that of an entry without heartbeats:
+// one may miss each short time in which the store answers.
+const outageMemory = 3600 * time.Millisecond
+
 // departureRetention is how long the removal of an entry is remembered. The store
 // may come back from a copy that is some seconds old and still has the entry.
 const departureRetention = time.Minute
@@ -30,10 +35,15 @@
 	departures map[core.UpstreamID]*departure
 	// outageSince is when the store stopped answering; zero while it answers.
 	outageSince time.Time
-	// graceUntil is when the grace after an outage of at least minOutage ends.
+	// outages are the earlier ones that ended within outageMemory, oldest first.
+	outages []span
+	// graceUntil is when the grace after outages of at least minOutage ends.
 	graceUntil time.Time
 }
 
+// span is a time without answers of the store.
+type span struct{ from, to time.Time }
+
 type entry struct {
 	upstream gateway.Upstream
 	// revision is that of the row in the store.
@@ -65,22 +75,45 @@
 
 // StoreRegained records that the store answers again.
 func (r *Roster) StoreRegained(now time.Time) {
+	if r.outageSince.IsZero() {
+		return
+	}
+	r.outages = slices.DeleteFunc(r.outages, func(s span) bool { return now.Sub(s.to) > outageMemory })
 	if r.outage(now) {
-		r.graceUntil = now.Add(RecoveryGrace)
+		r.graceUntil, r.outages = now.Add(RecoveryGrace), nil
+	} else {
+		r.outages = append(r.outages, span{r.outageSince, now})
 	}
 	r.outageSince = time.Time{}
 }
 
-// outage reports whether the store has not answered for long enough that entries may
-// have expired for that. A single failed call says nothing about the entries.
+// outage reports whether the store does not answer, and has not for long enough that
+// entries may have expired for that. A single failed call says nothing about the entries.
 func (r *Roster) outage(now time.Time) bool {
-	return !r.outageSince.IsZero() && now.Sub(r.outageSince) >= minOutage
+	if r.outageSince.IsZero() {
+		return false
+	}
+	begin := now.Add(-outageMemory)
+	total := now.Sub(r.outageSince)
+	for _, s := range r.outages {
+		if s.to.After(begin) {
+			total += s.to.Sub(later(s.from, begin))
+		}
+	}
+	return total >= minOutage
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // StoreReturned records that the store has come back from an older copy. Entries
 // that the copy lacks are written again by their upstreams, as after an outage.
 func (r *Roster) StoreReturned(now time.Time) {
-	r.outageSince = time.Time{}
+	r.outageSince, r.outages = time.Time{}, nil
 	r.graceUntil = now.Add(RecoveryGrace)
 }
 
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -99,6 +99,37 @@
 	})
 }
 
+// Guards against dropping upstreams that are well after several outages in a row, each too
+// short to let an entry expire: heartbeats may miss the moments between them.
+func TestShortOutagesInARowCountAsOne(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	Convey("Given two outages of 2 s with one answer between them", t, func() {
+		r := New()
+		_, _ = r.Put(gateway.Upstream{ID: "u1", Address: "a"}, core.Revision{Number: 1})
+		r.StoreLost(at(0))
+		r.StoreRegained(at(2))
+		r.StoreLost(at(2.05))
+		r.StoreRegained(at(4))
+		change, _ := r.Remove("u1", core.Revision{Number: 2}, at(4.1))
+		So(change.Kind, ShouldEqual, Lapsed)
+		Convey("The entry ends with the grace after them", func() {
+			_, _ = r.Expire(at(6.1))
+			So(r.Upstreams(), ShouldBeEmpty)
+		})
+	})
+	Convey("Given the same with some seconds between them, it is removed", t, func() {
+		r := New()
+		_, _ = r.Put(gateway.Upstream{ID: "u1", Address: "a"}, core.Revision{Number: 1})
+		r.StoreLost(at(0))
+		r.StoreRegained(at(2))
+		r.StoreLost(at(5))
+		r.StoreRegained(at(7))
+		change, _ := r.Remove("u1", core.Revision{Number: 2}, at(7.1))
+		So(change.Kind, ShouldEqual, Removed)
+	})
+}
+
 // Guards against sending requests to upstreams that have left, because the store
 // has come back from a copy that lists them as ready, against dropping upstreams
 // that the copy lacks, and against rows that are ignored because their version is
