Take a peer's list as complete only once entries could come back

A peer now says whether its list is settled: the store has answered it for 2 s. Hosts of earlier versions never say so.

The new case of TestPeersTellWhichEntriesAreGone fails with the list taken as settled.

--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -25,6 +25,9 @@
 		d.configConfirmed = update.At
 	case d.config.UpstreamTable:
 		d.listConfirmed = update.At
+		if d.listSince.IsZero() {
+			d.listSince = update.At
+		}
 		d.applyUpstreamRows(update.Rows, update.Full, update.Revision, update.At)
 		d.expireLapsed()
 	}
@@ -135,7 +138,9 @@
 		return
 	}
 	listed := d.applyUpstreamRows(offer.rows, true, offer.revision, now)
-	d.expire(d.roster.ExpireUnlisted(listed, offer.revision, now))
+	if offer.settled {
+		d.expire(d.roster.ExpireUnlisted(listed, offer.revision, now))
+	}
 	d.expireLapsed()
 }
 
@@ -188,7 +193,9 @@
 	}
 	if health.Reachable {
 		d.roster.StoreRegained(health.Since)
+		d.listSince = health.Since
 	} else {
+		d.listSince = time.Time{}
 		d.roster.StoreLost(health.Since)
 	}
 	d.expireLapsed()
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -88,13 +88,15 @@
 	listRevision core.Revision
 	// listConfirmed is when the store last answered a read of the upstream list.
 	listConfirmed time.Time
-	roster        *roster.Roster
-	balancer      *placement.LoadBalancer
-	retryBudgets  map[core.ServiceName]*retrybudget.Budget
-	hosts         int
-	limits        *requestlimit.Table
-	notices       *notice.Notices
-	brittle       *brittle.Table
+	// listSince is since when it has answered all of them, zero if it does not.
+	listSince    time.Time
+	roster       *roster.Roster
+	balancer     *placement.LoadBalancer
+	retryBudgets map[core.ServiceName]*retrybudget.Budget
+	hosts        int
+	limits       *requestlimit.Table
+	notices      *notice.Notices
+	brittle      *brittle.Table
 	// reach tells which services this host is cut off from.
 	reach *reach.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
--- a/internal/tasks/director/exchange.go
+++ b/internal/tasks/director/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
+	"github.com/peridotreel/peridotreel/internal/decide/roster"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
 	"github.com/peridotreel/peridotreel/internal/task"
@@ -40,6 +41,9 @@
 	Quarantine   quarantine.Report
 	Limits       []requestlimit.Entry
 	Brittle      []brittle.Entry
+	// ListSettled is true if the list lacks no upstream because of an outage of the store,
+	// or of this host: the store has answered for as long as entries need to come back.
+	ListSettled bool
 	// LacksConfig and LacksUpstreams are true if the host has no recent answer of
 	// the store about the configuration or the upstream list. LacksConfig is also true
 	// if a peer has a newer configuration.
@@ -64,6 +68,7 @@
 type offeredUpstreams struct {
 	rows     []rowstore.Row
 	revision core.Revision
+	settled  bool
 }
 
 // OfferConfig passes on a peer's configuration: its version, its content if it is
@@ -74,9 +79,9 @@
 }
 
 // OfferUpstreams passes on a peer's upstream list, which is applied if it is
-// newer.
-func (d *Director) OfferUpstreams(rows []rowstore.Row, revision core.Revision) {
-	_ = d.inbox.Send(context.Background(), offeredUpstreams{rows, revision})
+// newer. settled is LocalState.ListSettled of the peer.
+func (d *Director) OfferUpstreams(rows []rowstore.Row, revision core.Revision, settled bool) {
+	_ = d.inbox.Send(context.Background(), offeredUpstreams{rows, revision, settled})
 }
 
 // Exchange stores what a peer tells, if peer is not nil, and returns what this
@@ -117,6 +122,7 @@
 	return LocalState{
 		Config: d.activeConfig, ConfigAge: now.Sub(d.configConfirmed), UpstreamRows: d.upstreamRows, ListRevision: d.listRevision,
 		Loads:       d.balancer.OwnLoads(),
+		ListSettled: !d.listSince.IsZero() && now.Sub(d.listSince) >= roster.RecoveryGrace,
 		LacksConfig: d.lacksConfig(now), LacksUpstreams: d.lacksUpstreams(now),
 	}
 }
--- a/internal/tasks/director/roster_test.go
+++ b/internal/tasks/director/roster_test.go
@@ -70,7 +70,7 @@
 		}
 		offer := func() bool {
 			state := peer.localState(now)
-			cut.handle(t.Context(), offeredUpstreams{rows: state.UpstreamRows, revision: state.ListRevision})
+			cut.handle(t.Context(), offeredUpstreams{rows: state.UpstreamRows, revision: state.ListRevision, settled: state.ListSettled})
 			_, listed := cut.roster.Upstream("u1")
 			return listed
 		}
@@ -78,6 +78,14 @@
 			remove()
 			So(offer(), ShouldBeFalse)
 		})
+		Convey("what a peer lacks that has just started may come back", func() {
+			peer = newListDirector(&now)
+			remove()
+			So(offer(), ShouldBeTrue)
+			now = now.Add(2 * time.Second)
+			peer.handle(t.Context(), follower.Update{Table: "servers", Revision: core.Revision{Number: 3}, At: now})
+			So(offer(), ShouldBeFalse)
+		})
 		Convey("what lapsed at the peer is kept until it expires there", func() {
 			peer.handle(t.Context(), lost)
 			remove()
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -54,7 +54,7 @@
 	Exchange(ctx context.Context, peer *director.PeerState) (director.LocalState, error)
 	Receive(peer director.PeerState)
 	OfferConfig(version int64, config *gateway.Config, age time.Duration, source string)
-	OfferUpstreams(rows []rowstore.Row, revision core.Revision)
+	OfferUpstreams(rows []rowstore.Row, revision core.Revision, settled bool)
 }
 
 // Config describes the task.
@@ -137,10 +137,13 @@
 	Config        []byte
 	ListRevision  core.Revision
 	Rows          []rowstore.Row
-	Loads         []placement.PeerLoad
-	Quarantine    quarantine.Report
-	Limits        []requestlimit.Entry
-	Brittle       []brittle.Entry
+	// ListSettled is true if the rows lack no upstream because of an outage. Hosts of
+	// earlier versions never say so.
+	ListSettled bool
+	Loads       []placement.PeerLoad
+	Quarantine  quarantine.Report
+	Limits      []requestlimit.Entry
+	Brittle     []brittle.Entry
 }
 
 // New returns the task.
@@ -179,7 +182,7 @@
 		}
 	}
 	if args.WantsServers && known.ListRevision.Newer(args.ListRevision) {
-		reply.Rows = known.UpstreamRows
+		reply.Rows, reply.ListSettled = known.UpstreamRows, known.ListSettled
 	}
 	return nil
 }
@@ -379,7 +382,7 @@
 	}
 	p.config.Director.OfferConfig(reply.ConfigVersion, newer, reply.ConfigAge, "peer "+string(reply.Host))
 	if len(reply.Rows) > 0 {
-		p.config.Director.OfferUpstreams(reply.Rows, reply.ListRevision)
+		p.config.Director.OfferUpstreams(reply.Rows, reply.ListRevision, reply.ListSettled)
 	}
 	p.config.Director.Receive(director.PeerState{Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine, Limits: reply.Limits, Brittle: reply.Brittle})
 }
--- a/internal/tasks/peers/peers_test.go
+++ b/internal/tasks/peers/peers_test.go
@@ -27,7 +27,7 @@
 
 func (fixedDirector) OfferConfig(int64, *gateway.Config, time.Duration, string) {}
 
-func (fixedDirector) OfferUpstreams([]rowstore.Row, core.Revision) {}
+func (fixedDirector) OfferUpstreams([]rowstore.Row, core.Revision, bool) {}
 
 // Guards against peers that send each other all lists several times a second,
 // which fills slow links, and against a host that can't read the store and gets
