--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,6 +22,10 @@
 	"github.com/peridotreel/peridotreel/internal/upstream"
 )
 
+// untoldCallersTimeout bounds how long idle connections stay open for callers that were not
+// told of the stop, while others keep the host busy with new requests.
+const untoldCallersTimeout = 5 * time.Second
+
 // headerTimeout limits the time to read a request's headers, so that slow or
 // broken clients don't hold connections open.
 const headerTimeout = 10 * time.Second
@@ -263,8 +267,7 @@
 	}
 	// If only serving ends first, Shutdown reports it.
 	_ = task.Sleep(serving, time.Duration(h.options.Settings.Drain.BalancerWait))
-	// Shutdown closes idle connections, whose callers were not told and may still send.
-	_ = h.tasks.connections.AwaitIdle(serving)
+	h.awaitUntoldCallers(serving)
 	if ctx.Err() != nil {
 		return h.abort(ctx.Err())
 	}
@@ -319,3 +322,11 @@
 	h.group.Stop()
 	h.stopAccounts()
 }
+
+// awaitUntoldCallers waits until no request is in progress: Shutdown closes idle
+// connections, whose callers were not told and may still send.
+func (h *Host) awaitUntoldCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, untoldCallersTimeout)
+	defer cancel()
+	_ = h.tasks.connections.AwaitIdle(ctx)
+}
