Wait for the end of a connection, not for its absence

It waited until no connection is open, which holds before the connection is counted as accepted, as requests and connections are reported by different tasks; so did the test before it. Both now wait until one has been closed and none is open; what they compare is unchanged. The cause is read from the code; the failure was not brought about again.

--- a/internal/localfleet/endings_test.go
+++ b/internal/localfleet/endings_test.go
@@ -94,7 +94,7 @@
 			f := start(1, 1)
 			host := f.running()[0]
 			So(readStatus(host, c.request), ShouldEqual, c.status)
-			f.waitUntil("the connection has ended", func() bool { return f.totals(host).ConnectionsOpen == 0 })
+			f.awaitClose(host)
 			totals := f.totals(host)
 			if c.ending.End == "" {
 				So(totals.Ends, ShouldBeEmpty)
@@ -109,11 +109,20 @@
 	}
 }
 
+// awaitClose waits until a connection has been closed and none is open. One that is not
+// counted yet is not open either.
+func (f *testFleet) awaitClose(host *localfleet.RunningHost) {
+	f.waitUntil("the connection has ended", func() bool {
+		totals := f.totals(host)
+		return len(totals.Closes) > 0 && totals.ConnectionsOpen == 0
+	})
+}
+
 // Guards against callers that leave, which are reported as lost, and streams that are cut,
 // which are reported as answered.
 func TestAHostTellsLostRequestsFromCallersThatLeave(t *testing.T) {
 	only := func(f *testFleet, host *localfleet.RunningHost, end gateway.End, cause gateway.EndCause, closed gateway.CloseCause) {
-		f.waitUntil("the connection has ended", func() bool { return f.totals(host).ConnectionsOpen == 0 })
+		f.awaitClose(host)
 		So(f.totals(host).Ends, ShouldResemble, map[gateway.Ending]int64{{End: end, Cause: cause}: 1})
 		So(f.totals(host).Closes, ShouldResemble, map[gateway.Closing]int64{{Cause: closed}: 1})
 	}
