--- a/internal/tasks/tunnels/tunnels_test.go
+++ b/internal/tasks/tunnels/tunnels_test.go
@@ -390,6 +390,10 @@
 			So(<-h.gate.dialed, ShouldNotBeNil)
 		})
 		Convey("a helper is not given up because upstreams refuse connections", func() {
+			h := startHelper(tunnels.ServerConfig{})
+			defer h.stop()
+			client, group := startClient(h.address)
+			defer group.Stop()
 			closed := []string{"u-0", "u-1"}
 			for _, id := range closed {
 				gone, _ := startUpstream()
