Leave the rotation before the link is full, and lose nobody because of it

Connections to upstreams and calls to owners of balances time out on a full link, so that the host took them for lost, opened tunnels over the same link and refused requests for want of an owner. Change: the connections of callers and upstreams count their bytes. While the link is nearly full, failed connections and calls count against nobody. The new tests of director and owners fail without the change.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -152,7 +152,7 @@
 func (o outcome) whole() bool { return o.exchange != nil && o.end.Err == nil && o.end.Framed }
 
 func newConnection(pool *Pool, upstream core.UpstreamID, socket net.Conn, decode DecodeHead) *Connection {
-	received := &limitedReader{source: socket}
+	received := &limitedReader{source: pool.link.Reader(socket)}
 	return &Connection{
 		upstream: upstream, socket: socket, received: received, reader: bufio.NewReaderSize(received, readBuffer), decode: decode, pool: pool,
 		inbox: make(chan *Exchange, 1), dispatched: make(chan *Exchange, 1), results: make(chan outcome, 1),
@@ -263,21 +263,27 @@
 // as the upstream may answer before it reads on.
 func (c *Connection) write(exchange *Exchange) <-chan error {
 	written := make(chan error, 1)
-	_, err := c.socket.Write(exchange.Payload)
+	err := c.writeBytes(exchange.Payload)
 	if err == nil && len(exchange.Body) > maxBufferedBody {
 		go func() {
-			_, err := c.socket.Write(exchange.Body)
-			written <- err
+			written <- c.writeBytes(exchange.Body)
 		}()
 		return written
 	}
 	if err == nil && len(exchange.Body) > 0 {
-		_, err = c.socket.Write(exchange.Body)
+		err = c.writeBytes(exchange.Body)
 	}
 	written <- err
 	return written
 }
 
+// writeBytes writes to the upstream and counts what was written.
+func (c *Connection) writeBytes(data []byte) error {
+	count, err := c.socket.Write(data)
+	c.pool.link.Sent(count)
+	return err
+}
+
 // finishWriting delivers the end of a whole answer, and writes what its upstream has not
 // read of the request. It reports whether the connection can be used again.
 func (c *Connection) finishWriting(exchange *Exchange, result outcome, written <-chan error, stopWatching func() bool) bool {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/linkmeter"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
 
@@ -53,6 +54,8 @@
 	inbox  *task.Inbox[any]
 	decode DecodeHead
 	dial   DialFunc
+	// link counts the bytes of connections; nil counts none.
+	link *linkmeter.Meter
 }
 
 type acquire struct {
@@ -121,12 +124,12 @@
 }
 
 // NewPool returns a pool whose connections convert response heads with decode and are set
-// up with dial, or with Dial if that is nil.
-func NewPool(decode DecodeHead, dial DialFunc) *Pool {
+// up with dial, or with Dial if that is nil. link counts their bytes; nil counts none.
+func NewPool(decode DecodeHead, dial DialFunc, link *linkmeter.Meter) *Pool {
 	if dial == nil {
 		dial = Dial
 	}
-	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode, dial: dial}
+	return &Pool{inbox: task.NewInbox[any](inboxCapacity), decode: decode, dial: dial, link: link}
 }
 
 // Acquire returns a connection to the upstream and whether it is new. After an
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -88,7 +88,7 @@
 }
 
 func startPool() (*Pool, func()) {
-	pool := NewPool(decodeHead, nil)
+	pool := NewPool(decodeHead, nil, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	go pool.Run(ctx)
 	return pool, cancel
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/front"
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/linkmeter"
 	"github.com/peridotreel/peridotreel/internal/opaque"
 	"github.com/peridotreel/peridotreel/internal/opaque/attempt"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
@@ -148,7 +149,8 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := connpool.NewPool(options.Platform.DecodeHead, options.Dial)
+	link := &linkmeter.Meter{}
+	pool := connpool.NewPool(options.Platform.DecodeHead, options.Dial, link)
 	memory := buffers.New(int64(float64(s.MemoryMB) * bufferFraction * (1 << 20)))
 	process := allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	e.balances = balances.New(balances.Config{
@@ -157,16 +159,20 @@
 			e.peers.Recall(host, team, amount, done)
 		},
 	})
-	e.load = selfload.New(selfload.Config{Zone: s.Zone, Log: options.Log, Now: options.Now})
+	e.load = selfload.New(selfload.Config{Zone: s.Zone, Link: link, LinkMbps: s.LinkMbps, Log: options.Log, Now: options.Now})
+	if err = telemetry.RegisterHostLoad(e.telemetry.Meter(), e.load.Load); err != nil {
+		return nil, err
+	}
 	e.readiness = newReadiness(e.away, options.Log)
 	e.director = director.New(director.Config{
 		Host: s.Host, Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
 		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
-		Changed: e.balances.Configure,
-		Serving: func() { e.readiness.markServing() },
-		Forget:  pool.Drain, Dial: pool.Probe, DialThrough: e.probeThrough,
+		Changed:  e.balances.Configure,
+		Serving:  func() { e.readiness.markServing() },
+		LinkFull: e.load.LinkFull,
+		Forget:   pool.Drain, Dial: pool.Probe, DialThrough: e.probeThrough,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
@@ -206,6 +212,7 @@
 	})
 	e.owners = owners.New(owners.Config{
 		Process: process, Zone: s.Zone, Balances: e.balances, Caller: client, Log: options.Log, Now: options.Now,
+		LinkFull: e.load.LinkFull,
 	})
 	if err := e.owners.Register(server); err != nil {
 		return nil, fmt.Errorf("register the RPC methods of balance owners: %w", err)
@@ -226,7 +233,7 @@
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
-		Buffers: memory, Away: e.away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
+		Buffers: memory, Away: e.away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings, Link: link,
 	})
 	e.start(memory, pool, e.helpers, e.tunnels, client, server)
 	return e, e.serveHTTP()
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -145,6 +145,7 @@
 	socket := a.connection.socket
 	_ = socket.SetWriteDeadline(a.connection.server.config.Now().Add(writeTimeout))
 	count, err := socket.Write(data)
+	a.connection.server.config.Link.Sent(count)
 	a.written = a.written || count > 0
 	if err != nil {
 		a.failed, a.writeError = true, err
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -75,7 +75,7 @@
 // either run or close must be called.
 func newConnection(server *Server, socket net.Conn) *connection {
 	return &connection{
-		server: server, socket: socket, id: server.config.Endings.AcceptConnection(), reader: bufio.NewReaderSize(socket, readBufferSize),
+		server: server, socket: socket, id: server.config.Endings.AcceptConnection(), reader: bufio.NewReaderSize(server.config.Link.Reader(socket), readBufferSize),
 		peekRequests: make(chan struct{}, 1), peekResults: make(chan error, 1), evicted: make(chan struct{}),
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/decide/connlimit"
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/linkmeter"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 	"github.com/peridotreel/peridotreel/internal/tasks/endings"
@@ -70,6 +71,8 @@
 	// been idle for longest is closed for a new one; if none is idle, the requests of new
 	// ones are refused.
 	MaxConnections int
+	// Link counts the bytes of callers' connections; nil counts none.
+	Link *linkmeter.Meter
 	// Endings gets the ends of requests and connections; nil counts none.
 	Endings *endings.Endings
 }
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -135,7 +135,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, matched.Deadline)
 	defer cancel()
-	if err = r.pipeline.Shed.Apply(); err != nil {
+	if err = r.pipeline.Shed.Apply(matched.Urgency); err != nil {
 		return r.capRetryAfter(err)
 	}
 	if err = screen.Apply(matched, r.pipeline.Now()); err != nil {
--- a/internal/opaque/shed/shed.go
+++ b/internal/opaque/shed/shed.go
@@ -18,16 +18,17 @@
 
 // Load tells which requests to reject.
 type Load interface {
-	// Reject reports whether a request is to be rejected.
-	Reject() bool
+	// Reject reports whether a request of an urgency is to be rejected, 0 to 9 with 0 as
+	// the most urgent, and counts the request.
+	Reject(urgency int) bool
 }
 
 // Filter rejects requests.
 type Filter struct{ Load Load }
 
-// Apply returns a *gateway.Refusal if a request is to be rejected.
-func (f *Filter) Apply() error {
-	if !f.Load.Reject() {
+// Apply returns a *gateway.Refusal if a request of an urgency is to be rejected.
+func (f *Filter) Apply(urgency int) error {
+	if !f.Load.Reject(urgency) {
 		return nil
 	}
 	return gateway.Refuse(gateway.Overloaded, minRetryAfter+rand.N(retryAfterSpread), "this host does not keep up with its requests; send the request again, which reaches another host")
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,8 +33,12 @@
 	Descriptors int `yaml:"descriptors"`
 	// Grace is the time between the stop signal and the kill of the process.
 	Grace Duration `yaml:"grace"`
-	Retry Retry    `yaml:"retry"`
-	Log   Log      `yaml:"log"`
+	// LinkMbps is the bandwidth of the host's network link in each direction, in megabits
+	// per second. 0, the default, means that it is not known: the host then rejects no
+	// requests because of its link.
+	LinkMbps float64 `yaml:"link_mbps"`
+	Retry    Retry   `yaml:"retry"`
+	Log      Log     `yaml:"log"`
 }
 
 // GatewayListen holds the addresses on which a gateway host listens, IP:PORT.
@@ -117,6 +121,8 @@
 		return fieldError("memory_mb", "is not positive; give the memory limit in megabytes")
 	case g.Descriptors <= 0:
 		return fieldError("descriptors", "is not positive; give the limit on open file descriptors")
+	case !(g.LinkMbps >= 0):
+		return fieldError("link_mbps", "is not a number of 0 or more; give the link's bandwidth in megabits per second")
 	case g.Grace <= 0:
 		return fieldError("grace", "is not positive; give a duration, such as 8s")
 	case g.Retry.Ratio < 0 || g.Retry.Slack < 0:
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -60,6 +60,9 @@
 	// SuspicionsChanged is called when what is known of crashes of upstreams changes.
 	// repeated is true if a trait of requests was in flight at crashes of several upstreams.
 	SuspicionsChanged func(repeated bool)
+	// LinkFull reports whether calls may fail for want of room in this host's link. nil means
+	// that they never do.
+	LinkFull func() bool
 	// Dial connects to the address of an upstream and closes the connection. It
 	// tells whether an upstream that closed a connection has crashed, and whether this host
 	// reaches upstreams.
--- a/internal/tasks/director/reach.go
+++ b/internal/tasks/director/reach.go
@@ -109,6 +109,10 @@
 
 // unreachable records that an upstream could not be reached.
 func (d *Director) unreachable(service core.ServiceName, id core.UpstreamID, now time.Time) {
+	if d.config.LinkFull != nil && d.config.LinkFull() {
+		// Another host's tunnel would pass the same link.
+		return
+	}
 	ids := d.usable(service)
 	if d.reach.Unreachable(service, id, len(ids), now) != reach.Lost {
 		return
--- a/internal/tasks/director/reach_test.go
+++ b/internal/tasks/director/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -138,3 +139,27 @@
 		So(<-f.finished, ShouldStartWith, "upstream crashed")
 	})
 }
+
+// Guards against tunnels, which add to the traffic, on a host whose own link is full:
+// connections to upstreams then time out though the upstreams can be reached.
+func TestAHostWhoseLinkIsFullIsNotCutOff(t *testing.T) {
+	Convey("Given a host whose link is full", t, func() {
+		f := newCrashFixture()
+		f.refusing = func(string) bool { return true }
+		var full atomic.Bool
+		full.Store(true)
+		f.director.config.LinkFull = full.Load
+		lose := func() {
+			for i := range 4 {
+				f.observe(Observation{Upstream: core.UpstreamID(fmt.Sprint("u-", i)), Signal: placement.Unreachable})
+			}
+		}
+		lose()
+		So(f.admit(), ShouldEqual, TunnelAllowed)
+		Convey("Once it has room, failures show a cut again", func() {
+			full.Store(false)
+			lose()
+			So(f.admit(), ShouldEqual, TunnelCutOff)
+		})
+	})
+}
--- a/internal/tasks/owners/owners.go
+++ b/internal/tasks/owners/owners.go
@@ -52,6 +52,9 @@
 	Zone     core.ZoneName
 	Balances Balances
 	Caller   peerrpc.Caller
+	// LinkFull reports whether calls may fail for want of room in this host's link. nil means
+	// that they never do.
+	LinkFull func() bool
 	Log      *zap.Logger
 	Now      func() time.Time
 }
@@ -204,6 +207,9 @@
 }
 
 func (o *Owners) backOff(m ownerFailed, now time.Time) {
+	if o.config.LinkFull != nil && o.config.LinkFull() {
+		return // the owner may well answer others
+	}
 	previous, found := o.backoffs[m.host]
 	delay := minBackoff
 	if found {
--- a/internal/tasks/owners/owners_test.go
+++ b/internal/tasks/owners/owners_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,3 +208,28 @@
 		})
 	})
 }
+
+// Guards against a host whose link is full and which takes one owner after the other for
+// lost, until none is left and its requests are refused.
+func TestAFullLinkLosesNoOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner whose answers do not arrive as the link is full", t, func() {
+			w, hosts, stop := startHosts(0, 0, 400)
+			var full atomic.Bool
+			full.Store(true)
+			hosts[0].config.LinkFull = full.Load
+			w.down["b"] = true
+			owners := func() int { return len(hosts[0].choose("team", time.Now()).owners) }
+			// No owner has so many tokens, so that all are asked.
+			reserve(hosts[0], 1000)
+			synctest.Wait()
+			So(owners(), ShouldEqual, 3)
+			full.Store(false)
+			reserve(hosts[0], 1000)
+			synctest.Wait()
+			So(owners(), ShouldEqual, 2)
+			stop()
+			synctest.Wait()
+		})
+	})
+}
