Refuse requests at once whose team has just been refused for want of tokens

Change: a host remembers for 250 or 600 ms, by cause, that the owners did not grant an amount to a team, and refuses requests of that amount or more at once; one in 100 ms asks all the same. The test of owners fails without the change.

--- a/internal/tasks/owners/owners.go
+++ b/internal/tasks/owners/owners.go
@@ -11,6 +11,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/shortage"
 	"github.com/peridotreel/peridotreel/internal/peerrpc"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
@@ -69,6 +70,8 @@
 	backoffs     map[core.HostID]backoff
 	reservations *allowance.Reservations
 	outbox       outbox
+	// shortages are the teams of which requests were just refused.
+	shortages *shortage.Table[Refusal]
 	// lastNumber is the number of the last reservation at another host.
 	lastNumber uint64
 	leaving    bool
@@ -83,7 +86,7 @@
 func New(config Config) *Owners {
 	return &Owners{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), backoffs: make(map[core.HostID]backoff),
-		reservations: allowance.NewReservations(), outbox: newOutbox(),
+		reservations: allowance.NewReservations(), outbox: newOutbox(), shortages: shortage.New[Refusal](),
 	}
 }
 
@@ -94,8 +97,9 @@
 // chooseOwners asks for the owners of a team and the numbers of the reservations
 // to make at them.
 type chooseOwners struct {
-	team  core.TeamName
-	reply chan<- chosenOwners
+	team   core.TeamName
+	amount core.Tokens
+	reply  chan<- chosenOwners
 }
 
 type chosenOwners struct {
@@ -103,8 +107,21 @@
 	// firstNumber is the first of len(owners)+1 consecutive numbers: one for each
 	// owner, and one for the last attempt.
 	firstNumber uint64
+	// verdict is shortage.Refuse if the request is refused at once, and refusal then why.
+	verdict shortage.Verdict
+	refusal Refusal
 }
 
+// tokensRefused reports that the owners did not grant an amount, tokensGranted that they
+// granted one to a team that was short.
+type tokensRefused struct {
+	team    core.TeamName
+	amount  core.Tokens
+	refusal Refusal
+}
+
+type tokensGranted struct{ team core.TeamName }
+
 // ownerFailed reports that a call to an owner failed.
 type ownerFailed struct {
 	host core.HostID
@@ -149,7 +166,11 @@
 		o.updateBalances()
 		o.config.Balances.Retire()
 	case chooseOwners:
-		m.reply <- o.choose(m.team, now)
+		m.reply <- o.chooseFor(m, now)
+	case tokensRefused:
+		o.shortages.Refused(m.team, m.amount, m.refusal.Cause, m.refusal, now)
+	case tokensGranted:
+		o.shortages.Granted(m.team)
 	case findUnreachable:
 		m.reply <- o.unreachable(m, now)
 	case ownerFailed:
@@ -193,6 +214,17 @@
 
 func (o *Owners) updateBalances() { o.config.Balances.SetMembers(o.servingMembers()) }
 
+// chooseFor chooses the owners to ask for a request, unless it is refused at once.
+func (o *Owners) chooseFor(m chooseOwners, now time.Time) chosenOwners {
+	verdict, refusal := o.shortages.Decide(m.team, m.amount, now)
+	if verdict == shortage.Refuse {
+		return chosenOwners{verdict: verdict, refusal: refusal}
+	}
+	chosen := o.choose(m.team, now)
+	chosen.verdict = verdict
+	return chosen
+}
+
 func (o *Owners) choose(team core.TeamName, now time.Time) chosenOwners {
 	owners := allowance.Owners(team, o.config.Zone, o.servingMembers(), func(member allowance.Member) bool {
 		return member.Host == o.config.Process.Host || !now.Before(o.backoffs[member.Host].until)
@@ -203,7 +235,7 @@
 	}
 	first := o.lastNumber + 1
 	o.lastNumber += uint64(len(owners)) + 1
-	return chosenOwners{owners, first}
+	return chosenOwners{owners: owners, firstNumber: first}
 }
 
 func (o *Owners) backOff(m ownerFailed, now time.Time) {
--- a/internal/tasks/owners/owners_test.go
+++ b/internal/tasks/owners/owners_test.go
@@ -225,6 +225,8 @@
 			synctest.Wait()
 			So(owners(), ShouldEqual, 3)
 			full.Store(false)
+			// The team counts as short for a moment, in which the owners are not asked.
+			time.Sleep(time.Second)
 			reserve(hosts[0], 1000)
 			synctest.Wait()
 			So(owners(), ShouldEqual, 2)
@@ -233,3 +235,29 @@
 		})
 	})
 }
+
+// Guards against requests that ask one owner after the other although the one before was
+// refused for want of tokens a moment ago, and against tokens that are not found again.
+func TestAShortTeamIsRefusedWithoutAsking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given owners without tokens, one of which does not answer", t, func() {
+			w, hosts, stop := startHosts(0, 0, 0)
+			w.down["b"] = true
+			first := reserve(hosts[0], 300)
+			So(first.Grant.Outcome, ShouldEqual, balances.Away)
+			synctest.Wait()
+			began := time.Now()
+			next := reserve(hosts[0], 300)
+			So(next.Grant.Outcome, ShouldEqual, balances.Away)
+			So(next.Refusal.Cause, ShouldEqual, first.Refusal.Cause)
+			So(time.Since(began), ShouldEqual, time.Duration(0))
+			hosts[2].balance.mutex.Lock()
+			hosts[2].balance.left = 500
+			hosts[2].balance.mutex.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			So(reserve(hosts[0], 300).Grant.Outcome, ShouldEqual, balances.Granted)
+			stop()
+			synctest.Wait()
+		})
+	})
+}
--- a/internal/tasks/owners/reserve.go
+++ b/internal/tasks/owners/reserve.go
@@ -6,6 +6,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/shortage"
 	"github.com/peridotreel/peridotreel/internal/task"
 	"github.com/peridotreel/peridotreel/internal/tasks/balances"
 )
@@ -26,11 +27,16 @@
 // at that of another zone. If no owner grants the amount by the deadline, it
 // returns a reservation whose grant has another outcome than Granted.
 func (o *Owners) Reserve(ctx context.Context, team core.TeamName, amount core.Tokens, deadline time.Time) (Reservation, error) {
-	chosen, err := task.Ask(ctx, o.inbox, func(reply chan<- chosenOwners) any { return chooseOwners{team, reply} })
+	chosen, err := task.Ask(ctx, o.inbox, func(reply chan<- chosenOwners) any { return chooseOwners{team, amount, reply} })
 	if err != nil {
 		return Reservation{}, err
 	}
 	r := Reservation{Team: team, Amount: amount, Grant: balances.Grant{Outcome: balances.Away}}
+	if chosen.verdict == shortage.Refuse {
+		r.Refusal = &chosen.refusal
+		r.Grant.StoreAway = chosen.refusal.Cause == allowance.CauseStoreAway
+		return r, nil
+	}
 	// retryOwner is the first owner that answered. It is asked again after all
 	// others and may then let the request wait longer.
 	var retryOwner *allowance.Member
@@ -38,6 +44,7 @@
 	for i, owner := range chosen.owners {
 		err = o.tryOwner(ctx, &r, owner, chosen.firstNumber+uint64(i), min(firstAttemptWait, deadline.Sub(o.config.Now())), false)
 		if err == nil && r.Grant.Outcome == balances.Granted {
+			o.noteGranted(ctx, team, chosen.verdict)
 			return r, nil
 		}
 		seen.add(owner.Host, r.Grant, err)
@@ -51,17 +58,26 @@
 	if retryOwner != nil {
 		err = o.tryOwner(ctx, &r, *retryOwner, chosen.firstNumber+uint64(len(chosen.owners)), deadline.Sub(o.config.Now()), true)
 		if err == nil && r.Grant.Outcome == balances.Granted {
+			o.noteGranted(ctx, team, chosen.verdict)
 			return r, nil
 		}
 		seen.add(retryOwner.Host, r.Grant, err)
 	}
 	r = o.refused(ctx, r, seen)
+	_ = o.inbox.Send(ctx, tokensRefused{team, amount, *r.Refusal})
 	if retryOwner == nil && err != nil {
 		return r, err
 	}
 	return r, nil
 }
 
+// noteGranted ends the shortage of a team that was short.
+func (o *Owners) noteGranted(ctx context.Context, team core.TeamName, verdict shortage.Verdict) {
+	if verdict == shortage.Probe {
+		_ = o.inbox.Send(ctx, tokensGranted{team})
+	}
+}
+
 // tryOwner asks one owner and records its answer in the reservation.
 func (o *Owners) tryOwner(ctx context.Context, r *Reservation, owner allowance.Member, number uint64, wait time.Duration, patient bool) error {
 	r.Owner, r.id = owner, allowance.ReservationID{Process: o.config.Process.String(), Number: number}
