Gateway: connections to plain services are divided by use

Cause: each of N hosts had an equal part of an upstream's connections. With 66 hosts and 460 connections a busy host ran out at 5 while others used none, and its requests tried one upstream after the other and were refused.

Change: hosts that use little of their part lend some of it to a peer that lacks connections, in the reply to its report in the exchange of loads (decide/connshare). The pool closes surplus connections when the limit falls. A request to a plain service that finds no free connection waits for one that is released, in order of arrival, for a tenth of its route's objective. Engines are not concerned. Hosts of earlier builds neither ask nor lend.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -99,6 +99,8 @@
 	dispatched chan *Exchange
 	results    chan outcome
 	stop       chan struct{}
+	// closing is true once the pool has told the connection to close. The pool owns it.
+	closing bool
 	// single is true if the connection carries one request.
 	single bool
 	// idleLimit is how long this connection may stay idle: maxIdle, or less if
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -27,8 +27,12 @@
 type Target struct {
 	Upstream core.UpstreamID
 	Address  string
-	// MaxConnections bounds this host's connections to the upstream.
+	// MaxConnections bounds this host's connections to the upstream, unless SetLimit has
+	// set another bound lately.
 	MaxConnections int
+	// MaxWait is how long the request waits for a connection that is released, in order of
+	// arrival, if all are in use.
+	MaxWait time.Duration
 	// Verify checks over a new connection that it leads to the listed process of the
 	// upstream, and not to one that was started at its address since. It is nil if the
 	// list is recent enough to tell.
@@ -80,14 +84,29 @@
 	reply      chan<- bool
 }
 type closedConnection struct{ connection *Connection }
+type waitLapsed struct {
+	upstream core.UpstreamID
+	reply    chan<- acquired
+}
+type setLimit struct {
+	upstream core.UpstreamID
+	limit    int
+}
 type drain struct{ upstreams []core.UpstreamID }
 
 // upstreamPool holds the connections to one upstream.
 type upstreamPool struct {
 	idle []*Connection
-	// open counts connections that are in use, idle or being set up.
-	open int
-	// waiting has requests for which an idle connection that they may not use is closed.
+	// open counts connections that are in use, idle, being set up or being closed, and
+	// closing those that were told to close.
+	open    int
+	closing int
+	// limit is the number of connections that this host may have to the upstream. It is set
+	// by SetLimit until limitUntil, and by requests otherwise.
+	limit      int
+	limitUntil time.Time
+	// waiting has the requests that wait for a connection in order of arrival: one that is
+	// released, or one that is set up in the place of one that is closed.
 	waiting []acquire
 	// draining is true if released connections are closed instead of kept.
 	draining bool
@@ -153,9 +172,19 @@
 }
 
 // Drain closes connections to upstreams that get no new requests: idle ones at
-// once, those in use when they are released.
+// once, those in use when they are released. Requests that wait for a connection get none.
 func (p *Pool) Drain(upstreams []core.UpstreamID) { p.inbox.TrySend(drain{upstreams}) }
 
+// limitHolds is how long a limit that was set holds. It is set again at shorter intervals
+// while it differs from that of requests.
+const limitHolds = time.Second
+
+// SetLimit sets how many connections this host may have to an upstream, for limitHolds.
+// Surplus ones are closed: idle ones at once, those in use when they are released.
+func (p *Pool) SetLimit(upstream core.UpstreamID, limit int) {
+	p.inbox.TrySend(setLimit{upstream, limit})
+}
+
 func (p *Pool) release(c *Connection) { _ = p.inbox.Send(context.Background(), released{c}) }
 func (p *Pool) connectionClosed(c *Connection) {
 	_ = p.inbox.Send(context.Background(), closedConnection{c})
@@ -203,23 +232,34 @@
 		p.dialed(poolOf(m.target.Upstream), m)
 	case released:
 		u := poolOf(m.connection.upstream)
-		if u.draining || m.connection.single || ctx.Err() != nil {
-			close(m.connection.stop)
+		if u.draining || m.connection.single || ctx.Err() != nil || u.open-u.closing > u.limit {
+			u.close(m.connection)
 			return
 		}
 		u.idle = append(u.idle, m.connection)
+		p.serveWaiting(u)
 	case retire:
 		m.reply <- poolOf(m.connection.upstream).remove(m.connection)
 	case closedConnection:
 		u := poolOf(m.connection.upstream)
 		u.open--
-		if len(u.waiting) > 0 {
-			p.dialNext(u)
-			return
+		if m.connection.closing {
+			u.closing--
 		}
-		if u.open <= 0 && u.draining {
+		p.serveWaiting(u)
+		if u.open <= 0 && u.draining && len(u.waiting) == 0 {
 			delete(pools, m.connection.upstream)
 		}
+	case waitLapsed:
+		u := poolOf(m.upstream)
+		if i := slices.IndexFunc(u.waiting, func(w acquire) bool { return w.reply == m.reply }); i >= 0 {
+			u.waiting = slices.Delete(u.waiting, i, i+1)
+			m.reply <- acquired{err: ErrConnectionLimit}
+		}
+	case setLimit:
+		if u, found := pools[m.upstream]; found {
+			p.applyLimit(u, m.limit)
+		}
 	case drain:
 		for _, id := range m.upstreams {
 			u, found := pools[id]
@@ -228,9 +268,13 @@
 			}
 			u.draining = true
 			for _, connection := range u.idle {
-				close(connection.stop)
+				u.close(connection)
 			}
 			u.idle = nil
+			for _, request := range u.waiting {
+				request.reply <- acquired{err: ErrConnectionLimit}
+			}
+			u.waiting = nil
 			if u.open <= 0 {
 				delete(pools, id)
 			}
@@ -240,29 +284,80 @@
 
 func (p *Pool) acquire(u *upstreamPool, request acquire) {
 	u.draining = false
+	if time.Now().After(u.limitUntil) {
+		u.limit = request.target.MaxConnections
+		p.serveWaiting(u)
+	}
 	if connection := u.takeIdle(&request.target); connection != nil {
 		request.reply <- acquired{connection: connection}
 		return
 	}
-	if u.open < request.target.MaxConnections {
+	if u.open < u.limit {
 		p.setUp(u, request)
 		return
 	}
-	if len(u.idle) == 0 || u.open > request.target.MaxConnections {
+	if len(u.idle) > 0 && u.open == u.limit {
+		// The one that was used least recently makes room.
+		u.closeOldestIdle()
+		u.waiting = append(u.waiting, request)
+		return
+	}
+	if request.target.MaxWait <= 0 {
 		request.reply <- acquired{err: ErrConnectionLimit}
 		return
 	}
-	// The one that was used least recently makes room.
-	close(u.idle[0].stop)
-	u.idle = slices.Delete(u.idle, 0, 1)
 	u.waiting = append(u.waiting, request)
+	lapsed := waitLapsed{request.target.Upstream, request.reply}
+	time.AfterFunc(request.target.MaxWait, func() { _ = p.inbox.Send(context.Background(), lapsed) })
+}
+
+// closeOldestIdle closes the idle connection that was used least recently.
+func (u *upstreamPool) closeOldestIdle() {
+	u.close(u.idle[0])
+	u.idle = slices.Delete(u.idle, 0, 1)
+}
+
+// close tells a connection to close.
+func (u *upstreamPool) close(connection *Connection) {
+	connection.closing = true
+	u.closing++
+	close(connection.stop)
+}
+
+// serveWaiting gives the connections that have become free to the requests that wait,
+// the one that has waited longest first.
+func (p *Pool) serveWaiting(u *upstreamPool) {
+	for len(u.waiting) > 0 {
+		request := u.waiting[0]
+		if request.ctx.Err() != nil {
+			request.reply <- acquired{err: request.ctx.Err()}
+			u.waiting = slices.Delete(u.waiting, 0, 1)
+			continue
+		}
+		connection := u.takeIdle(&request.target)
+		if connection == nil && u.open >= u.limit {
+			if len(u.idle) > 0 && u.closing < len(u.waiting) {
+				// It may not be used for this request, so that another takes its place.
+				u.closeOldestIdle()
+			}
+			return
+		}
+		u.waiting = slices.Delete(u.waiting, 0, 1)
+		if connection == nil {
+			p.setUp(u, request)
+			continue
+		}
+		request.reply <- acquired{connection: connection}
+	}
 }
 
-// dialNext sets up the connection of the request that has waited longest.
-func (p *Pool) dialNext(u *upstreamPool) {
-	request := u.waiting[0]
-	u.waiting = slices.Delete(u.waiting, 0, 1)
-	p.setUp(u, request)
+// applyLimit changes the limit of connections to an upstream.
+func (p *Pool) applyLimit(u *upstreamPool, limit int) {
+	u.limit, u.limitUntil = limit, time.Now().Add(limitHolds)
+	for surplus := u.open - u.closing - limit; surplus > 0 && len(u.idle) > 0; surplus-- {
+		u.closeOldestIdle()
+	}
+	p.serveWaiting(u)
 }
 
 // setUp sets up a connection for a request.
@@ -278,6 +373,7 @@
 	if m.err != nil {
 		u.open--
 		m.request.reply <- acquired{err: m.err}
+		p.serveWaiting(u)
 		return
 	}
 	connection := newConnection(p, m.target.Upstream, m.socket, p.decode)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -166,7 +166,7 @@
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
 		Changed: e.balances.Configure,
 		Serving: func() { e.readiness.markServing() },
-		Forget:  pool.Drain, Dial: pool.Probe, DialThrough: e.probeThrough,
+		Forget:  pool.Drain, LimitConnections: pool.SetLimit, Dial: pool.Probe, DialThrough: e.probeThrough,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
@@ -186,6 +186,12 @@
 	if err = telemetry.RegisterTunnels(e.telemetry.Meter(), totals); err != nil {
 		return nil, err
 	}
+	if err = telemetry.RegisterConnections(e.telemetry.Meter(), func(ctx context.Context) (lent, borrowed int, err error) {
+		totals, err := e.director.ConnectionTotals(ctx)
+		return totals.Lent, totals.Borrowed, err
+	}); err != nil {
+		return nil, err
+	}
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log, Tunnels: e.tunnels.Serve})
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: peerListener.Addr().String(), Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -134,6 +134,20 @@
 	return placement.MaxWait(route.Objective, route.MaxPause, left)
 }
 
+// connectionWaitFraction is the fraction of a route's objective for which a request waits
+// for a connection to one upstream. With the attempts at other upstreams that may follow,
+// at most 0.6 of the objective is spent so.
+const connectionWaitFraction = 0.1
+
+// connectionWait returns how long a request waits for a connection that is released.
+// Requests to engines are placed elsewhere at once.
+func connectionWait(matched *match.Matched) time.Duration {
+	if matched.Service.Engine != nil {
+		return 0
+	}
+	return time.Duration(float64(matched.Route.Objective) * connectionWaitFraction)
+}
+
 // UnreachableError is the error of an attempt for which no connection could be
 // acquired; nothing was sent.
 type UnreachableError struct {
@@ -187,7 +201,7 @@
 		return nil, notSent(placed, matched.Fingerprint)
 	}
 	upstream := placed.Upstream
-	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched.Route))
+	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched))
 	if err != nil {
 		f.observeUnsent(ctx, placed, err)
 		if errors.Is(err, tunnels.ErrNoHelper) {
@@ -220,15 +234,15 @@
 // target returns the upstream process to connect to. While the list is not confirmed, an
 // upstream may have been started again with other software; a stream that may be resumed
 // must not be taken for one of the software that the list names.
-func (f *Filter) target(placed director.Placed, route *gateway.Route) connpool.Target {
+func (f *Filter) target(placed director.Placed, matched *match.Matched) connpool.Target {
 	upstream := placed.Upstream
-	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
+	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections, MaxWait: connectionWait(matched)}
 	if placed.Tunnel && f.Tunnels != nil {
 		target.Tunnel = func(ctx context.Context) (net.Conn, error) {
 			return f.Tunnels.Dial(ctx, tunnels.TargetOf(upstream))
 		}
 	}
-	if placed.ListOutdated && route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
+	if placed.ListOutdated && matched.Route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
 		f.verify(&target, placed)
 	}
 	return target
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -11,6 +11,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
+	"github.com/peridotreel/peridotreel/internal/decide/connshare"
 	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/origin"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
@@ -54,6 +55,9 @@
 	Serving func()
 	// Forget is called with the upstreams that must get no new work.
 	Forget func([]core.UpstreamID)
+	// LimitConnections is called with how many connections this host may have to an
+	// upstream, several times a second while that is not its equal part.
+	LimitConnections func(upstream core.UpstreamID, limit int)
 	// Listed is called with the software versions of the listed upstreams of each
 	// service when the list changes.
 	Listed func(map[core.ServiceName][]string)
@@ -97,6 +101,9 @@
 	limits       *requestlimit.Table
 	notices      *notice.Notices
 	brittle      *brittle.Table
+	connections  *connshare.Table
+	// borrows is true while this host borrows connections from its peers.
+	borrows bool
 	// reach tells which services this host is cut off from.
 	reach *reach.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
@@ -124,7 +131,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), connections: connshare.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -275,6 +282,8 @@
 	defer d.expiry.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
+	connections := time.NewTicker(connectionsInterval)
+	defer connections.Stop()
 	startup := time.NewTimer(savedCrashesWait)
 	defer startup.Stop()
 	for {
@@ -289,6 +298,9 @@
 			d.expireQuarantine()
 			d.forgetLimits()
 			d.forgetBrittle()
+			d.forgetConnections()
+		case <-connections.C:
+			d.announceConnections(d.config.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -314,6 +326,9 @@
 		d.observeReach(ctx, m, now)
 	case reachProbed:
 		d.finishProbe(ctx, m, now)
+	case getConnectionTotals:
+		lent, borrowed := d.connections.Totals(now)
+		m.reply <- ConnectionTotals{lent, borrowed}
 	case admitTunnel:
 		m.reply <- d.admitTunnel(m.request, now)
 	case checkStart:
@@ -355,6 +370,11 @@
 			digest = &m.peer.Quarantine.Digest
 		}
 		state := d.localState(now)
+		if m.peer != nil {
+			state.ConnectionGrants = d.lendConnections(m.peer.ConnectionWants, now)
+		} else {
+			state.ConnectionWants = d.connections.Wants(d.connectionPart, now)
+		}
 		state.Quarantine, state.Limits, state.Brittle = d.quarantine.Report(digest, now), d.limits.Report(now), d.brittle.Report(now)
 		m.reply <- state
 	}
--- a/internal/tasks/director/exchange.go
+++ b/internal/tasks/director/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
+	"github.com/peridotreel/peridotreel/internal/decide/connshare"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
@@ -28,6 +29,11 @@
 	Quarantine quarantine.Report
 	Limits     []requestlimit.Entry
 	Brittle    []brittle.Entry
+	// ConnectionWants are the upstreams to which the peer lacks connections, and
+	// ConnectionGrants what it lends in its reply to a report that was sent at AskedAt.
+	ConnectionWants  []connshare.Want
+	ConnectionGrants []connshare.Grant
+	AskedAt          time.Time
 }
 
 // LocalState is what this host sends to its peers, and what it needs from them.
@@ -41,6 +47,9 @@
 	Quarantine   quarantine.Report
 	Limits       []requestlimit.Entry
 	Brittle      []brittle.Entry
+	// ConnectionWants are for a report to a peer, ConnectionGrants for the reply to one.
+	ConnectionWants  []connshare.Want
+	ConnectionGrants []connshare.Grant
 	// ListSettled is true if the list lacks no upstream because of an outage of the store,
 	// or of this host: the store has answered for as long as entries need to come back.
 	ListSettled bool
@@ -108,6 +117,7 @@
 		d.logLimit(change, "peer "+string(peer.Host))
 	}
 	d.mergeBrittle(peer, now)
+	d.borrowConnections(peer, now)
 }
 
 func (d *Director) lacksConfig(now time.Time) bool {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -130,10 +130,11 @@
 	}
 	d.lastAttempt++
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
+	connections := d.beginConnection(choice.Upstream.ID, request.Service, now)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
 	return Placed{
-		Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service), Repeat: d.quarantine.Repeats(request.Traits),
+		Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: connections, Repeat: d.quarantine.Repeats(request.Traits),
 		ListedAt: d.listConfirmed, ListOutdated: d.lacksUpstreams(now), Tunnel: tunnel,
 	}
 }
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
+	"github.com/peridotreel/peridotreel/internal/decide/connshare"
 	"github.com/peridotreel/peridotreel/internal/decide/hosttable"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
@@ -122,6 +123,8 @@
 	Quarantine    quarantine.Report
 	Limits        []requestlimit.Entry
 	Brittle       []brittle.Entry
+	// Connections are the upstreams to which the calling host lacks connections.
+	Connections []connshare.Want
 	// WantsConfig and WantsServers ask for the configuration and the rows of
 	// upstreams if they are newer than the versions above.
 	WantsConfig  bool
@@ -144,6 +147,8 @@
 	Quarantine  quarantine.Report
 	Limits      []requestlimit.Entry
 	Brittle     []brittle.Entry
+	// Connections are lent to the calling host. Hosts of earlier versions lend none.
+	Connections []connshare.Grant
 }
 
 // New returns the task.
@@ -168,12 +173,12 @@
 func (h *Handler) Exchange(args Args, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle})
+	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle, ConnectionWants: args.Connections})
 	if err != nil {
 		return err
 	}
 	*reply = Reply{
-		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge,
+		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge, Connections: known.ConnectionGrants,
 	}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
@@ -352,6 +357,7 @@
 func (p *Peers) exchange(ctx context.Context, address string, withLists bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	askedAt := p.config.Now()
 	local, err := p.config.Director.Exchange(ctx, nil)
 	if err != nil {
 		return
@@ -361,7 +367,7 @@
 	}
 	args := Args{
 		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle,
-		WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
+		Connections: local.ConnectionWants, WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
 	}
 	if local.Config != nil {
 		args.ConfigVersion = local.Config.Version
@@ -384,7 +390,10 @@
 	if len(reply.Rows) > 0 {
 		p.config.Director.OfferUpstreams(reply.Rows, reply.ListRevision, reply.ListSettled)
 	}
-	p.config.Director.Receive(director.PeerState{Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine, Limits: reply.Limits, Brittle: reply.Brittle})
+	p.config.Director.Receive(director.PeerState{
+		Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine, Limits: reply.Limits, Brittle: reply.Brittle,
+		ConnectionGrants: reply.Connections, AskedAt: askedAt,
+	})
 }
 
 func (p *Peers) callRecall(ctx context.Context, address string, m recallRequest) {
