Gateway: admission at engines by urgency, team and return

Cause: while engines were short, a host refused each request whose expected wait was over half of the caller's patience, whatever its rank, with twice the wait as the return time. Callers that came back were refused again.

Change: decide/room decides on the first placement of a request on an engine once the expected wait is over 0.3 of the longest with which requests are sent. What becomes free, by this host's own ended attempts, goes to the more urgent ranks first; kinds, the largest tenth of a kind and teams that were served too seldom come before others, and teams that had more tokens than the mean get what is left. A caller that returns, known by its time left, goes first. Each refusal books the next free place; the return time is left out if the caller would not come back or not be served then. Retries and requests that may wait for any time are sent as before. New log events room_short and room_enough, new metrics peridotreel_room_*.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -192,6 +192,11 @@
 	}); err != nil {
 		return nil, err
 	}
+	if err = telemetry.RegisterRoom(e.telemetry.Meter(), func(ctx context.Context) (telemetry.RoomTotals, error) {
+		return roomTotals(ctx, e.director)
+	}); err != nil {
+		return nil, err
+	}
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log, Tunnels: e.tunnels.Serve})
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: peerListener.Addr().String(), Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
+	"github.com/peridotreel/peridotreel/internal/decide/room"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
@@ -100,7 +101,9 @@
 	// RetryAfter is when a request may be sent at the earliest, 0 if that is not
 	// known.
 	RetryAfter time.Duration
-	Reason     string
+	// NoReturn is true if the caller would not be served if it returned.
+	NoReturn bool
+	Reason   string
 }
 
 // Error implements error.
@@ -108,7 +111,7 @@
 
 // notSent returns the error for a placement that found no upstream.
 func notSent(placed director.Placed, fingerprint string) *NotSentError {
-	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, Reason: "no upstream is left to try"}
+	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, NoReturn: placed.NoReturn, Reason: "no upstream is left to try"}
 	switch placed.Outcome {
 	case director.Held:
 		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold, fingerprint)
@@ -117,7 +120,7 @@
 	case director.Limited:
 		err.Kind, err.Reason = gateway.Limited, "the upstreams take no further request for now"
 	case director.Saturated:
-		err.Kind, err.Reason = gateway.Overloaded, "the upstreams are saturated: the caller would leave before one starts on the request"
+		err.Kind, err.Reason = gateway.Overloaded, saturatedReasons[placed.Cause]
 	case director.RetryBudgetExhausted:
 		err.Reason = "the retry budget of the service is used up"
 	case director.Found, director.NoUpstream:
@@ -125,6 +128,25 @@
 	return err
 }
 
+// saturatedReasons tell why a request is refused while upstreams are saturated.
+var saturatedReasons = map[room.Cause]string{
+	room.None:       "the upstreams are saturated: the caller would leave before one starts on the request",
+	room.TooLong:    "the upstreams are saturated: the caller would leave before one starts on the request",
+	room.LessUrgent: "the upstreams are saturated: what becomes free goes to more urgent requests",
+	room.OverShare:  "the upstreams are saturated: the team has had more of them lately than other teams",
+}
+
+// callerOf describes the caller of a request.
+func callerOf(matched *match.Matched, now time.Time) director.Caller {
+	caller := director.Caller{
+		Route: matched.Route.Name, Rank: matched.Urgency, Left: matched.Deadline.Sub(now), Arrived: matched.Deadline.Sub(matched.Request.Arrived),
+	}
+	if matched.Team != nil {
+		caller.Team = matched.Team.Name
+	}
+	return caller
+}
+
 // maxWait returns the longest wait for an upstream with which a request is sent,
 // 0 for any.
 func maxWait(route *gateway.Route, left time.Duration) time.Duration {
@@ -185,6 +207,7 @@
 
 // Prepare chooses an upstream for an attempt and acquires a connection to it.
 func (f *Filter) Prepare(ctx context.Context, matched *match.Matched, plan Plan) (*Prepared, error) {
+	now := f.Now()
 	placed, err := f.Director.Place(ctx, director.PlacementRequest{
 		Query: placement.Query{
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
@@ -192,7 +215,8 @@
 		},
 		Traits: matched.Traits, First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 		BeginsResumable: matched.Route.Retry == gateway.StreamResumable && plan.Software == nil,
-		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
+		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(now)),
+		Caller:          callerOf(matched, now),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/opaque/pipeline.go
+++ b/internal/opaque/pipeline.go
@@ -279,6 +279,9 @@
 	if refusal.Kind == gateway.Quarantined {
 		return refusal
 	}
+	if notSent != nil && notSent.NoReturn {
+		refusal.RetryAfter = 0
+	}
 	return r.capRetryAfter(refusal)
 }
 
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -56,6 +56,7 @@
 		return
 	}
 	d.activeConfig = config
+	d.configureRoom(config)
 	d.config.Log.Info("configuration applied", zap.String("event", "config_applied"),
 		zap.Int64("config_version", config.Version), zap.String("source", source),
 		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -19,6 +19,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/reach"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
+	"github.com/peridotreel/peridotreel/internal/decide/room"
 	"github.com/peridotreel/peridotreel/internal/decide/roster"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
@@ -102,6 +103,9 @@
 	notices      *notice.Notices
 	brittle      *brittle.Table
 	connections  *connshare.Table
+	room         *room.Table
+	// roomLogged are the decisions that the latest log line told.
+	roomLogged room.Counts
 	// borrows is true while this host borrows connections from its peers.
 	borrows bool
 	// reach tells which services this host is cut off from.
@@ -131,7 +135,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), connections: connshare.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -301,6 +305,7 @@
 			d.forgetConnections()
 		case <-connections.C:
 			d.announceConnections(d.config.Now())
+			d.tickRoom(d.config.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -322,10 +327,13 @@
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
 		d.observeEnd(m, now)
+		d.observeRoom(m, now)
 		d.observeTraits(ctx, m, now)
 		d.observeReach(ctx, m, now)
 	case reachProbed:
 		d.finishProbe(ctx, m, now)
+	case getRoomTotals:
+		m.reply <- RoomTotals{d.room.Counts(), d.room.State(now)}
 	case getConnectionTotals:
 		lent, borrowed := d.connections.Totals(now)
 		m.reply <- ConnectionTotals{lent, borrowed}
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -8,6 +8,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
+	"github.com/peridotreel/peridotreel/internal/decide/room"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
 
@@ -30,6 +31,7 @@
 	// MaxWait is the longest expected wait with which a request is sent for the
 	// first time, 0 for any. A stream that has begun is resumed in any case.
 	MaxWait time.Duration
+	Caller  Caller
 }
 
 // PlacementOutcome tells whether an attempt may be sent, and why not.
@@ -54,8 +56,8 @@
 	// allow this host no request now, they want none for a time, or they are brittle and
 	// have no room.
 	Limited
-	// Saturated means that the request would wait longer than its MaxWait at the
-	// best upstream.
+	// Saturated means that engines have no room for the request, for the reason that
+	// Placed.Cause tells.
 	Saturated
 )
 
@@ -82,6 +84,9 @@
 	// RetryAfter is when a request may be sent at the earliest if Outcome is Held,
 	// Limited or Saturated, 0 if that is not known.
 	RetryAfter time.Duration
+	// NoReturn is true if the caller would not be served if it returned.
+	NoReturn bool
+	Cause    room.Cause
 }
 
 // Place chooses the upstream for an attempt and adds the attempt to its load.
@@ -118,8 +123,8 @@
 		}
 		return Placed{Outcome: NoUpstream}
 	}
-	if request.MaxWait > 0 && !request.Retry && choice.Wait > request.MaxWait {
-		return Placed{Outcome: Saturated, RetryAfter: saturatedDelay * choice.Wait}
+	if refused, saturated := d.saturated(request, choice, now); saturated {
+		return refused
 	}
 	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
 		return Placed{Outcome: RetryBudgetExhausted}
@@ -130,6 +135,7 @@
 	}
 	d.lastAttempt++
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
+	d.beginRoom(request, now)
 	connections := d.beginConnection(choice.Upstream.ID, request.Service, now)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
