--- a/internal/decide/linkload/linkload.go
+++ b/internal/decide/linkload/linkload.go
@@ -33,7 +33,7 @@
 	// mostly still there when the host returns, and is then served late for the three
 	// seconds that the balancer takes. The time doubles each time that the load is back
 	// within calmTime of the return, up to maxAway.
-	minAway  = 15 * time.Second
+	minAway  = 45 * time.Second
 	maxAway  = 2 * time.Minute
 	calmTime = 30 * time.Second
 )
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
+	"github.com/peridotreel/peridotreel/internal/decide/room"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/opaque/match"
 	"github.com/peridotreel/peridotreel/internal/opaque/screen"
@@ -100,7 +101,11 @@
 	// RetryAfter is when a request may be sent at the earliest, 0 if that is not
 	// known.
 	RetryAfter time.Duration
-	Reason     string
+	// NoReturn is true if the caller would not be served if it returned.
+	NoReturn bool
+	// Booked is true if RetryAfter differs by caller, and an earlier retry is refused.
+	Booked bool
+	Reason string
 }
 
 // Error implements error.
@@ -108,16 +113,18 @@
 
 // notSent returns the error for a placement that found no upstream.
 func notSent(placed director.Placed, fingerprint string) *NotSentError {
-	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, Reason: "no upstream is left to try"}
+	err := &NotSentError{Kind: gateway.NoUpstream, RetryAfter: placed.RetryAfter, NoReturn: placed.NoReturn, Reason: "no upstream is left to try"}
 	switch placed.Outcome {
 	case director.Held:
 		err.Kind, err.Reason = gateway.Quarantined, screen.Reason(placed.Hold, fingerprint)
 	case director.Suspected:
 		err.Kind, err.Reason = gateway.UpstreamBroke, "the request, or a part of its prompt, was in flight at several crashes of upstreams"
 	case director.Limited:
+		err.Booked = placed.RetryAfter > 0
 		err.Kind, err.Reason = gateway.Limited, "the upstreams take no further request for now"
 	case director.Saturated:
-		err.Kind, err.Reason = gateway.Overloaded, "the upstreams are saturated: the caller would leave before one starts on the request"
+		err.Booked = placed.Cause != room.None
+		err.Kind, err.Reason = gateway.Overloaded, saturatedReasons[placed.Cause]
 	case director.RetryBudgetExhausted:
 		err.Reason = "the retry budget of the service is used up"
 	case director.Found, director.NoUpstream:
@@ -125,6 +132,25 @@
 	return err
 }
 
+// saturatedReasons tell why a request is refused while upstreams are saturated.
+var saturatedReasons = map[room.Cause]string{
+	room.None:       "the upstreams are saturated: the caller would leave before one starts on the request",
+	room.TooLong:    "the upstreams are saturated: the caller would leave before one starts on the request",
+	room.LessUrgent: "the upstreams are saturated: what becomes free goes to more urgent requests",
+	room.OverShare:  "the upstreams are saturated: the team has had more of them lately than other teams",
+}
+
+// callerOf describes the caller of a request.
+func callerOf(matched *match.Matched, now time.Time) director.Caller {
+	caller := director.Caller{
+		Route: matched.Route.Name, Rank: matched.Urgency, Left: matched.Deadline.Sub(now), Arrived: matched.Deadline.Sub(matched.Request.Arrived),
+	}
+	if matched.Team != nil {
+		caller.Team = matched.Team.Name
+	}
+	return caller
+}
+
 // maxWait returns the longest wait for an upstream with which a request is sent,
 // 0 for any.
 func maxWait(route *gateway.Route, left time.Duration) time.Duration {
@@ -134,6 +160,20 @@
 	return placement.MaxWait(route.Objective, route.MaxPause, left)
 }
 
+// connectionWaitFraction is the fraction of a route's objective for which a request waits
+// for a connection to one upstream. With the attempts at other upstreams that may follow,
+// at most 0.6 of the objective is spent so.
+const connectionWaitFraction = 0.1
+
+// connectionWait returns how long a request waits for a connection that is released.
+// Requests to engines are placed elsewhere at once.
+func connectionWait(matched *match.Matched) time.Duration {
+	if matched.Service.Engine != nil {
+		return 0
+	}
+	return time.Duration(float64(matched.Route.Objective) * connectionWaitFraction)
+}
+
 // UnreachableError is the error of an attempt for which no connection could be
 // acquired; nothing was sent.
 type UnreachableError struct {
@@ -171,6 +211,7 @@
 
 // Prepare chooses an upstream for an attempt and acquires a connection to it.
 func (f *Filter) Prepare(ctx context.Context, matched *match.Matched, plan Plan) (*Prepared, error) {
+	now := f.Now()
 	placed, err := f.Director.Place(ctx, director.PlacementRequest{
 		Query: placement.Query{
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
@@ -178,7 +219,8 @@
 		},
 		Traits: matched.Traits, First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 		BeginsResumable: matched.Route.Retry == gateway.StreamResumable && plan.Software == nil,
-		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
+		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(now)),
+		Caller:          callerOf(matched, now),
 	})
 	if err != nil {
 		return nil, err
@@ -187,7 +229,7 @@
 		return nil, notSent(placed, matched.Fingerprint)
 	}
 	upstream := placed.Upstream
-	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched.Route))
+	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched))
 	if err != nil {
 		f.observeUnsent(ctx, placed, err)
 		if errors.Is(err, tunnels.ErrNoHelper) {
@@ -220,15 +262,15 @@
 // target returns the upstream process to connect to. While the list is not confirmed, an
 // upstream may have been started again with other software; a stream that may be resumed
 // must not be taken for one of the software that the list names.
-func (f *Filter) target(placed director.Placed, route *gateway.Route) connpool.Target {
+func (f *Filter) target(placed director.Placed, matched *match.Matched) connpool.Target {
 	upstream := placed.Upstream
-	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
+	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections, MaxWait: connectionWait(matched)}
 	if placed.Tunnel && f.Tunnels != nil {
 		target.Tunnel = func(ctx context.Context) (net.Conn, error) {
 			return f.Tunnels.Dial(ctx, tunnels.TargetOf(upstream))
 		}
 	}
-	if placed.ListOutdated && route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
+	if placed.ListOutdated && matched.Route.Retry == gateway.StreamResumable && upstream.StartMillis != 0 {
 		f.verify(&target, placed)
 	}
 	return target
