gateway: an operator evacuates a zone

Cause: an operator who takes a zone out of service had to have each of its upstreams leave; hosts that the store turns away went on sending there.

Change: the row `evacuate/ZONE` of table `op` evacuates a zone. The director applies it before the configuration of the same read, hosts tell each other in their load exchange, and candidates of a choice leave out evacuated zones. Attempts that were placed before ask again once they have a connection. Tunnels, checks of starts and probes leave evacuated zones out. New refusal `evacuated`, events `zone_evacuated`, `zone_restored`, `evacuation_malformed`, two gauges.

Result: tests of the director, peers, placement, telemetry, and of two hosts with a store pass. Without a test of its own is the check as an attempt beside a silent one is sent.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -112,17 +112,23 @@
 // rebuildIndex groups the upstreams by service.
 func (b *LoadBalancer) rebuildIndex() {
 	clear(b.byService)
+	clear(b.candidatesByService)
 	for _, u := range b.upstreams {
 		b.byService[u.upstream.Service] = append(b.byService[u.upstream.Service], u)
 	}
-	for _, list := range b.byService {
+	for service, list := range b.byService {
 		slices.SortFunc(list, func(first, second *upstreamState) int { return cmp.Compare(first.upstream.ID, second.upstream.ID) })
+		for _, u := range list {
+			if !slices.Contains(b.evacuated, u.upstream.Zone) {
+				b.candidatesByService[service] = append(b.candidatesByService[service], u)
+			}
+		}
 	}
 }
 
 func (b *LoadBalancer) candidates(query Query) []*upstreamState {
 	var list []*upstreamState
-	for _, u := range b.byService[query.Service] {
+	for _, u := range b.candidatesByService[query.Service] {
 		if query.Software != nil && u.upstream.Software != *query.Software {
 			continue
 		}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -16,8 +16,12 @@
 	upstreams map[core.UpstreamID]*upstreamState
 	// byService lists the upstreams of each service, sorted by id.
 	byService map[core.ServiceName][]*upstreamState
-	peers     map[core.HostID]peerReport
-	caches    *cacheTracker
+	// candidatesByService are those of byService that are not in an evacuated zone. They
+	// are listed apart, so that evacuations add nothing to the cost of a choice.
+	candidatesByService map[core.ServiceName][]*upstreamState
+	evacuated           []core.ZoneName
+	peers               map[core.HostID]peerReport
+	caches              *cacheTracker
 }
 
 // upstreamState is the state kept for one upstream.
@@ -65,7 +69,8 @@
 func NewLoadBalancer(zone core.ZoneName) *LoadBalancer {
 	return &LoadBalancer{
 		zone: zone, upstreams: make(map[core.UpstreamID]*upstreamState), byService: make(map[core.ServiceName][]*upstreamState),
-		peers: make(map[core.HostID]peerReport), caches: newCacheTracker(),
+		candidatesByService: make(map[core.ServiceName][]*upstreamState),
+		peers:               make(map[core.HostID]peerReport), caches: newCacheTracker(),
 	}
 }
 
@@ -102,6 +107,12 @@
 	return retired
 }
 
+// SetEvacuated sets the zones whose upstreams are not chosen.
+func (b *LoadBalancer) SetEvacuated(zones []core.ZoneName) {
+	b.evacuated = zones
+	b.rebuildIndex()
+}
+
 // SetPeerLoads stores a peer's load report and drops reports that are too old.
 func (b *LoadBalancer) SetPeerLoads(host core.HostID, loads []PeerLoad, now time.Time) {
 	report := peerReport{at: now, loads: make(map[core.UpstreamID]PeerLoad, len(loads))}
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -63,6 +63,24 @@
 	})
 }
 
+// Guards against requests to the upstreams of an evacuated zone, and against forgetting what
+// is known of them until they are restored.
+func TestUpstreamsOfEvacuatedZonesAreNotChosen(t *testing.T) {
+	Convey("Given an upstream in each of two zones, of which the first is busy", t, func() {
+		balancer := balancerWith("a", "b")
+		balancer.Begin("u0", 1, nil, now)
+		balancer.SetEvacuated([]core.ZoneName{"a"})
+		So(choose(balancer, Query{}, now), ShouldEqual, "u1")
+		_, found := balancer.Choose(Query{Service: "s", Excluded: []core.UpstreamID{"u1"}}, now)
+		So(found, ShouldBeFalse)
+		Convey("restored ones are chosen again", func() {
+			balancer.SetEvacuated(nil)
+			So(choose(balancer, Query{Excluded: []core.UpstreamID{"u1"}}, now), ShouldEqual, "u0")
+			So(balancer.OwnLoads(), ShouldHaveLength, 1)
+		})
+	})
+}
+
 // Guards against processing the same shared prompt part at many upstreams, and
 // against sending all requests to one upstream while others are idle.
 func TestChooseForSharedPromptParts(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,9 +80,11 @@
 	VerifyStart    attempt.VerifyStart
 	DecodeConfig   func(raw []byte) (*gateway.Config, error)
 	DecodeUpstream func(id string, raw []byte) (gateway.Upstream, error)
-	ConfigTable    string
-	ConfigKey      string
-	UpstreamTable  string
+	// DecodeEvacuation is director.Config.DecodeEvacuation.
+	DecodeEvacuation func(row rowstore.Row) (zone core.ZoneName, matches bool, err error)
+	ConfigTable      string
+	ConfigKey        string
+	UpstreamTable    string
 	// ReadyPath is the path of the balancer's readiness checks.
 	ReadyPath string
 }
@@ -162,14 +164,18 @@
 	e.director = director.New(director.Config{
 		Host: s.Host, Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
-		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
-		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
+		DecodeEvacuation: options.Platform.DecodeEvacuation,
+		RetryBound:       retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
+		Hosts:            initialHostCount, Log: options.Log, Now: options.Now,
 		Changed: e.balances.Configure,
 		Serving: func() { e.readiness.markServing() },
 		Forget:  pool.Drain, Dial: pool.Probe, DialThrough: e.probeThrough,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
+	if err = telemetry.RegisterEvacuations(e.telemetry.Meter(), e.evacuationTotals); err != nil {
+		return nil, err
+	}
 	client := peerrpc.NewClient(peerrpc.ClientConfig{})
 	e.origins = origins.New(origins.Config{
 		Host: s.Host, Store: options.Platform.Store, Caller: client, Log: options.Log, Now: options.Now,
@@ -235,6 +241,12 @@
 // away reports whether callers are to move to other hosts.
 func (e *Edge) away() bool { return e.load.Away() || e.director.Away() }
 
+// evacuationTotals returns the counts for the metrics.
+func (e *Edge) evacuationTotals(ctx context.Context) (telemetry.EvacuationTotals, error) {
+	totals, err := e.director.EvacuationTotals(ctx)
+	return telemetry.EvacuationTotals(totals), err
+}
+
 // CallersAddress returns the address on which the host listens for callers.
 func (e *Edge) CallersAddress() string { return e.callers.Addr().String() }
 
--- a/internal/edge/tunnels.go
+++ b/internal/edge/tunnels.go
@@ -31,7 +31,7 @@
 	case director.TunnelCutOff:
 		return "", tunnel.Answer{Status: tunnel.CutOff, Reason: "this host does not reach the service itself"}
 	case director.TunnelNotNow:
-		return "", tunnel.Answer{Status: tunnel.NotNow, Wait: admission.RetryAfter, Reason: "the upstream leaves, or wants no requests for a time"}
+		return "", tunnel.Answer{Status: tunnel.NotNow, Wait: admission.RetryAfter, Reason: "the upstream leaves, wants no requests for a time, or is in an evacuated zone"}
 	default:
 		return "", tunnel.Answer{Status: tunnel.UnknownUpstream, Reason: "this host lists no such start of the upstream"}
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -24,6 +24,9 @@
 	// CutOff refuses requests to a service of which the host reaches no upstream, neither
 	// itself nor through another host.
 	CutOff RefusalKind = "cut_off"
+	// Evacuated refuses requests to a service of which all upstreams are in evacuated
+	// zones.
+	Evacuated RefusalKind = "evacuated"
 	// UnknownOrigin refuses to resume a stream of which it is not known at which
 	// software it began.
 	UnknownOrigin RefusalKind = "unknown_origin"
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -30,6 +30,7 @@
 	Observe(observation director.Observation)
 	CheckStart(ctx context.Context, upstream core.UpstreamID, startMillis int64) (bool, error)
 	LaterStartLeaves(upstream core.UpstreamID, startMillis int64)
+	Evacuated(zone core.ZoneName) bool
 }
 
 // Connections provides connections to upstreams.
@@ -44,6 +45,9 @@
 // ErrOtherStart means that another process than the listed one has an upstream's address.
 var ErrOtherStart = errors.New("the upstream was started again since its entry was written; wait for its new entry")
 
+// errEvacuated means that an upstream's zone was evacuated before it was asked.
+var errEvacuated = errors.New("the zone of the upstream is evacuated; choose another zone")
+
 // VerifyStart asks an upstream over a new connection when it was started, and returns an
 // error unless that is the given time, in Unix milliseconds: ErrOtherStart if it is another.
 type VerifyStart func(ctx context.Context, socket net.Conn, startMillis int64) error
@@ -116,6 +120,8 @@
 		err.Kind, err.Reason = gateway.UpstreamBroke, "the request, or a part of its prompt, was in flight at several crashes of upstreams"
 	case director.Limited:
 		err.Kind, err.Reason = gateway.Limited, "the upstreams take no further request for now"
+	case director.Evacuated:
+		err.Kind, err.Reason = gateway.Evacuated, "all its upstreams are in zones that an operator has evacuated"
 	case director.Saturated:
 		err.Kind, err.Reason = gateway.Overloaded, "the upstreams are saturated: the caller would leave before one starts on the request"
 	case director.RetryBudgetExhausted:
@@ -169,8 +175,20 @@
 	return prepared.Send(ctx), nil
 }
 
-// Prepare chooses an upstream for an attempt and acquires a connection to it.
+// Prepare chooses an upstream for an attempt and acquires a connection to it. It chooses
+// another if the upstream's zone is evacuated meanwhile.
 func (f *Filter) Prepare(ctx context.Context, matched *match.Matched, plan Plan) (*Prepared, error) {
+	for {
+		prepared, err := f.prepare(ctx, matched, plan)
+		if err != nil || !prepared.Evacuated() {
+			return prepared, err
+		}
+		prepared.Cancel()
+		plan.First = false
+	}
+}
+
+func (f *Filter) prepare(ctx context.Context, matched *match.Matched, plan Plan) (*Prepared, error) {
 	placed, err := f.Director.Place(ctx, director.PlacementRequest{
 		Query: placement.Query{
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
@@ -238,6 +256,9 @@
 func (f *Filter) verify(target *connpool.Target, placed director.Placed) {
 	target.ListedAt = placed.ListedAt
 	target.Verify = func(ctx context.Context, socket net.Conn) error {
+		if f.Director.Evacuated(placed.Upstream.Zone) {
+			return errEvacuated
+		}
 		return f.VerifyStart(ctx, socket, placed.Upstream.StartMillis)
 	}
 }
@@ -261,7 +282,7 @@
 	}
 	target := connpool.Target{Upstream: upstream.ID, Address: upstream.Address, MaxConnections: placed.MaxConnections}
 	f.verify(&target, placed)
-	for {
+	for !f.Director.Evacuated(upstream.Zone) {
 		connection, _, err := f.Connections.Acquire(ctx, target)
 		switch {
 		case err == nil:
@@ -277,6 +298,10 @@
 	}
 }
 
+// Evacuated reports whether the upstream's zone is evacuated, so that the attempt must not
+// be sent any more.
+func (p *Prepared) Evacuated() bool { return p.filter.Director.Evacuated(p.Placed.Upstream.Zone) }
+
 // Send sends the attempt. ctx ends it.
 func (p *Prepared) Send(ctx context.Context) *Sent {
 	matched := p.matched
--- a/internal/opaque/flight.go
+++ b/internal/opaque/flight.go
@@ -238,6 +238,11 @@
 		return
 	case !newest.Stalled() || !f.mayAdd():
 		result.prepared.Cancel()
+	case result.prepared.Evacuated():
+		// Writing to the caller may have taken seconds since the preparation.
+		result.prepared.Cancel()
+		f.setSilence(f.request.pipeline.Now())
+		return
 	default:
 		f.add(result.prepared.Send(ctx), result.startedAt)
 	}
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -17,6 +17,8 @@
 func (d *Director) applyUpdate(update follower.Update) {
 	switch update.Table {
 	case d.config.ConfigTable:
+		// Before the configuration, with which a host that starts begins to serve.
+		d.applyEvacuationRows(update)
 		for _, row := range update.Rows {
 			if row.Key == d.config.ConfigKey && !row.Deleted {
 				d.applyConfigRow(row)
@@ -170,7 +172,9 @@
 	listed := d.listedSoftware()
 	d.confirmed.Listed(listed, d.config.Now())
 	d.config.Listed(listed)
-	if retired := d.balancer.SetUpstreams(d.roster.Upstreams()); len(retired) > 0 {
+	upstreams := d.roster.Upstreams()
+	d.evacuations.SetUpstreams(upstreams)
+	if retired := d.balancer.SetUpstreams(upstreams); len(retired) > 0 {
 		d.config.Forget(retired)
 	}
 }
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -40,7 +40,11 @@
 	ConfigTable   string
 	ConfigKey     string
 	UpstreamTable string
-	RetryBound    retrybudget.Bound
+	// DecodeEvacuation returns the zone of a row of ConfigTable, and whether the row is one
+	// that evacuates a zone. The zone is empty if an error leaves it unknown. nil leaves
+	// the host without evacuations.
+	DecodeEvacuation func(row rowstore.Row) (zone core.ZoneName, matches bool, err error)
+	RetryBound       retrybudget.Bound
 	// Hosts is the number of hosts assumed to share the retry budget until the
 	// peers are known.
 	Hosts int
@@ -104,6 +108,7 @@
 	quarantine *quarantine.Registry
 	// crashChecks are the checks in progress whether an upstream has crashed.
 	crashChecks map[core.UpstreamID]*crashCheck
+	evacuations evacuations
 	// members are the hosts of the fleet, in no particular order.
 	members     []string
 	lastAttempt uint64
@@ -125,7 +130,8 @@
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
 		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
-		startup: startup{began: config.Now()},
+		evacuations: newEvacuations(),
+		startup:     startup{began: config.Now()},
 	}
 }
 
@@ -273,6 +279,7 @@
 	defer d.inbox.Close()
 	d.expiry = time.NewTimer(time.Hour)
 	defer d.expiry.Stop()
+	defer d.evacuations.expiry.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
 	startup := time.NewTimer(savedCrashesWait)
@@ -285,10 +292,13 @@
 			d.announceServing(d.config.Now())
 		case <-d.expiry.C:
 			d.expireLapsed()
+		case <-d.evacuations.expiry.C:
+			d.expireEvacuations()
 		case <-forget.C:
 			d.expireQuarantine()
 			d.forgetLimits()
 			d.forgetBrittle()
+			d.expireEvacuations()
 		case <-ctx.Done():
 			return
 		}
@@ -317,7 +327,8 @@
 	case admitTunnel:
 		m.reply <- d.admitTunnel(m.request, now)
 	case checkStart:
-		m.reply <- d.notices.CheckStart(m.upstream, m.startMillis, now)
+		zone, _ := d.zoneOf(m.upstream)
+		m.reply <- !d.evacuations.Evacuated(zone) && d.notices.CheckStart(m.upstream, m.startMillis, now)
 	case laterStartLeaves:
 		d.observeLaterStart(m, now)
 	case crashChecked:
@@ -342,6 +353,10 @@
 		}
 		d.peerConfigVersion = max(d.peerConfigVersion, m.version)
 		d.confirmConfig(m.version, now.Add(-m.age))
+	case offeredEvacuations:
+		d.mergeEvacuations(m.report, m.host, now)
+	case evacuationTotals:
+		m.reply <- d.countEvacuations()
 	case offeredUpstreams:
 		d.applyPeerUpstreams(m, now)
 	case hostList:
@@ -355,6 +370,7 @@
 			digest = &m.peer.Quarantine.Digest
 		}
 		state := d.localState(now)
+		state.Evacuations = d.evacuations.Report(now)
 		state.Quarantine, state.Limits, state.Brittle = d.quarantine.Report(digest, now), d.limits.Report(now), d.brittle.Report(now)
 		m.reply <- state
 	}
--- a/internal/tasks/director/exchange.go
+++ b/internal/tasks/director/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
+	"github.com/peridotreel/peridotreel/internal/decide/evacuation"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
@@ -28,6 +29,8 @@
 	Quarantine quarantine.Report
 	Limits     []requestlimit.Entry
 	Brittle    []brittle.Entry
+	// Evacuations are zero if they were passed on before, by OfferEvacuations.
+	Evacuations evacuation.Report
 }
 
 // LocalState is what this host sends to its peers, and what it needs from them.
@@ -41,6 +44,7 @@
 	Quarantine   quarantine.Report
 	Limits       []requestlimit.Entry
 	Brittle      []brittle.Entry
+	Evacuations  evacuation.Report
 	// ListSettled is true if the list lacks no upstream because of an outage of the store,
 	// or of this host: the store has answered for as long as entries need to come back.
 	ListSettled bool
@@ -96,6 +100,7 @@
 }
 
 func (d *Director) receive(peer PeerState, now time.Time) {
+	d.mergeEvacuations(peer.Evacuations, peer.Host, now)
 	d.balancer.SetPeerLoads(peer.Host, peer.Loads, now)
 	before := d.quarantine.Holds()
 	if d.quarantine.Merge(peer.Quarantine, now) {
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -107,7 +107,7 @@
 	limited := false
 	var earliest time.Duration
 	for _, upstream := range d.roster.Upstreams() {
-		if upstream.Service != query.Service || upstream.Leaving || slices.Contains(query.Excluded, upstream.ID) {
+		if upstream.Service != query.Service || upstream.Leaving || slices.Contains(query.Excluded, upstream.ID) || d.evacuations.Evacuated(upstream.Zone) {
 			continue
 		}
 		if query.Software != nil && upstream.Software != *query.Software {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -57,6 +57,8 @@
 	// Saturated means that the request would wait longer than its MaxWait at the
 	// best upstream.
 	Saturated
+	// Evacuated means that all upstreams of the service are in evacuated zones.
+	Evacuated
 )
 
 // Placed is the answer to a PlacementRequest.
@@ -80,7 +82,7 @@
 	// Hold is set if Outcome is Held.
 	Hold quarantine.Hold
 	// RetryAfter is when a request may be sent at the earliest if Outcome is Held,
-	// Limited or Saturated, 0 if that is not known.
+	// Limited, Saturated or Evacuated, 0 if that is not known.
 	RetryAfter time.Duration
 }
 
@@ -106,6 +108,9 @@
 	if request.ClosedEarly && d.quarantine.Suspects(request.Traits, request.Excluded) {
 		return Placed{Outcome: Suspected}
 	}
+	if d.evacuations.AllEvacuated(request.Service) {
+		return d.refuseEvacuated()
+	}
 	request.Usable = func(id core.UpstreamID) bool {
 		wait, usable := d.wait(id, now)
 		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
--- a/internal/tasks/director/reach.go
+++ b/internal/tasks/director/reach.go
@@ -24,12 +24,12 @@
 	err      error
 }
 
-// usable returns the upstreams of a service that are listed and not leaving, in random
-// order.
+// usable returns the upstreams of a service that are listed, not leaving and not in
+// evacuated zones, in random order.
 func (d *Director) usable(service core.ServiceName) []core.UpstreamID {
 	var ids []core.UpstreamID
 	for _, upstream := range d.roster.Upstreams() {
-		if upstream.Service == service && !upstream.Leaving {
+		if upstream.Service == service && !upstream.Leaving && !d.evacuations.Evacuated(upstream.Zone) {
 			ids = append(ids, upstream.ID)
 		}
 	}
@@ -159,7 +159,8 @@
 	TunnelAllowed TunnelVerdict = iota + 1
 	// TunnelUnknown means that no such upstream is listed.
 	TunnelUnknown
-	// TunnelNotNow means that the upstream leaves, or wants nothing for a time.
+	// TunnelNotNow means that the upstream leaves, wants nothing for a time, or is in an
+	// evacuated zone.
 	TunnelNotNow
 	// TunnelCutOff means that this host does not reach the service itself.
 	TunnelCutOff
@@ -200,7 +201,7 @@
 	if d.reach.CutOff(upstream.Service, now) {
 		return TunnelAdmission{Verdict: TunnelCutOff}
 	}
-	if upstream.Leaving || d.notices.Leaving(upstream) {
+	if upstream.Leaving || d.notices.Leaving(upstream) || d.evacuations.Evacuated(upstream.Zone) {
 		return TunnelAdmission{Verdict: TunnelNotNow}
 	}
 	if wait := d.notices.Wait(upstream, now); wait > 0 {
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
+	"github.com/peridotreel/peridotreel/internal/decide/evacuation"
 	"github.com/peridotreel/peridotreel/internal/decide/hosttable"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
@@ -53,6 +54,7 @@
 type Director interface {
 	Exchange(ctx context.Context, peer *director.PeerState) (director.LocalState, error)
 	Receive(peer director.PeerState)
+	OfferEvacuations(report evacuation.Report, host core.HostID)
 	OfferConfig(version int64, config *gateway.Config, age time.Duration, source string)
 	OfferUpstreams(rows []rowstore.Row, revision core.Revision, settled bool)
 }
@@ -122,6 +124,8 @@
 	Quarantine    quarantine.Report
 	Limits        []requestlimit.Entry
 	Brittle       []brittle.Entry
+	// Evacuations are zero from hosts of earlier versions.
+	Evacuations evacuation.Report
 	// WantsConfig and WantsServers ask for the configuration and the rows of
 	// upstreams if they are newer than the versions above.
 	WantsConfig  bool
@@ -144,6 +148,7 @@
 	Quarantine  quarantine.Report
 	Limits      []requestlimit.Entry
 	Brittle     []brittle.Entry
+	Evacuations evacuation.Report
 }
 
 // New returns the task.
@@ -168,12 +173,12 @@
 func (h *Handler) Exchange(args Args, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle})
+	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle, Evacuations: args.Evacuations})
 	if err != nil {
 		return err
 	}
 	*reply = Reply{
-		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge,
+		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, Evacuations: known.Evacuations, ConfigAge: known.ConfigAge,
 	}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
@@ -360,7 +365,7 @@
 		local.LacksConfig, local.LacksUpstreams = false, false
 	}
 	args := Args{
-		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle,
+		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle, Evacuations: local.Evacuations,
 		WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
 	}
 	if local.Config != nil {
@@ -380,6 +385,7 @@
 				zap.String("peer", string(reply.Host)), zap.Error(err))
 		}
 	}
+	p.config.Director.OfferEvacuations(reply.Evacuations, reply.Host)
 	p.config.Director.OfferConfig(reply.ConfigVersion, newer, reply.ConfigAge, "peer "+string(reply.Host))
 	if len(reply.Rows) > 0 {
 		p.config.Director.OfferUpstreams(reply.Rows, reply.ListRevision, reply.ListSettled)
--- a/internal/tasks/peers/peers_test.go
+++ b/internal/tasks/peers/peers_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/evacuation"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/rowstore"
 	"github.com/peridotreel/peridotreel/internal/tasks/director"
@@ -25,6 +26,8 @@
 
 func (fixedDirector) Receive(director.PeerState) {}
 
+func (fixedDirector) OfferEvacuations(evacuation.Report, core.HostID) {}
+
 func (fixedDirector) OfferConfig(int64, *gateway.Config, time.Duration, string) {}
 
 func (fixedDirector) OfferUpstreams([]rowstore.Row, core.Revision, bool) {}
@@ -54,3 +57,43 @@
 		So(same.Rows, ShouldBeNil)
 	})
 }
+
+// recordingDirector records what it is told of peers, in order.
+type recordingDirector struct {
+	fixedDirector
+	calls *[]string
+}
+
+func (d recordingDirector) Exchange(_ context.Context, peer *director.PeerState) (director.LocalState, error) {
+	if peer != nil {
+		*d.calls = append(*d.calls, "called at "+peer.Evacuations.Revision.String())
+	}
+	return director.LocalState{LacksConfig: true, Evacuations: evacuation.Report{Revision: core.Revision{Era: 1, Number: 9}}}, nil
+}
+
+func (d recordingDirector) OfferEvacuations(report evacuation.Report, _ core.HostID) {
+	*d.calls = append(*d.calls, "evacuations at "+report.Revision.String())
+}
+
+func (d recordingDirector) OfferConfig(int64, *gateway.Config, time.Duration, string) {
+	*d.calls = append(*d.calls, "configuration")
+}
+
+// handlerCaller passes calls to a peer's handler.
+type handlerCaller struct{ handler *Handler }
+
+func (c handlerCaller) Call(_ context.Context, _ core.Peer, _ string, args, reply any) error {
+	return c.handler.Exchange(args.(Args), reply.(*Reply))
+}
+
+// Guards against evacuations that pass in one direction only, and against a host that begins
+// to serve with a peer's configuration before it knows of the evacuations in the same reply.
+func TestBothHostsOfACallTellTheirEvacuations(t *testing.T) {
+	Convey("Given a call of a peer", t, func() {
+		var calls []string
+		task := New(Config{Director: recordingDirector{calls: &calls}, Now: time.Now})
+		task.config.Caller = handlerCaller{&Handler{task}}
+		task.exchange(t.Context(), "127.0.0.1:9", true)
+		So(calls, ShouldResemble, []string{"called at 1.9", "evacuations at 1.9", "configuration"})
+	})
+}
