--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -42,7 +42,11 @@
 	ConfigTable   string
 	ConfigKey     string
 	UpstreamTable string
-	RetryBound    retrybudget.Bound
+	// DecodeEvacuation returns the zone of a row of ConfigTable, and whether the row is one
+	// that evacuates a zone. The zone is empty if an error leaves it unknown. nil leaves
+	// the host without evacuations.
+	DecodeEvacuation func(row rowstore.Row) (zone core.ZoneName, matches bool, err error)
+	RetryBound       retrybudget.Bound
 	// Hosts is the number of hosts assumed to share the retry budget until the
 	// peers are known.
 	Hosts int
@@ -118,6 +122,7 @@
 	quarantine *quarantine.Registry
 	// crashChecks are the checks in progress whether an upstream has crashed.
 	crashChecks map[core.UpstreamID]*crashCheck
+	evacuations evacuations
 	// members are the hosts of the fleet, in no particular order.
 	members     []string
 	lastAttempt uint64
@@ -139,7 +144,8 @@
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
 		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
-		startup: startup{began: config.Now()},
+		evacuations: newEvacuations(),
+		startup:     startup{began: config.Now()},
 	}
 }
 
@@ -287,6 +293,7 @@
 	defer d.inbox.Close()
 	d.expiry = time.NewTimer(time.Hour)
 	defer d.expiry.Stop()
+	defer d.evacuations.expiry.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
 	connections := time.NewTicker(connectionsInterval)
@@ -301,6 +308,8 @@
 			d.announceServing(d.config.Now())
 		case <-d.expiry.C:
 			d.expireLapsed()
+		case <-d.evacuations.expiry.C:
+			d.expireEvacuations()
 		case <-forget.C:
 			d.expireQuarantine()
 			d.forgetLimits()
@@ -309,6 +318,7 @@
 		case <-connections.C:
 			d.announceConnections(d.config.Now())
 			d.tickRoom(d.config.Now())
+			d.expireEvacuations()
 		case <-ctx.Done():
 			return
 		}
@@ -343,7 +353,8 @@
 	case admitTunnel:
 		m.reply <- d.admitTunnel(m.request, now)
 	case checkStart:
-		m.reply <- d.notices.CheckStart(m.upstream, m.startMillis, now)
+		zone, _ := d.zoneOf(m.upstream)
+		m.reply <- !d.evacuations.Evacuated(zone) && d.notices.CheckStart(m.upstream, m.startMillis, now)
 	case laterStartLeaves:
 		d.observeLaterStart(m, now)
 	case crashChecked:
@@ -368,6 +379,10 @@
 		}
 		d.peerConfigVersion = max(d.peerConfigVersion, m.version)
 		d.confirmConfig(m.version, now.Add(-m.age))
+	case offeredEvacuations:
+		d.mergeEvacuations(m.report, m.host, now)
+	case evacuationTotals:
+		m.reply <- d.countEvacuations()
 	case offeredUpstreams:
 		d.applyPeerUpstreams(m, now)
 	case hostList:
@@ -386,6 +401,7 @@
 		} else {
 			state.ConnectionWants = d.connections.Wants(d.connectionPart, now)
 		}
+		state.Evacuations = d.evacuations.Report(now)
 		state.Quarantine, state.Limits, state.Brittle = d.quarantine.Report(digest, now), d.limits.Report(now), d.brittle.Report(now)
 		m.reply <- state
 	}
--- a/internal/tasks/director/exchange.go
+++ b/internal/tasks/director/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
 	"github.com/peridotreel/peridotreel/internal/decide/connshare"
+	"github.com/peridotreel/peridotreel/internal/decide/evacuation"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
@@ -34,6 +35,8 @@
 	ConnectionWants  []connshare.Want
 	ConnectionGrants []connshare.Grant
 	AskedAt          time.Time
+	// Evacuations are zero if they were passed on before, by OfferEvacuations.
+	Evacuations evacuation.Report
 }
 
 // LocalState is what this host sends to its peers, and what it needs from them.
@@ -50,6 +53,7 @@
 	// ConnectionWants are for a report to a peer, ConnectionGrants for the reply to one.
 	ConnectionWants  []connshare.Want
 	ConnectionGrants []connshare.Grant
+	Evacuations      evacuation.Report
 	// ListSettled is true if the list lacks no upstream because of an outage of the store,
 	// or of this host: the store has answered for as long as entries need to come back.
 	ListSettled bool
@@ -105,6 +109,7 @@
 }
 
 func (d *Director) receive(peer PeerState, now time.Time) {
+	d.mergeEvacuations(peer.Evacuations, peer.Host, now)
 	d.balancer.SetPeerLoads(peer.Host, peer.Loads, now)
 	before := d.quarantine.Holds()
 	if d.quarantine.Merge(peer.Quarantine, now) {
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
 	"github.com/peridotreel/peridotreel/internal/decide/connshare"
+	"github.com/peridotreel/peridotreel/internal/decide/evacuation"
 	"github.com/peridotreel/peridotreel/internal/decide/hosttable"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
@@ -54,6 +55,7 @@
 type Director interface {
 	Exchange(ctx context.Context, peer *director.PeerState) (director.LocalState, error)
 	Receive(peer director.PeerState)
+	OfferEvacuations(report evacuation.Report, host core.HostID)
 	OfferConfig(version int64, config *gateway.Config, age time.Duration, source string)
 	OfferUpstreams(rows []rowstore.Row, revision core.Revision, settled bool)
 }
@@ -125,6 +127,8 @@
 	Brittle       []brittle.Entry
 	// Connections are the upstreams to which the calling host lacks connections.
 	Connections []connshare.Want
+	// Evacuations are zero from hosts of earlier versions.
+	Evacuations evacuation.Report
 	// WantsConfig and WantsServers ask for the configuration and the rows of
 	// upstreams if they are newer than the versions above.
 	WantsConfig  bool
@@ -149,6 +153,7 @@
 	Brittle     []brittle.Entry
 	// Connections are lent to the calling host. Hosts of earlier versions lend none.
 	Connections []connshare.Grant
+	Evacuations evacuation.Report
 }
 
 // New returns the task.
@@ -173,12 +178,12 @@
 func (h *Handler) Exchange(args Args, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle, ConnectionWants: args.Connections})
+	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle, ConnectionWants: args.Connections, Evacuations: args.Evacuations})
 	if err != nil {
 		return err
 	}
 	*reply = Reply{
-		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge, Connections: known.ConnectionGrants,
+		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge, Evacuations: known.Evacuations, Connections: known.ConnectionGrants,
 	}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
@@ -366,7 +371,7 @@
 		local.LacksConfig, local.LacksUpstreams = false, false
 	}
 	args := Args{
-		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle,
+		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle, Evacuations: local.Evacuations,
 		Connections: local.ConnectionWants, WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
 	}
 	if local.Config != nil {
@@ -386,6 +391,7 @@
 				zap.String("peer", string(reply.Host)), zap.Error(err))
 		}
 	}
+	p.config.Director.OfferEvacuations(reply.Evacuations, reply.Host)
 	p.config.Director.OfferConfig(reply.ConfigVersion, newer, reply.ConfigAge, "peer "+string(reply.Host))
 	if len(reply.Rows) > 0 {
 		p.config.Director.OfferUpstreams(reply.Rows, reply.ListRevision, reply.ListSettled)
