gateway: keep to what cold upstreams bear

Cause: an upstream falls over if it gets well more requests than it bears in the seconds after its start, and all hosts send to one that has just returned. Change: internal/decide/coldstart divides what a cold upstream bears among few hosts by rendezvous hashing over the list of hosts. The director sends to cold upstreams only what no warm one takes, and refuses the rest at once with delays that are spread over the time until half of them are warm. Settings cold.overage and cold.slack, events upstream_cold and upstream_warm, and the gauge peridotreel_cold_upstreams.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/peridotreel/peridotreel/internal/connpool"
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/coldstart"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/front"
@@ -163,6 +164,7 @@
 		Host: s.Host, Zone: s.Zone, DecodeConfig: options.Platform.DecodeConfig, DecodeUpstream: options.Platform.DecodeUpstream,
 		ConfigTable: options.Platform.ConfigTable, ConfigKey: options.Platform.ConfigKey, UpstreamTable: options.Platform.UpstreamTable,
 		RetryBound: retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
+		ColdBound:  coldstart.Bound{Overage: s.Cold.Overage, Slack: s.Cold.Slack},
 		Hosts:      initialHostCount, Log: options.Log, Now: options.Now,
 		Changed: e.balances.Configure,
 		Serving: func() { e.readiness.markServing() },
@@ -170,6 +172,9 @@
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
+	if err = telemetry.RegisterColdUpstreams(e.telemetry.Meter(), e.director.ColdUpstreams); err != nil {
+		return nil, err
+	}
 	client := peerrpc.NewClient(peerrpc.ClientConfig{})
 	e.origins = origins.New(origins.Config{
 		Host: s.Host, Store: options.Platform.Store, Caller: client, Log: options.Log, Now: options.Now,
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -70,6 +70,11 @@
 	Name core.ServiceName
 	// MaxConnections limits the connections from all hosts to one upstream.
 	MaxConnections int
+	// ColdFor is how long an upstream may be cold, and ColdPerSecond the requests per
+	// second that it bears meanwhile from all hosts together. If one of them is 0, the
+	// upstreams are never cold.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 	// Engine is nil for services that do not run models.
 	Engine *Engine
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -23,6 +23,8 @@
 	// Software is the version of the upstream's software, "" if unknown. A stream may
 	// be resumed only at the software that began it.
 	Software string
+	// ColdLeft is how much longer the upstream stays cold, as of its entry.
+	ColdLeft time.Duration
 }
 
 // Load is an upstream's own report of its load.
@@ -59,6 +61,8 @@
 	// MaxRejections is the number of requests that a brittle upstream can turn away in
 	// a second for want of room without falling over, nil if it is not brittle.
 	MaxRejections *int
+	// ColdLeft is how much longer the upstream stays cold, nil if it does not say.
+	ColdLeft *time.Duration
 	// Leaving is true if the upstream says that it leaves.
 	Leaving bool
 	// Quiet is how long an upstream that turned the request away wants nothing from
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -12,6 +13,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/peridotreel/peridotreel/internal/core"
+	"github.com/peridotreel/peridotreel/internal/decide/coldstart"
 )
 
 // Gateway holds the settings of a gateway host, which forwards requests
@@ -34,6 +36,7 @@
 	// Grace is the time between the stop signal and the kill of the process.
 	Grace Duration `yaml:"grace"`
 	Retry Retry    `yaml:"retry"`
+	Cold  Cold     `yaml:"cold"`
 	Log   Log      `yaml:"log"`
 }
 
@@ -56,6 +59,15 @@
 	Window Duration `yaml:"window"`
 }
 
+// Cold bounds what a cold upstream gets in any second from all hosts together. A key
+// without a value leaves the default.
+type Cold struct {
+	// Overage is a multiple of the requests per second that the upstream bears. Default 1.
+	Overage float64 `yaml:"overage"`
+	// Slack is the number of requests on top of that. Default 1.
+	Slack float64 `yaml:"slack"`
+}
+
 // Defaults of the gateway settings. The retry ratio is the upper end of the
 // published practice of 10% to 20% of requests.
 const (
@@ -80,7 +92,8 @@
 func ParseGateway(content []byte) (*Gateway, error) {
 	parsed := &Gateway{
 		MemoryMB: defaultMemoryMB, Descriptors: defaultDescriptors, Grace: Duration(defaultGrace),
-		Retry: Retry{Ratio: defaultRetryRatio, Window: Duration(defaultRetryWindow)}, Log: Log{Level: defaultLogLevel},
+		Retry: Retry{Ratio: defaultRetryRatio, Window: Duration(defaultRetryWindow)},
+		Cold:  Cold{Overage: coldstart.DefaultOverage, Slack: coldstart.DefaultSlack}, Log: Log{Level: defaultLogLevel},
 	}
 	decoder := yaml.NewDecoder(bytes.NewReader(content))
 	decoder.KnownFields(true)
@@ -123,6 +136,10 @@
 		return fieldError("retry", "ratio or slack is negative; set both to 0 or more")
 	case g.Retry.Window <= 0:
 		return fieldError("retry.window", "is not positive; give a duration, such as 10s")
+	case !(g.Cold.Overage > 0) || math.IsInf(g.Cold.Overage, 0):
+		return fieldError("cold.overage", "is not a positive number; give a multiple, such as 1.5")
+	case !(g.Cold.Slack >= 0) || math.IsInf(g.Cold.Slack, 0):
+		return fieldError("cold.slack", "is not a number of 0 or more; give a number of requests, such as 5")
 	}
 	return nil
 }
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -56,6 +56,7 @@
 		return
 	}
 	d.activeConfig = config
+	d.cold.Configure(config.Services)
 	d.config.Log.Info("configuration applied", zap.String("event", "config_applied"),
 		zap.Int64("config_version", config.Version), zap.String("source", source),
 		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("teams", len(config.Teams)))
@@ -100,8 +101,10 @@
 			record(d.roster.Remove(id, row.Revision, now))
 			continue
 		}
+		d.listCold(upstream, row, now)
 		d.rowsByID[row.Key] = row
 		listed[id] = true
+		upstream.ColdLeft = 0 // changes with each row, which is no change of the list
 		record(d.roster.Put(upstream, row.Revision))
 	}
 	if full {
@@ -120,6 +123,7 @@
 		d.listRevision = revision
 	}
 	d.applyRosterChanges(changes, revision)
+	d.logCold(now)
 	return listed
 }
 
--- a/internal/tasks/director/brittle.go
+++ b/internal/tasks/director/brittle.go
@@ -26,8 +26,12 @@
 // may get now. wait is the time until the first of them may be used, as far as request
 // limits and notices tell.
 func (d *Director) returnDelay(service core.ServiceName, wait time.Duration, now time.Time) time.Duration {
+	coldDelay, cold := d.cold.ReturnDelay(service, d.refused, now)
 	if delay, brittle := d.brittle.ReturnDelay(service, now); brittle {
-		return max(delay, wait)
+		return max(delay, wait, coldDelay)
+	}
+	if cold {
+		return coldDelay
 	}
 	return notice.SpreadDelay(wait, d.refused)
 }
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -11,6 +11,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/brittle"
+	"github.com/peridotreel/peridotreel/internal/decide/coldstart"
 	"github.com/peridotreel/peridotreel/internal/decide/notice"
 	"github.com/peridotreel/peridotreel/internal/decide/origin"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
@@ -41,6 +42,8 @@
 	ConfigKey     string
 	UpstreamTable string
 	RetryBound    retrybudget.Bound
+	// ColdBound bounds what a cold upstream gets from all hosts together.
+	ColdBound coldstart.Bound
 	// Hosts is the number of hosts assumed to share the retry budget until the
 	// peers are known.
 	Hosts int
@@ -97,6 +100,7 @@
 	limits       *requestlimit.Table
 	notices      *notice.Notices
 	brittle      *brittle.Table
+	cold         *coldstart.Table
 	// reach tells which services this host is cut off from.
 	reach *reach.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
@@ -124,7 +128,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), cold: coldstart.New(config.Host, config.ColdBound), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -289,6 +293,7 @@
 			d.expireQuarantine()
 			d.forgetLimits()
 			d.forgetBrittle()
+			d.forgetCold()
 		case <-ctx.Done():
 			return
 		}
@@ -302,6 +307,8 @@
 		m.reply <- d.configState(now)
 	case setShutdown:
 		d.shutdownAt, d.shutdownNoticed = m.at, m.noticed
+	case countCold:
+		m.reply <- d.cold.Count(now)
 	case placeAttempt:
 		m.reply <- d.place(ctx, m.request, now)
 	case Observation:
@@ -310,6 +317,7 @@
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
 		d.observeEnd(m, now)
+		d.observeCold(m, now)
 		d.observeTraits(ctx, m, now)
 		d.observeReach(ctx, m, now)
 	case reachProbed:
@@ -368,4 +376,5 @@
 	}
 	d.limits.SetMembers(list.members)
 	d.brittle.SetHosts(d.members)
+	d.setColdMembers(list.members)
 }
--- a/internal/tasks/director/limits.go
+++ b/internal/tasks/director/limits.go
@@ -27,6 +27,7 @@
 	}
 	d.observeNotice(m, now)
 	d.observeBrittle(m, now)
+	d.observeColdAnswer(m, now)
 	zone, listed := d.zoneOf(m.Upstream)
 	if !listed {
 		return
@@ -77,11 +78,11 @@
 	if !listed || d.notices.Leaving(upstream) {
 		return 0, false
 	}
-	limited := d.limits.Wait(id, now)
-	if limited < 0 {
-		return limited, true
+	limited, cold := d.limits.Wait(id, now), d.cold.Wait(id, now)
+	if limited < 0 || cold < 0 {
+		return min(limited, cold), true
 	}
-	return max(limited, d.notices.Wait(upstream, now)), true
+	return max(limited, cold, d.notices.Wait(upstream, now)), true
 }
 
 func (d *Director) zoneOf(id core.UpstreamID) (core.ZoneName, bool) {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -51,8 +51,8 @@
 	// its upstream: one of its traits was in flight at another crash.
 	Suspected
 	// Limited means that upstreams are left, but the request limits that they name
-	// allow this host no request now, they want none for a time, or they are brittle and
-	// have no room.
+	// allow this host no request now, they want none for a time, they are brittle and
+	// have no room, or they are cold.
 	Limited
 	// Saturated means that the request would wait longer than its MaxWait at the
 	// best upstream.
@@ -110,7 +110,7 @@
 		wait, usable := d.wait(id, now)
 		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
 	}
-	choice, found := d.balancer.Choose(request.Query, now)
+	choice, found := d.chooseWarmFirst(request, now)
 	if !found {
 		if wait, limited := d.limitedFor(request.Query, now); limited {
 			d.refused++
@@ -131,6 +131,7 @@
 	d.lastAttempt++
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
 	d.limits.Sent(choice.Upstream.ID, now)
+	d.cold.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
 	return Placed{
 		Outcome: Found, Choice: choice, Attempt: d.lastAttempt, MaxConnections: d.maxConnections(request.Service), Repeat: d.quarantine.Repeats(request.Traits),
