--- a/internal/decide/coldstart/share.go
+++ b/internal/decide/coldstart/share.go
@@ -15,9 +15,11 @@
 	// span is the time in seconds whose requests may reach an upstream within one second:
 	// connections are set up meanwhile, and links and processors delay some.
 	span = 1.2
-	// DefaultOverage and DefaultSlack are the bound if a deployment states none: a cold
-	// upstream gets what it bears, and one request more, without which it would get none
-	// below one request per second.
+)
+
+// The bound if a deployment states none: a cold upstream gets what it bears, and one
+// request more, without which it would get none below one request per second.
+const (
 	DefaultOverage = 1.0
 	DefaultSlack   = 1.0
 )
