--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/peridotreel/peridotreel/internal/connpool"
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/allowance"
+	"github.com/peridotreel/peridotreel/internal/decide/coldstart"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/front"
@@ -172,16 +173,20 @@
 		DecodeEvacuation: options.Platform.DecodeEvacuation,
 		RetryBound:       retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Hosts:            initialHostCount, Log: options.Log, Now: options.Now,
-		Changed:  e.balances.Configure,
-		Serving:  func() { e.readiness.markServing() },
-		LinkFull: e.load.LinkFull,
-		Forget:   pool.Drain, LimitConnections: pool.SetLimit, Dial: pool.Probe, DialThrough: e.probeThrough,
+		ColdBound: coldstart.Bound{Overage: s.Cold.Overage, Slack: s.Cold.Slack},
+		Changed:   e.balances.Configure,
+		Serving:   func() { e.readiness.markServing() },
+		LinkFull:  e.load.LinkFull,
+		Forget:    pool.Drain, LimitConnections: pool.SetLimit, Dial: pool.Probe, DialThrough: e.probeThrough,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
 	if err = telemetry.RegisterEvacuations(e.telemetry.Meter(), e.evacuationTotals); err != nil {
 		return nil, err
 	}
+	if err = telemetry.RegisterColdUpstreams(e.telemetry.Meter(), e.director.ColdUpstreams); err != nil {
+		return nil, err
+	}
 	client := peerrpc.NewClient(peerrpc.ClientConfig{})
 	e.origins = origins.New(origins.Config{
 		Host: s.Host, Store: options.Platform.Store, Caller: client, Log: options.Log, Now: options.Now,
