Count the upstreams of a restored zone as cold

Cause: upstreams of an evacuated zone may become cold, and all hosts turn to them as the evacuation ends, before the list says so. Change: as a host learns that a zone is restored, its upstreams count as cold for their service's time.

--- a/internal/tasks/director/cold_test.go
+++ b/internal/tasks/director/cold_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/coldstart"
+	"github.com/peridotreel/peridotreel/internal/decide/evacuation"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
 	"github.com/peridotreel/peridotreel/internal/gateway"
@@ -147,9 +148,27 @@
 		c := newColdDirector()
 		c.list("a-1", 0)
 		c.handle(t.Context(), Observation{Upstream: "a-1", Signal: placement.Abandoned, Helpless: true, Tunnelled: true})
-		So(c.cold.Any("svc"), ShouldBeFalse)
+		So(c.cold.Any(), ShouldBeFalse)
 		left := time.Second
 		c.observe(t, "a-1", placement.Started, &gateway.AnswerHead{Status: 200, ColdLeft: &left})
 		So(c.cold.Cold("a-1", c.now), ShouldBeTrue)
 	})
 }
+
+// Guards against all hosts sending at once to a zone that is taken into use again, whose
+// upstreams may have become cold while it was evacuated.
+func TestTheUpstreamsOfARestoredZoneCountAsCold(t *testing.T) {
+	Convey("Given upstreams of two zones that are warm", t, func() {
+		c := newColdDirector()
+		c.list("a-1", 0)
+		c.list("b-1", 0)
+		So(c.cold.Cold("a-1", c.now), ShouldBeFalse)
+		c.applyEvacuationChanges([]evacuation.Change{{Zone: "a"}}, "store")
+		So(c.cold.Cold("a-1", c.now), ShouldBeTrue)
+		So(c.cold.Cold("b-1", c.now), ShouldBeFalse)
+		Convey("they are warm after the time that the service states", func() {
+			c.now = c.now.Add(3*time.Second + time.Millisecond)
+			So(c.cold.Cold("a-1", c.now), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/tasks/director/evacuation.go
+++ b/internal/tasks/director/evacuation.go
@@ -123,6 +123,13 @@
 	d.balancer.SetEvacuated(zones)
 	d.logEvacuations(changes, source)
 	d.logEvacuations(expired, "expiry")
+	// The upstreams of a restored zone may have become cold meanwhile, and all hosts turn to
+	// them at once.
+	for _, change := range slices.Concat(changes, expired) {
+		if !change.Evacuated {
+			d.markZoneCold(change.Zone, now)
+		}
+	}
 }
 
 // expireEvacuations ends what was kept for long enough after a return of the store.
