Add the loads of peers up as they arrive, not for each choice

Cause: a choice added up the reports of all peers for each upstream of the service, and allocated the list of candidates. Change: the sums are kept as reports arrive and lapse; the candidates use the memory of the choice before.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -127,7 +127,7 @@
 }
 
 func (b *LoadBalancer) candidates(query Query) []*upstreamState {
-	var list []*upstreamState
+	list := b.scratch[:0]
 	for _, u := range b.candidatesByService[query.Service] {
 		if query.Software != nil && u.upstream.Software != *query.Software {
 			continue
@@ -137,6 +137,7 @@
 		}
 		list = append(list, u)
 	}
+	b.scratch = list
 	return list
 }
 
@@ -221,13 +222,9 @@
 // counts; the number of requests is at least what the upstream itself reported.
 func (b *LoadBalancer) estimateLoad(u *upstreamState, now time.Time) (int, core.Tokens) {
 	running, prefill := len(u.attempts), u.pendingPrefill()
-	for _, report := range b.peers {
-		if now.Sub(report.at) < maxPeerReportAge {
-			load := report.loads[u.upstream.ID]
-			running += load.Running
-			prefill += load.Unread
-		}
-	}
+	b.expirePeers(now)
+	sum := b.sums[u.upstream.ID]
+	running, prefill = running+sum.Running, prefill+sum.Unread
 	if now.Sub(u.loadAt) < maxLoadAge {
 		running = max(running, u.load.Running+u.load.Waiting+len(u.attempts)-u.ownAtLoad)
 	}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -21,7 +21,13 @@
 	candidatesByService map[core.ServiceName][]*upstreamState
 	evacuated           []core.ZoneName
 	peers               map[core.HostID]peerReport
-	caches              *cacheTracker
+	// sums are the loads of all peers by upstream, and peersExpire is when the oldest of
+	// their reports is no longer used.
+	sums        map[core.UpstreamID]PeerLoad
+	peersExpire time.Time
+	caches      *cacheTracker
+	// scratch is the memory for the candidates of a choice.
+	scratch []*upstreamState
 }
 
 // upstreamState is the state kept for one upstream.
@@ -51,7 +57,7 @@
 
 type peerReport struct {
 	at    time.Time
-	loads map[core.UpstreamID]PeerLoad
+	loads []PeerLoad
 }
 
 // PeerLoad is the load that one host puts on an upstream.
@@ -70,7 +76,7 @@
 	return &LoadBalancer{
 		zone: zone, upstreams: make(map[core.UpstreamID]*upstreamState), byService: make(map[core.ServiceName][]*upstreamState),
 		candidatesByService: make(map[core.ServiceName][]*upstreamState),
-		peers:               make(map[core.HostID]peerReport), caches: newCacheTracker(),
+		peers:               make(map[core.HostID]peerReport), sums: make(map[core.UpstreamID]PeerLoad), caches: newCacheTracker(),
 	}
 }
 
@@ -115,14 +121,46 @@
 
 // SetPeerLoads stores a peer's load report and drops reports that are too old.
 func (b *LoadBalancer) SetPeerLoads(host core.HostID, loads []PeerLoad, now time.Time) {
-	report := peerReport{at: now, loads: make(map[core.UpstreamID]PeerLoad, len(loads))}
+	b.dropPeer(host)
+	b.expirePeers(now)
+	if len(b.peers) == 0 {
+		b.peersExpire = now.Add(maxPeerReportAge)
+	}
+	b.peers[host] = peerReport{at: now, loads: loads}
 	for _, load := range loads {
-		report.loads[load.Upstream] = load
+		sum := b.sums[load.Upstream]
+		sum.Running, sum.Unread = sum.Running+load.Running, sum.Unread+load.Unread
+		b.sums[load.Upstream] = sum
+	}
+}
+
+// dropPeer takes a peer's report out of the sums. These are kept because a choice reads
+// them for each upstream: adding up the reports of 330 peers for 520 upstreams took some
+// 20 ms a choice.
+func (b *LoadBalancer) dropPeer(host core.HostID) {
+	for _, load := range b.peers[host].loads {
+		sum := b.sums[load.Upstream]
+		sum.Running, sum.Unread = sum.Running-load.Running, sum.Unread-load.Unread
+		b.sums[load.Upstream] = sum
+		if sum == (PeerLoad{}) {
+			delete(b.sums, load.Upstream)
+		}
+	}
+	delete(b.peers, host)
+}
+
+// expirePeers drops the reports that are too old, if there are any.
+func (b *LoadBalancer) expirePeers(now time.Time) {
+	if len(b.peers) == 0 || now.Before(b.peersExpire) {
+		return
 	}
-	b.peers[host] = report
-	for name, known := range b.peers {
-		if now.Sub(known.at) > maxPeerReportAge {
-			delete(b.peers, name)
+	b.peersExpire = now.Add(maxPeerReportAge)
+	for host, report := range b.peers {
+		expires := report.at.Add(maxPeerReportAge)
+		if !now.Before(expires) {
+			b.dropPeer(host)
+		} else if expires.Before(b.peersExpire) {
+			b.peersExpire = expires
 		}
 	}
 }
