Compute when a cold upstream is warm as it is told, not with each choice

Cause: with cold upstreams in the list, each choice looked up the service of each of them, and choices for services without any paid as well. Change: the end of coldness is kept with the upstream; a service without cold upstreams is chosen from as before.

--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -48,10 +48,10 @@
 	lostAt time.Time
 	// markedAt is when the upstream was marked as cold, zero if it was not.
 	markedAt time.Time
+	// warmAt is when the coldness ends that follows from the above.
+	warmAt time.Time
 	// logged is what Changes last reported.
 	logged bool
-	// coldAt is when the upstream was last seen to be cold.
-	coldAt time.Time
 	// rank is this host's position among the hosts that may be users, -1 for none, as
 	// of the list of hosts with the number rankedBy.
 	rank     int
@@ -68,7 +68,9 @@
 	services map[core.ServiceName]service
 	hosts    hostList
 	states   map[core.UpstreamID]*state
-	delays   map[core.ServiceName]delay
+	// counts has the number of states by service.
+	counts map[core.ServiceName]int
+	delays map[core.ServiceName]delay
 	// remaining is the buffer for the times that are left of the upstreams of a service.
 	remaining []time.Duration
 }
@@ -84,7 +86,7 @@
 func New(self core.HostID, bound Bound) *Table {
 	return &Table{
 		self: self, bound: bound, services: make(map[core.ServiceName]service), hosts: newHostList(self),
-		states: make(map[core.UpstreamID]*state), delays: make(map[core.ServiceName]delay),
+		states: make(map[core.UpstreamID]*state), counts: make(map[core.ServiceName]int), delays: make(map[core.ServiceName]delay),
 	}
 }
 
@@ -97,6 +99,9 @@
 		}
 	}
 	t.divide()
+	for _, known := range t.states {
+		t.setWarmAt(known)
+	}
 }
 
 // SetMembers replaces the hosts that may be users.
@@ -135,6 +140,7 @@
 	}
 	t.name(known, upstream.ColdLeft, now)
 	known.start, known.lost = upstream.StartMillis, false
+	t.setWarmAt(known)
 }
 
 // Answered records an answer of an upstream. remaining is how much longer it stays cold,
@@ -146,6 +152,7 @@
 			// It may have been restarted; this is its first answer since.
 			t.name(known, t.services[known.service].coldFor, now)
 			known.lost, known.heardAt = false, now
+			t.setWarmAt(known)
 		}
 		return
 	}
@@ -157,6 +164,7 @@
 	}
 	t.name(known, *remaining, now)
 	known.lost, known.heardAt = false, now
+	t.setWarmAt(known)
 }
 
 // Lost records that a connection to an upstream failed. It may have been restarted.
@@ -167,6 +175,7 @@
 	known := t.known(upstream, now)
 	t.interrupt(known, now)
 	known.lost, known.lostAt, known.heardAt = true, now, now
+	t.setWarmAt(known)
 }
 
 // Mark records that an upstream counts as cold from now on for its service's time,
@@ -178,6 +187,7 @@
 	known := t.known(upstream, now)
 	t.interrupt(known, now)
 	known.markedAt, known.heardAt = now, now
+	t.setWarmAt(known)
 }
 
 func (t *Table) known(upstream gateway.Upstream, now time.Time) *state {
@@ -190,6 +200,7 @@
 func (t *Table) add(upstream gateway.Upstream, now time.Time) *state {
 	known := &state{service: upstream.Service, zone: upstream.Zone, start: upstream.StartMillis, filledAt: now}
 	t.states[upstream.ID] = known
+	t.counts[upstream.Service]++
 	return known
 }
 
@@ -204,7 +215,7 @@
 // interrupt empties the bucket of an upstream that was warm: it may have got many requests
 // within the last second.
 func (t *Table) interrupt(known *state, now time.Time) {
-	if !known.namedAt.IsZero() && !t.cold(known, now) {
+	if !known.namedAt.IsZero() && !known.cold(now) {
 		known.tokens, known.filledAt = 0, now
 	}
 }
@@ -212,38 +223,37 @@
 // Cold reports whether an upstream is cold.
 func (t *Table) Cold(id core.UpstreamID, now time.Time) bool {
 	known, found := t.states[id]
-	return found && t.cold(known, now)
+	return found && known.cold(now)
 }
 
-func (t *Table) cold(known *state, now time.Time) bool {
-	cold := t.remains(known, now) > 0
-	if cold {
-		known.coldAt = now
-	}
-	return cold
-}
+func (s *state) cold(now time.Time) bool { return now.Before(s.warmAt) }
 
-// remains returns how much longer an upstream counts as cold, 0 if it is warm.
-func (t *Table) remains(known *state, now time.Time) time.Duration {
+// setWarmAt computes when the coldness of an upstream ends.
+func (t *Table) setWarmAt(known *state) {
 	configured, bounded := t.services[known.service]
 	if !bounded {
-		return 0
+		known.warmAt = time.Time{}
+		return
+	}
+	known.warmAt = known.namedAt.Add(min(known.left, configured.coldFor))
+	extend := func(until time.Time) {
+		if until.After(known.warmAt) {
+			known.warmAt = until
+		}
 	}
-	remaining := known.namedAt.Add(min(known.left, configured.coldFor)).Sub(now)
 	if !known.markedAt.IsZero() {
-		remaining = max(remaining, known.markedAt.Add(configured.coldFor).Sub(now))
+		extend(known.markedAt.Add(configured.coldFor))
 	}
 	if known.lost {
-		remaining = max(remaining, known.lostAt.Add(max(lostHold, configured.coldFor)).Sub(now))
+		extend(known.lostAt.Add(max(lostHold, configured.coldFor)))
 	}
-	return max(remaining, 0)
 }
 
 // Wait returns how long this host must wait before it may send a request to an upstream:
 // 0 if it may now, and a negative value if it is not a user of the upstream.
 func (t *Table) Wait(id core.UpstreamID, now time.Time) time.Duration {
 	known, found := t.states[id]
-	if !found || !t.cold(known, now) {
+	if !found || !known.cold(now) {
 		return 0
 	}
 	rate := t.fill(id, known, now)
@@ -258,7 +268,7 @@
 
 // Sent records a request that this host sends to an upstream.
 func (t *Table) Sent(id core.UpstreamID, now time.Time) {
-	if known, found := t.states[id]; found && t.cold(known, now) {
+	if known, found := t.states[id]; found && known.cold(now) {
 		t.fill(id, known, now)
 		known.tokens = max(known.tokens-1, 0)
 	}
@@ -285,13 +295,14 @@
 // Forget removes upstreams that have been warm for some time.
 func (t *Table) Forget(now time.Time) {
 	for id, known := range t.states {
-		latest := known.coldAt
+		latest := known.warmAt
 		for _, at := range []time.Time{known.namedAt, known.heardAt} {
 			if at.After(latest) {
 				latest = at
 			}
 		}
-		if !known.logged && !t.cold(known, now) && now.Sub(latest) > retention {
+		if !known.logged && now.Sub(latest) > retention {
+			t.counts[known.service]--
 			delete(t.states, id)
 		}
 	}
--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -86,11 +86,11 @@
 			upstream.Service = "plain"
 			table.Lost(upstream, after(0))
 			table.Mark(upstream, after(0))
-			So(table.Any(), ShouldBeFalse)
+			So(table.Any("plain"), ShouldBeFalse)
 			listed(time.Second, 5, 0)
 			So(cold(0), ShouldBeFalse)
 			table.Forget(after(11))
-			So(table.Any(), ShouldBeFalse)
+			So(table.Any("plain"), ShouldBeFalse)
 		})
 	})
 }
@@ -201,10 +201,10 @@
 	})
 }
 
-// BenchmarkDecision measures what a cold upstream adds to the choice of one, at several
-// numbers of hosts and upstreams.
+// BenchmarkDecision measures what cold upstreams add to a choice among those of a service,
+// of which a third is cold, at several numbers of hosts and upstreams.
 func BenchmarkDecision(b *testing.B) {
-	for _, size := range [][2]int{{33, 1200}, {330, 1200}, {330, 12000}} {
+	for _, size := range [][2]int{{33, 40}, {330, 40}, {330, 80}, {330, 390}} {
 		b.Run(fmt.Sprintf("hosts=%d/upstreams=%d", size[0], size[1]), func(b *testing.B) {
 			table, upstream := newTable()
 			var members []Member
@@ -215,18 +215,23 @@
 			table.SetMembers(members, start.Add(-time.Minute))
 			ids := make([]core.UpstreamID, size[1])
 			for i := range ids {
-				ids[i] = core.UpstreamID(fmt.Sprint("u", i))
-				upstream.ID, upstream.ColdLeft = ids[i], coldFor
-				table.Listed(upstream, true, start)
-				table.Wait(ids[i], start)
+				ids[i] = core.UpstreamID(fmt.Sprint("i-", i))
+				if upstream.ID, upstream.ColdLeft = ids[i], coldFor; i%3 == 0 {
+					table.Listed(upstream, true, start)
+				}
 			}
 			b.ReportAllocs()
-			i := 0
 			for b.Loop() {
-				if id := ids[i%len(ids)]; table.Wait(id, start) == 0 {
-					table.Sent(id, start)
+				for _, id := range ids {
+					if !table.Cold(id, start) {
+						table.Wait(id, start)
+					}
+				}
+				for _, id := range ids {
+					if table.Cold(id, start) && table.Wait(id, start) == 0 {
+						table.Sent(id, start)
+					}
 				}
-				i++
 			}
 		})
 	}
--- a/internal/decide/coldstart/report.go
+++ b/internal/decide/coldstart/report.go
@@ -50,7 +50,7 @@
 		if known.service != name {
 			continue
 		}
-		if remaining := t.remains(known, now); remaining > 0 {
+		if remaining := known.warmAt.Sub(now); remaining > 0 {
 			t.remaining = append(t.remaining, min(remaining, t.services[name].coldFor))
 		}
 	}
@@ -73,7 +73,7 @@
 func (t *Table) Changes(now time.Time) []Change {
 	var changes []Change
 	for id, known := range t.states {
-		cold := t.cold(known, now)
+		cold := known.cold(now)
 		if cold == known.logged {
 			continue
 		}
@@ -90,14 +90,14 @@
 	return changes
 }
 
-// Any reports whether an upstream may be cold.
-func (t *Table) Any() bool { return len(t.states) > 0 }
+// Any reports whether an upstream of a service may be cold.
+func (t *Table) Any(name core.ServiceName) bool { return t.counts[name] > 0 }
 
 // Count returns the number of cold upstreams.
 func (t *Table) Count(now time.Time) int {
 	count := 0
 	for _, known := range t.states {
-		if t.cold(known, now) {
+		if known.cold(now) {
 			count++
 		}
 	}
--- a/internal/tasks/director/cold.go
+++ b/internal/tasks/director/cold.go
@@ -25,7 +25,7 @@
 // chooseWarmFirst chooses among the upstreams that are warm. It chooses a cold one only if
 // the request would not be sent to a warm one, or not be served there now.
 func (d *Director) chooseWarmFirst(request PlacementRequest, now time.Time) (placement.Choice, bool) {
-	if !d.cold.Any() {
+	if !d.cold.Any(request.Service) {
 		return d.balancer.Choose(request.Query, now)
 	}
 	usable := request.Usable
--- a/internal/tasks/director/cold_test.go
+++ b/internal/tasks/director/cold_test.go
@@ -147,7 +147,7 @@
 		c := newColdDirector()
 		c.list("a-1", 0)
 		c.handle(t.Context(), Observation{Upstream: "a-1", Signal: placement.Abandoned, Helpless: true, Tunnelled: true})
-		So(c.cold.Any(), ShouldBeFalse)
+		So(c.cold.Any("svc"), ShouldBeFalse)
 		left := time.Second
 		c.observe(t, "a-1", placement.Started, &gateway.AnswerHead{Status: 200, ColdLeft: &left})
 		So(c.cold.Cold("a-1", c.now), ShouldBeTrue)
