--- a/internal/compat/earlier_test.go
+++ b/internal/compat/earlier_test.go
@@ -1,238 +1,63 @@
 package compat
 
-// The types of build e577979, with the names of their fields and without those of types,
-// which are not written.
-type (
-	earlierExchangeArgs struct {
-		Host          string
-		ConfigVersion int64
-		ListRevision  struct {
-			Era    int64
-			Number int64
-		}
-		Loads []struct {
-			Upstream string
-			Running  int
-			Unread   int64
-		}
-		Quarantine struct {
-			Digest  uint64
-			Crashes []struct {
-				Part     string
-				Depth    int
-				Own      bool
-				Upstream string
-				Age      int64
-				Origin   string
-				SameZone bool
-				Repeat   bool
-			}
-			Answers []struct {
-				Part string
-				Age  int64
-			}
-		}
-		Limits []struct {
-			Upstream  string
-			PerSecond float64
-			Age       int64
-		}
-		Brittle []struct {
-			Service   string
-			Tolerance int
-			Age       int64
-		}
-		WantsConfig  bool
-		WantsServers bool
-	}
-
-	earlierExchangeReply struct {
-		Host          string
-		ConfigVersion int64
-		ConfigAge     int64
-		Config        []byte
-		ListRevision  struct {
-			Era    int64
-			Number int64
-		}
-		Rows []struct {
-			Table    string
-			Part     string
-			Key      string
-			Value    []byte
-			Revision struct {
-				Era    int64
-				Number int64
-			}
-			Deleted bool
-		}
-		ListSettled bool
-		Loads       []struct {
-			Upstream string
-			Running  int
-			Unread   int64
-		}
-		Quarantine struct {
-			Digest  uint64
-			Crashes []struct {
-				Part     string
-				Depth    int
-				Own      bool
-				Upstream string
-				Age      int64
-				Origin   string
-				SameZone bool
-				Repeat   bool
-			}
-			Answers []struct {
-				Part string
-				Age  int64
-			}
-		}
-		Limits []struct {
-			Upstream  string
-			PerSecond float64
-			Age       int64
-		}
-		Brittle []struct {
-			Service   string
-			Tolerance int
-			Age       int64
-		}
-	}
-
-	earlierRecallArgs struct {
-		Team   string
-		Amount int64
-	}
-
-	earlierReserveArgs struct {
-		ID struct {
-			Process string
-			Number  uint64
-		}
-		Team    string
-		Amount  int64
-		Wait    int64
-		Patient bool
-	}
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strconv"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
 
-	earlierReserveReply struct {
-		Grant struct {
-			Outcome     string
-			Available   int64
-			Unallocated int64
-			Elsewhere   int64
-			Unsure      int64
-			Prepaid     int64
-			StoreAway   bool
-			Version     int64
-			Shortage    *struct {
-				Parts struct {
-					Spent           int64
-					Available       int64
-					Unpledged       int64
-					Unallocated     int64
-					Returning       int64
-					HeldReachable   int64
-					HeldUnasked     int64
-					Reserved        int64
-					HeldUnreachable int64
-					Withheld        int64
-					Barred          int64
-					Lost            int64
-					Unsettled       int64
-					Unsure          int64
-					Unread          int64
-					Overdrawn       int64
-				}
-				Holders []struct {
-					Host        string
-					Tokens      int64
-					Unreachable bool
-				}
+// basicTypes are the types of Go that the types of e577979 consist of.
+var basicTypes = map[string]reflect.Type{
+	"bool": reflect.TypeFor[bool](), "string": reflect.TypeFor[string](), "int": reflect.TypeFor[int](), "int64": reflect.TypeFor[int64](),
+	"uint8": reflect.TypeFor[uint8](), "uint32": reflect.TypeFor[uint32](), "byte": reflect.TypeFor[byte](), "uint64": reflect.TypeFor[uint64](), "float64": reflect.TypeFor[float64](),
+}
+
+// earlier returns a type of build e577979, as testdata/e577979/types.go has it.
+func earlier(name string) (found reflect.Type) {
+	file, err := parser.ParseFile(token.NewFileSet(), "testdata/e577979/types.go", nil, 0)
+	So(err, ShouldBeNil)
+	ast.Inspect(file, func(node ast.Node) bool {
+		if spec, ok := node.(*ast.TypeSpec); ok && spec.Name.Name == name {
+			found = typeOf(spec.Type)
+		}
+		return true
+	})
+	So(found, ShouldNotBeNil)
+	return found
+}
+
+func typeOf(expression ast.Expr) reflect.Type {
+	switch e := expression.(type) {
+	case *ast.Ident:
+		So(basicTypes, ShouldContainKey, e.Name)
+		return basicTypes[e.Name]
+	case *ast.StarExpr:
+		return reflect.PointerTo(typeOf(e.X))
+	case *ast.ArrayType:
+		if length, fixed := e.Len.(*ast.BasicLit); fixed {
+			count, err := strconv.Atoi(length.Value)
+			So(err, ShouldBeNil)
+			return reflect.ArrayOf(count, typeOf(e.Elt))
+		}
+		return reflect.SliceOf(typeOf(e.Elt))
+	case *ast.MapType:
+		return reflect.MapOf(typeOf(e.Key), typeOf(e.Value))
+	case *ast.StructType:
+		var fields []reflect.StructField
+		for _, field := range e.Fields.List {
+			tag := ""
+			if field.Tag != nil {
+				tag, _ = strconv.Unquote(field.Tag.Value)
 			}
+			fields = append(fields, reflect.StructField{Name: field.Names[0].Name, Type: typeOf(field.Type), Tag: reflect.StructTag(tag)})
 		}
-		Leaving bool
-	}
-
-	earlierSettlements []struct {
-		ID struct {
-			Process string
-			Number  uint64
-		}
-		Spent int64
-	}
-
-	earlierRecordsArgs struct {
-		Records []struct {
-			Attempt  string
-			Software string
-		}
-	}
-
-	earlierFindReply struct {
-		Software string
-		Known    bool
-	}
-
-	earlierLedger struct {
-		Settled  int64 `json:"settled"`
-		Unsure   int64 `json:"unsure"`
-		Holdings map[string]struct {
-			Host        string  `json:"h"`
-			Granted     int64   `json:"g"`
-			Spent       int64   `json:"s"`
-			Demand      float64 `json:"d"`
-			EnteredAt   int64   `json:"t,omitempty"`
-			Unconfirmed bool    `json:"u,omitempty"`
-		} `json:"holdings"`
-		Mark struct {
-			Era      int64 `json:"e"`
-			Sequence int64 `json:"n"`
-		} `json:"mark"`
-		Base struct {
-			Mark struct {
-				Era      int64 `json:"e"`
-				Sequence int64 `json:"n"`
-			} `json:"m"`
-			Settled   int64 `json:"s"`
-			Unsure    int64 `json:"u"`
-			Allocated int64 `json:"a,omitempty"`
-			Complete  bool  `json:"c,omitempty"`
-		} `json:"base"`
-		ReopenedAt int64 `json:"reopened_at,omitempty"`
-		Withheld   *struct {
-			Amount   int64 `json:"a"`
-			Lowering bool  `json:"l,omitempty"`
-			Next     int64 `json:"n,omitempty"`
-			At       int64 `json:"t,omitempty"`
-		} `json:"withheld,omitempty"`
-		Room     *int64 `json:"room,omitempty"`
-		Replaced *struct {
-			Allocated int64 `json:"a"`
-			Withheld  int64 `json:"w"`
-			Era       int64 `json:"e,omitempty"`
-		} `json:"replaced,omitempty"`
-		Lost      int64    `json:"lost,omitempty"`
-		Unsettled int64    `json:"unsettled,omitempty"`
-		Closed    []string `json:"closed,omitempty"`
+		return reflect.StructOf(fields)
+	default:
+		return reflect.TypeFor[time.Time]()
 	}
-
-	earlierPledges struct {
-		Era     int64  `json:"era,omitempty"`
-		Process string `json:"process"`
-		Clock   int64  `json:"clock"`
-		Pledges map[string]struct {
-			Spent  int64   `json:"c"`
-			Burst  int64   `json:"b"`
-			Outage int64   `json:"o"`
-			Rate   float64 `json:"r"`
-			Demand float64 `json:"d"`
-		} `json:"pledges"`
-	}
-
-	earlierHistory struct {
-		Gone map[string]int64 `json:"gone"`
-	}
-)
+}
--- a/internal/compat/fill_test.go
+++ b/internal/compat/fill_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"reflect"
+	"time"
 )
 
 // fill sets all exported fields of a value, each to one that follows from its path alone,
@@ -13,6 +14,10 @@
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(path))
 	number := hash.Sum64()%120 + 1
+	if value.Type() == reflect.TypeFor[time.Time]() {
+		value.Set(reflect.ValueOf(time.Unix(int64(number), 0).UTC()))
+		return
+	}
 	switch value.Kind() {
 	case reflect.Bool:
 		value.SetBool(true)
@@ -30,6 +35,10 @@
 	case reflect.Slice:
 		value.Set(reflect.MakeSlice(value.Type(), 1, 1))
 		fill(value.Index(0), path+"[]")
+	case reflect.Array:
+		for i := range value.Len() {
+			fill(value.Index(i), path+"[]")
+		}
 	case reflect.Map:
 		value.Set(reflect.MakeMap(value.Type()))
 		key, element := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
@@ -47,9 +56,9 @@
 	}
 }
 
-// filled returns a value of a type with all fields set.
-func filled[T any]() T {
-	var value T
-	fill(reflect.ValueOf(&value).Elem(), "")
-	return value
+// filled returns a pointer to a value of a type with all fields set.
+func filled(valueType reflect.Type) any {
+	value := reflect.New(valueType)
+	fill(value.Elem(), "")
+	return value.Interface()
 }
