Answers with an invalid status, and answers that end before their upload

Cause: 000 to 099 in the place of a status were skipped like interim answers by the gateway's pool and passed on by the product's own path, where net/http ends the caller's connection over them; both passed on 600 to 999. Change: a status outside 100 to 599 is no answer.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -18,6 +18,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
 
 const (
@@ -231,11 +232,9 @@
 		}
 		err = <-written
 	}
-	// The requester cancels the context once it has the end of the answer, so
-	// the context must no longer close the socket by then.
-	stillOpen := stopWatching()
 	if result.exchange == nil {
 		// The reading goroutine ended before it received the exchange.
+		stopWatching()
 		exchange.deliver(Event{End: &End{Err: ErrClosed}})
 		return false
 	}
@@ -245,6 +244,14 @@
 		// the plain end of the connection, which does not mean here that the body is whole.
 		end.Err = fmt.Errorf("%w: %w", ErrClosed, err)
 	}
+	if err == nil && end.Err == nil && !end.Framed && !tunnel.AwaitTaken(exchange.Context, c.socket) {
+		// The write ends with the bytes in the kernel's buffer, so a reset during the upload
+		// may follow it.
+		end.Err = fmt.Errorf("%w: the upstream had not taken the whole request", ErrClosed)
+	}
+	// The requester cancels the context once it has the end of the answer, so
+	// the context must no longer close the socket by then.
+	stillOpen := stopWatching()
 	reusable := err == nil && result.reusable && stillOpen
 	// The requester's next request finds the connection if it is released before the end
 	// is delivered, which must not wait then.
@@ -341,6 +348,9 @@
 			}
 			return End{Err: fmt.Errorf("%w: %w", ErrMalformedResponse, err)}, false
 		}
+		if !core.ValidStatus(response.StatusCode) {
+			return End{Err: fmt.Errorf("%w: status %q", ErrMalformedResponse, response.Status)}, false
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- /dev/null
+++ b/internal/connpool/invalid_test.go
@@ -0,0 +1,128 @@
+package connpool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// invalidStatuses are texts in the place of a status that are none.
+var invalidStatuses = []string{"000", "001", "099", "600", "999", "20", "2000", "+20", "-00", "-20", "2e2", "0x2", "", "2 0"}
+
+// Guards against an answer with an invalid status that is passed on, or skipped as an
+// interim one, so that what follows it is taken for the answer.
+func TestAnInvalidStatusIsNoAnswer(t *testing.T) {
+	const valid = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	for _, status := range invalidStatuses {
+		for framing, rest := range map[string]string{
+			"with a length": "Content-Length: 4\r\n\r\nbody", "in chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+			"without a length": "Connection: close\r\n\r\nbody", "before a valid one": "\r\n" + valid,
+		} {
+			Convey(fmt.Sprintf("An answer %s whose status is %q is malformed", framing, status), t, func() {
+				text := fmt.Sprintf("HTTP/1.1 %s Nothing\r\nId: 1\r\n%s", status, rest)
+				events := make(chan Event, 8)
+				exchange := &Exchange{ID: "1", Method: http.MethodPost, Events: events, Context: context.Background()}
+				end, reusable := newConnection(nil, "u", &cutSocket{text: text, step: len(text), end: io.EOF}, decodeHead).readAnswer(exchange)
+				So(end.Err, ShouldWrap, ErrMalformedResponse)
+				So(reusable, ShouldBeFalse)
+				So(events, ShouldBeEmpty)
+			})
+		}
+	}
+	Convey("Statuses from 200 to 599 are passed on", t, func() {
+		for _, status := range []int{200, 204, 404, 599} {
+			text := strings.Replace(valid, "200", fmt.Sprint(status), 1)
+			events := make(chan Event, 8)
+			end, _ := newConnection(nil, "u", &cutSocket{text: text, step: len(text), end: io.EOF}, decodeHead).readAnswer(&Exchange{ID: "1", Events: events, Context: context.Background()})
+			So(end.Err, ShouldBeNil)
+			So((<-events).Head.Status, ShouldEqual, status)
+		}
+	})
+}
+
+// smallBuffer makes an upload remain in the buffers of its sender.
+const smallBuffer = 4 << 10
+
+// Guards against taking a part of an answer for the whole if the upstream ends its answer
+// while the upload is on its way and then resets the connection, whether the upload is still
+// being written or waits in the kernel's buffer.
+func TestAnAnswerThatEndsBeforeItsUploadIsTakenIsWholeOnlyIfItIsFramed(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nthe server's by"
+	for name, c := range map[string]struct {
+		text   string
+		upload int
+		// end ends the upstream's side, of which it has read a part only.
+		end      func(*net.TCPConn)
+		complete bool
+	}{
+		"reset, while the upload is written":      {part, unreadBytes, resetSocketNow, false},
+		"reset, with the upload buffered":         {part, 64 << 10, resetSocketNow, false},
+		"ended and reset, while it is written":    {part, unreadBytes, endThenReset, false},
+		"ended and reset, with it buffered":       {part, 64 << 10, endThenReset, false},
+		"ended, and the upload is read":           {part, 64 << 10, endThenRead, true},
+		"reset after an answer that has a length": {whole("1", "the server's bytes"), unreadBytes, resetSocketNow, true},
+	} {
+		Convey("Given an answer whose connection is "+name, t, func() {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			read := make(chan struct{})
+			go func() {
+				accepted, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				socket := accepted.(*net.TCPConn)
+				_ = socket.SetReadBuffer(smallBuffer)
+				_, _ = io.ReadFull(socket, make([]byte, 100))
+				_, _ = socket.Write([]byte(c.text))
+				<-read
+				c.end(socket)
+			}()
+			pool, stop := startPool()
+			Reset(func() {
+				stop()
+				_ = listener.Close()
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			connection, _, err := pool.Acquire(ctx, Target{Upstream: "u", Address: listener.Addr().String(), MaxConnections: 1})
+			So(err, ShouldBeNil)
+			events := make(chan Event, 8)
+			connection.Send(&Exchange{ID: "1", Method: http.MethodPost, Payload: make([]byte, 100), Body: make([]byte, c.upload), Events: events, Context: ctx})
+			var body string
+			for event := range events {
+				if event.Data != nil {
+					if body += string(event.Data); strings.HasPrefix(body, "the server's by") {
+						close(read)
+					}
+				}
+				if event.End != nil {
+					So(event.End.Err == nil, ShouldEqual, c.complete)
+					return
+				}
+			}
+		})
+	}
+}
+
+func resetSocketNow(socket *net.TCPConn) {
+	_ = socket.SetLinger(0)
+	_ = socket.Close()
+}
+
+func endThenReset(socket *net.TCPConn) {
+	_ = socket.CloseWrite()
+	resetSocketNow(socket)
+}
+
+func endThenRead(socket *net.TCPConn) {
+	_ = socket.CloseWrite()
+	_, _ = io.Copy(io.Discard, socket)
+	_ = socket.Close()
+}
--- a/internal/tasks/tunnels/head.go
+++ b/internal/tasks/tunnels/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net/http"
 
+	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
@@ -63,7 +64,7 @@
 	// The body needs no close: it is never read, and has no connection.
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil) //nolint:bodyclose
 	switch {
-	case err != nil || h.passed > maxHeadBytes:
+	case err != nil || h.passed > maxHeadBytes || !core.ValidStatus(response.StatusCode):
 		h.done = true
 	case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
 		decoded := h.decode(response)
--- a/internal/tasks/tunnels/relay.go
+++ b/internal/tasks/tunnels/relay.go
@@ -73,7 +73,9 @@
 	case happened := <-r.events:
 		switch happened {
 		case upstreamEnded:
-			if tunnel.WasReset(r.upstream) {
+			// The end of an upstream that has closed its connection precedes its reset if the
+			// request was still on its way.
+			if tunnel.AwaitPassed(ctx, r.requester, r.upstream) {
 				r.reset(ctx)
 				return
 			}
--- a/internal/tunnel/socket.go
+++ b/internal/tunnel/socket.go
@@ -104,8 +104,60 @@
 	return known && info.Notsent_bytes > 0
 }
 
-func unacknowledged(socket *net.TCPConn) bool {
-	info, known := tcpInfo(socket)
+// AwaitTaken waits until the peer of a connection has acknowledged all that was written to
+// it, and reports whether it has. It has not if the connection was reset, or if it takes
+// longer than unackedTimeout. Connections that are not of TCP count as taken.
+func AwaitTaken(ctx context.Context, conn net.Conn) bool {
+	if _, ok := conn.(*net.TCPConn); !ok {
+		return true
+	}
+	for waited := time.Duration(0); waited < unackedTimeout; waited += resetPoll {
+		info, known := tcpInfo(conn)
+		switch {
+		case !known || info.State == tcpStateClose:
+			return false
+		case info.Unacked == 0 && info.Notsent_bytes == 0:
+			return true
+		case task.Sleep(ctx, resetPoll) != nil:
+			return false
+		}
+	}
+	return false
+}
+
+// AwaitPassed waits after the end of what upstream sends until all that requester has sent
+// is passed on to it. It reports whether upstream has reset the connection, which one that
+// has closed it does on the next bytes. An upstream that has only ended its own side is
+// waited for at most resetGrace.
+func AwaitPassed(ctx context.Context, requester, upstream net.Conn) (reset bool) {
+	quiet := false
+	for waited := time.Duration(0); waited < resetGrace; waited += resetPoll {
+		if WasReset(upstream) {
+			return true
+		}
+		// Bytes between the two sockets are in neither, so one look does not suffice.
+		wasQuiet := quiet
+		quiet = unread(requester) == 0 && !unacknowledged(upstream)
+		if wasQuiet && quiet || task.Sleep(ctx, resetPoll) != nil {
+			break
+		}
+	}
+	return WasReset(upstream)
+}
+
+// unread returns the number of bytes that the kernel has received and that were not read.
+func unread(conn net.Conn) int {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	count := 0
+	_ = control(socket, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.SIOCINQ) })
+	return count
+}
+
+func unacknowledged(conn net.Conn) bool {
+	info, known := tcpInfo(conn)
 	return known && info.State != tcpStateClose && (info.Unacked > 0 || info.Notsent_bytes > 0)
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -199,6 +199,11 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := transport.RoundTrip(request)
 	switch {
+	case err == nil && (!core.ValidStatus(response.StatusCode) || response.StatusCode < http.StatusOK):
+		// No request asks for another protocol, so 101 is no answer to one either.
+		response.Body.Close()
+		return nil, fault.New(fault.UpstreamFailed, fault.Unknown,
+			"the upstream's answer has the invalid status %q; look the result up before a retry", response.Status)
 	case err == nil:
 		return response, nil
 	case connected.Load():
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
 
 // socket is a connection to an upstream whose reader also learns that a write failed.
@@ -17,6 +19,10 @@
 	written chan error
 }
 
+// errNotTaken means that a connection ended before the upstream had taken all that was
+// written to it.
+var errNotTaken = errors.New("the upstream's connection ended before it had taken the whole request")
+
 // dialer returns the function that opens connections to upstreams by dial, nil for TCP.
 func dialer(dial DialFunc, timeout time.Duration) DialFunc {
 	if dial == nil {
@@ -65,6 +71,10 @@
 		_ = s.Close()
 		writeErr = <-s.written
 	}
+	if writeErr == nil && !tunnel.AwaitTaken(context.Background(), s.Conn) {
+		// The write ends with the bytes in the kernel's buffer, so a reset may follow it.
+		writeErr = errNotTaken
+	}
 	s.written <- writeErr
 	if writeErr != nil {
 		return n, writeErr
