Slow readers: what waits for a caller, and what an upstream holds, is bounded

Cause: each write to a caller had to end within 10 s whatever its length, so that a steady caller of 256 KiB at 3 KiB/s lost its answer; whole answers of the product's own path had no bound of time. While a caller did not read, its upstream's answer was not read either; the kernel's buffers could grow to 4 and 6 MiB for each connection; the memory for bodies was shared by requests and by answers that wait for slow callers; nothing bounded the bytes sent to an upstream that answers nothing. Change: internal/decide/readers decides when an answer that is not read ends (nothing taken for 10 s, or less than 1 KiB in 30 s), how much waits for one caller (256 KiB), and what an upstream may hold of this host's requests (16 MiB divided by the hosts). A task writes what a caller does not take at once, from memory of its own; the director sends requests elsewhere or refuses them; kernel buffers are bounded.

--- a/internal/api/sink.go
+++ b/internal/api/sink.go
@@ -10,17 +10,10 @@
 	"github.com/peridotreel/peridotreel/internal/fault"
 )
 
-const (
-	// writeTimeout limits how long a slow caller may block its own stream.
-	// Meanwhile the kernel's buffers and at most 64 KiB of events are held.
-	writeTimeout = 10 * time.Second
-	// deadlineInterval is the least time between two extensions of the write
-	// deadline. A blocked write therefore fails after 9 s to 10 s.
-	deadlineInterval = time.Second
-	// flushSize is the size at which buffered chunks are written even if more
-	// events are available.
-	flushSize = 32 << 10
-)
+// flushSize is the size at which buffered chunks are written even if more events are
+// available. While a caller does not read, this and the kernel's buffers are held, and at
+// most 64 KiB of events. Its connection ends writes that it does not take.
+const flushSize = 32 << 10
 
 // requestIDHeader is the response header with the request's ID.
 const requestIDHeader = "X-Request-Id"
@@ -41,8 +34,6 @@
 	buffer        []byte
 	headerWritten bool
 	tokenWritten  bool
-	// deadlineSet is when the write deadline was last extended.
-	deadlineSet time.Time
 }
 
 func newStreamSink(w http.ResponseWriter, model core.ModelName, now time.Time) *streamSink {
@@ -90,9 +81,6 @@
 		header.Set("Cache-Control", "no-cache")
 		s.response.WriteHeader(http.StatusOK)
 	}
-	if err := s.extendDeadline(time.Now()); err != nil {
-		return err
-	}
 	_, err := s.response.Write(s.buffer)
 	s.buffer = s.buffer[:0]
 	if err != nil {
@@ -101,14 +89,6 @@
 	return s.control.Flush()
 }
 
-func (s *streamSink) extendDeadline(now time.Time) error {
-	if now.Sub(s.deadlineSet) < deadlineInterval {
-		return nil
-	}
-	s.deadlineSet = now
-	return s.control.SetWriteDeadline(now.Add(writeTimeout))
-}
-
 // Finish implements pipeline.Sink. The last chunk carries the finish reason and
 // the usage.
 func (s *streamSink) Finish(answer *core.Answer) error {
--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -27,6 +27,10 @@
 	// tcpUserTimeout is the number of the socket option TCP_USER_TIMEOUT, which
 	// package syscall lacks.
 	tcpUserTimeout = 0x12
+	// socketBuffer bounds what the kernel holds of requests to an upstream and of answers
+	// from it, on each connection. It may grow to 6 MiB otherwise, for each caller that
+	// reads slowly. At a round trip of 5 ms it allows 12 MB/s.
+	socketBuffer = 64 << 10
 	// verifyTimeout bounds the verification of a new connection: one request and its answer.
 	verifyTimeout = 250 * time.Millisecond
 )
@@ -45,7 +49,11 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var sockoptErr error
 			err := raw.Control(func(fd uintptr) {
-				sockoptErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+				sockoptErr = errors.Join(
+					syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds())),
+					syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBuffer),
+					syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBuffer),
+				)
 			})
 			return errors.Join(err, sockoptErr)
 		},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,9 +52,12 @@
 	// memoryLimitFraction is the part of the process's memory that the garbage
 	// collector keeps to; the rest is for stacks of the kernel's buffers.
 	memoryLimitFraction = 0.6
-	// bufferFraction is the part of the process's memory for bodies that are buffered. It
-	// leaves the garbage collector room for as much again.
-	bufferFraction = 0.25
+	// bodyFraction and answerFraction are the parts of the process's memory for bodies of
+	// requests that are buffered, and for answers that are buffered or wait for callers, so
+	// that callers who do not read cost others no request. They leave the garbage collector
+	// room for as much again.
+	bodyFraction   = 0.15
+	answerFraction = 0.1
 	// reservedDescriptors is the number of file descriptors kept for connections
 	// to upstreams, the store and peers.
 	reservedDescriptors = 1200
@@ -149,7 +152,8 @@
 		return nil, err
 	}
 	pool := connpool.NewPool(options.Platform.DecodeHead, options.Dial)
-	memory := buffers.New(int64(float64(s.MemoryMB) * bufferFraction * (1 << 20)))
+	bodies := buffers.New(int64(float64(s.MemoryMB) * bodyFraction * (1 << 20)))
+	answers := buffers.New(int64(float64(s.MemoryMB) * answerFraction * (1 << 20)))
 	process := allowance.Process{Host: s.Host, Start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 	e.balances = balances.New(balances.Config{
 		Store: options.Platform.Store, Process: process, Zone: s.Zone, Log: options.Log, Now: options.Now,
@@ -222,13 +226,16 @@
 		Resume:  &resume.Filter{Origins: e.origins},
 		Reserve: &reserve.Filter{Balances: e.owners, Now: options.Now},
 		Attempt: &attempt.Filter{Director: e.director, Connections: pool, Encode: options.Platform.Encode, VerifyStart: options.Platform.VerifyStart, Tunnels: e.helpers, Now: options.Now},
-		Log:     options.Log, Now: options.Now, Recorder: recorder{requests, refusals}, Began: e.origins.Began, Buffers: memory,
+		Log:     options.Log, Now: options.Now, Recorder: recorder{requests, refusals}, Began: e.origins.Began, Buffers: answers,
 	}
 	e.front = front.NewServer(front.Config{
 		Listener: callers, Codec: options.Platform.Codec, Handler: pipeline, Limits: e.director, Log: options.Log, Now: options.Now,
-		Buffers: memory, Away: e.away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
+		Buffers: bodies, Answers: answers, Away: e.away, MaxConnections: max(s.Descriptors-reservedDescriptors, 100), Endings: e.endings,
 	})
-	e.start(memory, pool, e.helpers, e.tunnels, client, server)
+	if err = telemetry.RegisterReaders(e.telemetry.Meter(), e.front.Readers); err != nil {
+		return nil, err
+	}
+	e.start(bodies, answers, pool, e.helpers, e.tunnels, client, server)
 	return e, e.serveHTTP()
 }
 
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -6,15 +6,11 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"time"
 
+	"github.com/peridotreel/peridotreel/internal/decide/readers"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 )
 
-// writeTimeout limits one write to a caller that does not read. Callers abandon a
-// stream after a gap of a few seconds.
-const writeTimeout = 10 * time.Second
-
 // errWriteFailed means that the answer could not be written to the caller's
 // connection.
 var errWriteFailed = errors.New("writing the answer to the caller's connection failed")
@@ -37,6 +33,8 @@
 	begun       bool
 	done        bool
 	failed      bool
+	// outbox writes what the caller has not taken, nil while it takes all.
+	outbox *outbox
 	// written is true once a byte was written, writeError is the error of the write that
 	// failed.
 	written    bool
@@ -138,17 +136,43 @@
 	return out
 }
 
+// write writes to the caller what it takes at once, and leaves the rest to an outbox.
 func (a *answer) write(data []byte) error {
 	if a.failed {
 		return errWriteFailed
 	}
-	socket := a.connection.socket
-	_ = socket.SetWriteDeadline(a.connection.server.config.Now().Add(writeTimeout))
-	count, err := socket.Write(data)
-	a.written = a.written || count > 0
+	err := a.pass(data)
+	if err == nil && a.done {
+		err = a.flush()
+	}
 	if err != nil {
 		a.failed, a.writeError = true, err
 		return fmt.Errorf("%w: %w", errWriteFailed, err)
 	}
 	return nil
 }
+
+func (a *answer) pass(data []byte) error {
+	if a.outbox != nil {
+		return a.outbox.add(data)
+	}
+	_ = a.connection.socket.SetWriteDeadline(a.connection.server.config.Now().Add(readers.MaxGap))
+	rest, err := a.connection.writeNow(data)
+	a.written = a.written || len(rest) < len(data)
+	if err == nil && len(rest) > 0 {
+		a.outbox = startOutbox(a.connection, rest)
+	}
+	return err
+}
+
+// flush waits until the caller has taken what waits for it.
+func (a *answer) flush() error {
+	if a.outbox == nil {
+		return nil
+	}
+	outbox := a.outbox
+	a.outbox = nil
+	err := outbox.finish()
+	a.written = a.written || outbox.wrote
+	return err
+}
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -74,6 +74,7 @@
 // newConnection takes over a socket that was accepted. It is reported as accepted, so
 // either run or close must be called.
 func newConnection(server *Server, socket net.Conn) *connection {
+	boundSendBuffer(socket)
 	return &connection{
 		server: server, socket: socket, id: server.config.Endings.AcceptConnection(), reader: bufio.NewReaderSize(socket, readBufferSize),
 		peekRequests: make(chan struct{}, 1), peekResults: make(chan error, 1), evicted: make(chan struct{}),
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -19,6 +19,10 @@
 }
 
 func (a *answer) finish(err error) gateway.Ending {
+	// What was passed on is written also if the rest is missing.
+	if flushErr := a.flush(); flushErr != nil && a.writeError == nil {
+		a.failed, a.writeError = true, flushErr
+	}
 	a.failed = a.failed || err != nil
 	if a.done && a.writeError == nil {
 		return a.endDelivered()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -63,6 +63,8 @@
 	Now      func() time.Time
 	// Buffers has the memory for the bodies of requests.
 	Buffers *buffers.Buffers
+	// Answers has the memory for what waits for callers; nil has no limit.
+	Answers *buffers.Buffers
 	// Away reports whether callers are to move to other hosts: answers then end their
 	// connections. nil means that they are not.
 	Away func() bool
@@ -78,6 +80,8 @@
 type Server struct {
 	config Config
 	inbox  *task.Inbox[any]
+	// readers counts callers for which bytes wait.
+	readers readerCounts
 	// draining is closed when each answer must end its connection, closingIdle when
 	// connections without a request have a last time to send one, and finishing when idle
 	// connections must close.
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -20,9 +20,9 @@
 	"github.com/peridotreel/peridotreel/internal/tasks/tunnels"
 )
 
-// eventBuffer is the number of events of an answer that are buffered while the
-// caller's connection is slow.
-const eventBuffer = 16
+// eventBuffer is the number of parts of an answer that are read ahead. They are not
+// counted as held memory, of which the front end has the parts that wait for a caller.
+const eventBuffer = 4
 
 // Director chooses upstreams for attempts and records what attempts observe.
 type Director interface {
@@ -176,6 +176,7 @@
 			Service: matched.Service.Name, Engine: matched.Service.Engine,
 			Prompt: matched.Request.Prompt, Objective: matched.Route.Objective, Excluded: plan.Excluded, Software: plan.Software,
 		},
+		Bytes:  int64(len(matched.Request.Body)),
 		Traits: matched.Traits, First: plan.First, Retry: plan.Retry, ClosedEarly: plan.ClosedEarly,
 		BeginsResumable: matched.Route.Retry == gateway.StreamResumable && plan.Software == nil,
 		MaxWait:         maxWait(matched.Route, matched.Deadline.Sub(f.Now())),
--- a/internal/opaque/relay/relay.go
+++ b/internal/opaque/relay/relay.go
@@ -134,6 +134,8 @@
 	splitter events.Splitter
 	// events is the number of whole events that this attempt delivered.
 	events int
+	// observed is true once the attempt's end was reported.
+	observed bool
 }
 
 // Begin starts to relay an attempt that was just sent.
@@ -343,6 +345,7 @@
 	outcome := r.outcome(Failed, nil)
 	outcome.Answer = &BufferedAnswer{Head: *r.head, Body: r.body}
 	if r.head.Success() {
+		r.observeComplete()
 		if err := r.Answer.Send(r.head.Status, r.head.Fields, r.body); err != nil {
 			return r.outcome(CallerGone, err)
 		}
@@ -369,6 +372,7 @@
 }
 
 func (r *Attempt) endAnswer() Outcome {
+	r.observeComplete()
 	if err := r.Answer.End(); err != nil {
 		return r.outcome(CallerGone, err)
 	}
@@ -383,7 +387,17 @@
 	TimeUp:     placement.Silent, CallerGone: placement.Abandoned, HostStopping: placement.Abandoned,
 }
 
+// observeComplete reports that the upstream has answered, so that a caller that reads
+// slowly does not count as load of the upstream.
+func (r *Attempt) observeComplete() {
+	r.observe(r.outcome(Delivered, nil))
+	r.observed = true
+}
+
 func (r *Attempt) observe(outcome Outcome) {
+	if r.observed {
+		return
+	}
 	signal := signalByEnding[outcome.Ending]
 	if outcome.ClosedEarly {
 		signal = placement.ClosedEarly
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -16,6 +16,7 @@
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
 	"github.com/peridotreel/peridotreel/internal/decide/reach"
+	"github.com/peridotreel/peridotreel/internal/decide/readers"
 	"github.com/peridotreel/peridotreel/internal/decide/requestlimit"
 	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/decide/roster"
@@ -97,6 +98,8 @@
 	limits       *requestlimit.Table
 	notices      *notice.Notices
 	brittle      *brittle.Table
+	// unanswered is what upstreams hold of this host's requests.
+	unanswered *readers.Upstreams
 	// reach tells which services this host is cut off from.
 	reach *reach.Table
 	// confirmed tells at which software versions streams may begin that callers resume.
@@ -124,7 +127,7 @@
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
 		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), unanswered: readers.NewUpstreams(config.Hosts), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		startup: startup{began: config.Now()},
 	}
 }
@@ -309,6 +312,9 @@
 			d.observeHead(m, now)
 		}
 		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
+		if m.Signal != placement.Connected && m.Signal != placement.Stalled {
+			d.unanswered.Ended(m.Upstream, m.Attempt)
+		}
 		d.observeEnd(m, now)
 		d.observeTraits(ctx, m, now)
 		d.observeReach(ctx, m, now)
@@ -362,6 +368,7 @@
 
 func (d *Director) setHosts(list hostList) {
 	d.hosts = max(list.count, 1)
+	d.unanswered.SetHosts(d.hosts)
 	d.members = d.members[:0]
 	for _, member := range list.members {
 		d.members = append(d.members, string(member.Host))
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -14,6 +14,8 @@
 // PlacementRequest is a request for the upstream of an attempt.
 type PlacementRequest struct {
 	placement.Query
+	// Bytes is the length of the request's body.
+	Bytes int64
 	// Traits are what the request has in common with others that may crash upstreams.
 	Traits []quarantine.Trait
 	// Retry is true if an earlier attempt of the request may have reached an
@@ -51,8 +53,8 @@
 	// its upstream: one of its traits was in flight at another crash.
 	Suspected
 	// Limited means that upstreams are left, but the request limits that they name
-	// allow this host no request now, they want none for a time, or they are brittle and
-	// have no room.
+	// allow this host no request now, they want none for a time, they are brittle and
+	// have no room, or they hold as many bytes of this host's requests as they may.
 	Limited
 	// Saturated means that the request would wait longer than its MaxWait at the
 	// best upstream.
@@ -108,7 +110,7 @@
 	}
 	request.Usable = func(id core.UpstreamID) bool {
 		wait, usable := d.wait(id, now)
-		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
+		return usable && wait == 0 && d.unanswered.MaySend(id, request.Bytes) && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
 	}
 	choice, found := d.balancer.Choose(request.Query, now)
 	if !found {
@@ -130,6 +132,7 @@
 	}
 	d.lastAttempt++
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
+	d.unanswered.Sent(choice.Upstream.ID, d.lastAttempt, request.Bytes)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
 	return Placed{
--- a/internal/tunnel/socket.go
+++ b/internal/tunnel/socket.go
@@ -145,6 +145,18 @@
 	return WasReset(upstream)
 }
 
+// Outstanding returns the number of bytes that were written to a connection and that its
+// peer has not acknowledged.
+func Outstanding(conn net.Conn) int {
+	socket, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	count := 0
+	_ = control(socket, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	return count
+}
+
 // unread returns the number of bytes that the kernel has received and that were not read.
 func unread(conn net.Conn) int {
 	socket, ok := conn.(*net.TCPConn)
