--- a/internal/tunnel/socket.go
+++ b/internal/tunnel/socket.go
@@ -21,6 +21,11 @@
 	// unackedTimeout closes a connection on which sent bytes remain unacknowledged. Linux
 	// also ends keep-alive probes by it, whatever their count.
 	unackedTimeout = 4 * time.Second
+	// socketBuffer bounds what the kernel holds for the requester's side of a tunnel, which
+	// it doubles for its own records. It may grow to 4 and 6 MiB otherwise, for each of 256
+	// tunnels whose callers read slowly. An answer of the usual longest length fits, so that
+	// it is taken from its upstream before its requester reads.
+	socketBuffer = 256 << 10
 	// resetGrace bounds the wait for sent bytes to be acknowledged before a reset, which
 	// discards them. A round trip between zones takes a few milliseconds.
 	resetGrace = 500 * time.Millisecond
@@ -32,8 +37,8 @@
 	tcpStateClose       = 7
 )
 
-// Configure makes a silent peer noticed within unackedTimeout. Connections that are not
-// of TCP, as in tests, remain as they are.
+// Configure makes a silent peer noticed within unackedTimeout, and bounds what the kernel
+// holds. Connections that are not of TCP, as in tests, remain as they are.
 func Configure(conn net.Conn) error {
 	socket, ok := conn.(*net.TCPConn)
 	if !ok {
@@ -44,6 +49,9 @@
 	}); err != nil {
 		return err
 	}
+	if err := errors.Join(socket.SetReadBuffer(socketBuffer), socket.SetWriteBuffer(socketBuffer)); err != nil {
+		return err
+	}
 	var optionErr error
 	err := control(socket, func(fd int) {
 		optionErr = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -19,6 +19,10 @@
 	written chan error
 }
 
+// socketBuffer bounds what the kernel holds of requests to an upstream and of answers from
+// it, on each connection. It may grow to 6 MiB otherwise, for each caller that reads slowly.
+const socketBuffer = 64 << 10
+
 // errNotTaken means that a connection ended before the upstream had taken all that was
 // written to it.
 var errNotTaken = errors.New("the upstream's connection ended before it had taken the whole request")
@@ -35,6 +39,12 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			if err := errors.Join(tcp.SetReadBuffer(socketBuffer), tcp.SetWriteBuffer(socketBuffer)); err != nil {
+				_ = connection.Close()
+				return nil, err
+			}
+		}
 		return newSocket(connection), nil
 	}
 }
