Front: keep the kernel's socket of a connection

Cause: it was asked for with each write, for one allocation. Result: BenchmarkRequestOnAKeptConnection 60 allocations, 61 before; go test -race ./internal/front passes.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,6 +52,8 @@
 type connection struct {
 	server *Server
 	socket net.Conn
+	// raw is the kernel's socket, nil if there is none.
+	raw syscall.RawConn
 	// id is that of the connection in the account of endings.
 	id           endings.ID
 	reader       *bufio.Reader
@@ -76,7 +79,7 @@
 func newConnection(server *Server, socket net.Conn) *connection {
 	boundSendBuffer(socket)
 	return &connection{
-		server: server, socket: socket, id: server.config.Endings.AcceptConnection(), reader: bufio.NewReaderSize(socket, readBufferSize),
+		server: server, socket: socket, raw: rawOf(socket), id: server.config.Endings.AcceptConnection(), reader: bufio.NewReaderSize(socket, readBufferSize),
 		peekRequests: make(chan struct{}, 1), peekResults: make(chan error, 1), evicted: make(chan struct{}),
 	}
 }
--- a/internal/front/outbox.go
+++ b/internal/front/outbox.go
@@ -147,16 +147,11 @@
 // writeNow writes what the kernel takes at once, and returns the rest. A connection that is
 // not the kernel's, as in tests, takes nothing at once.
 func (c *connection) writeNow(data []byte) (rest []byte, err error) {
-	owner, ok := c.socket.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return data, nil
 	}
-	raw, err := owner.SyscallConn()
-	if err != nil {
-		return data, err
-	}
 	var writeErr error
-	err = raw.Write(func(descriptor uintptr) bool {
+	err = c.raw.Write(func(descriptor uintptr) bool {
 		for len(data) > 0 && writeErr == nil {
 			var n int
 			n, writeErr = syscall.Write(int(descriptor), data)
@@ -176,6 +171,16 @@
 	return data, writeErr
 }
 
+// rawOf returns the kernel's socket of a connection, nil if it has none.
+func rawOf(socket net.Conn) syscall.RawConn {
+	if owner, ok := socket.(syscall.Conn); ok {
+		if raw, err := owner.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
+
 // boundSendBuffer bounds what the kernel holds for a caller.
 func boundSendBuffer(socket net.Conn) {
 	if tcp, ok := socket.(*net.TCPConn); ok {
