Front: a body is asked for although an earlier write's deadline has passed

Cause: the deadline of the latest write of an answer stayed on the connection, so that 100 (Continue) failed on one that was idle since. Change: the write has a deadline of its own.

--- a/internal/front/readers_test.go
+++ b/internal/front/readers_test.go
@@ -207,3 +207,28 @@
 		}
 	})
 }
+
+// Guards against a body that is not asked for, as the deadline of an earlier answer's write
+// has passed: the connection was closed.
+func TestABodyIsAskedForLongAfterAnEarlierAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, own := pipeServer(t, func(_ context.Context, request *gateway.Request, answer gateway.Answer) error {
+			return answer.Send(http.StatusOK, nil, request.Body)
+		})
+		reader := bufio.NewReader(own)
+		_, _ = io.WriteString(own, slowRequest)
+		if got, err := readReply(reader); err != nil || got.status != http.StatusOK {
+			t.Fatal(got, err)
+		}
+		time.Sleep(readers.MaxGap + time.Second)
+		_, _ = io.WriteString(own, "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		if got, err := reader.ReadString('\n'); got != "HTTP/1.1 100 Continue\r\n" {
+			t.Fatalf("%q, %v", got, err)
+		}
+		_, _ = reader.Discard(len("\r\n"))
+		_, _ = io.WriteString(own, "body")
+		if got, err := readReply(reader); err != nil || got.body != "body" {
+			t.Error(got, err)
+		}
+	})
+}
--- a/internal/front/reading.go
+++ b/internal/front/reading.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/peridotreel/peridotreel/internal/decide/readers"
 	"github.com/peridotreel/peridotreel/internal/gateway"
 	"github.com/peridotreel/peridotreel/internal/tasks/buffers"
 )
@@ -175,6 +176,8 @@
 		return nil, errNoMemory
 	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		// The deadline of an earlier answer may have passed.
+		_ = c.socket.SetWriteDeadline(c.server.config.Now().Add(readers.MaxGap))
 		if _, err := c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
 		}
