Own path: what an upstream holds of a host's requests is bounded

Cause: only the concurrency limit bounded the bytes of requests that an engine or a service holds. Change: the view of the upstreams counts them, and picks pass over an upstream at its part of 16 MiB, divided by the hosts that share it.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -60,6 +60,23 @@
 	Fingerprint [32]byte
 }
 
+// Bytes returns the length of the call's text or body, without its fields.
+func (c *Call) Bytes() int64 {
+	switch {
+	case c == nil:
+		return 0
+	case c.Service != nil:
+		return int64(len(c.Service.Body))
+	case c.Completion == nil:
+		return 0
+	}
+	total := 0
+	for i := range c.Completion.Messages {
+		total += len(c.Completion.Messages[i].Content)
+	}
+	return int64(total)
+}
+
 // Caller is the authenticated origin of a call.
 type Caller struct {
 	Team *TeamRow
--- a/internal/decide/readers/upstream.go
+++ b/internal/decide/readers/upstream.go
@@ -7,6 +7,13 @@
 // as many more holds 12 KiB of each request, the usual longest, within a fifth of it.
 const maxHeld = 16 << 20
 
+// MayHold reports whether an upstream that holds a number of bytes of one host's requests,
+// and is shared by a number of hosts, may get a further request. One that holds nothing may
+// get any, so that a long request is served.
+func MayHold(held, bytes int64, hosts int) bool {
+	return held <= 0 || held+bytes <= maxHeld/int64(max(hosts, 1))
+}
+
 // Upstreams is what upstreams hold of this host's requests. Its zero value is not usable.
 type Upstreams struct {
 	hosts     int
@@ -26,11 +33,9 @@
 // SetHosts sets the number of hosts that share the upstreams.
 func (u *Upstreams) SetHosts(hosts int) { u.hosts = max(hosts, 1) }
 
-// MaySend reports whether an upstream may get a request of a number of bytes. One that
-// holds nothing of this host may get any, so that a long request is served.
+// MaySend reports whether an upstream may get a request of a number of bytes.
 func (u *Upstreams) MaySend(id core.UpstreamID, bytes int64) bool {
-	h := u.upstreams[id]
-	return h == nil || h.bytes == 0 || h.bytes+bytes <= maxHeld/int64(u.hosts)
+	return MayHold(u.Held(id), bytes, u.hosts)
 }
 
 // Sent records an attempt that is sent to an upstream.
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -36,6 +36,8 @@
 	Excluded   []core.UpstreamID
 	// Resume is the upstream that holds the answer's state, if any.
 	Resume core.UpstreamID
+	// Bytes is the length of the request.
+	Bytes int64
 	// Random decides between upstreams of equal load.
 	Random uint64
 }
@@ -90,7 +92,7 @@
 func (c *candidates) add(subset []*upstreams.Member, zone core.ZoneName, request *Request, accept func(*upstreams.Member) bool) {
 	for _, member := range subset {
 		target := member.Target()
-		if !member.Usable() || slices.Contains(request.Excluded, target.Upstream) || !accept(member) {
+		if !member.Usable() || slices.Contains(request.Excluded, target.Upstream) || !member.MayHold(request.Bytes) || !accept(member) {
 			continue
 		}
 		c.list[c.count] = member
--- a/internal/decide/upstreams/upstreams.go
+++ b/internal/decide/upstreams/upstreams.go
@@ -53,11 +53,13 @@
 
 // Upstream is the state kept of one upstream process.
 type Upstream struct {
-	target  core.Target
-	hash    uint64
-	leaving bool
-	listed  bool
-	members []*Member
+	// heldBytes is what the upstream holds of this host's requests that have not ended.
+	heldBytes int64
+	target    core.Target
+	hash      uint64
+	leaving   bool
+	listed    bool
+	members   []*Member
 
 	report      Report
 	reported    bool
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -50,6 +50,9 @@
 	Elapsed  time.Duration
 	Tokens   int64
 	Estimate core.Tokens
+	// Bytes is the length of the request at the end of its attempt, which the upstream
+	// holds no longer.
+	Bytes int64
 }
 
 // Balancer tracks the upstreams and their load.
--- a/internal/measure/slopes/routing.go
+++ b/internal/measure/slopes/routing.go
@@ -155,7 +155,7 @@
 			Estimate: requestCost, Idempotent: true,
 		}
 		if target, err := host.Pick(ctx, route.Query{Work: work, Attempt: 1}); err == nil {
-			host.Observe(route.Observation{Target: target, Model: work.Model(), Kind: route.Finished, Elapsed: time.Second, Tokens: int64(requestCost), Estimate: requestCost})
+			host.Observe(route.Observation{Target: target, Model: work.Model(), Kind: route.Finished, Elapsed: time.Second, Tokens: int64(requestCost), Estimate: requestCost, Bytes: work.Call.Bytes()})
 		}
 	})
 	group.Stop()
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -221,7 +221,7 @@
 func (e *exchange) observeEnd(target core.Target, outcome relay.Outcome, elapsed time.Duration) {
 	e.pipeline.Route.Observe(route.Observation{
 		Kind: observationKind(outcome), Target: target, Model: e.work.Model(),
-		Elapsed: elapsed, Tokens: outcome.Tokens, Estimate: e.work.Estimate,
+		Elapsed: elapsed, Tokens: outcome.Tokens, Estimate: e.work.Estimate, Bytes: e.work.Call.Bytes(),
 	})
 }
 
--- a/internal/pipeline/service.go
+++ b/internal/pipeline/service.go
@@ -108,7 +108,7 @@
 func (e *exchange) callOnce(ctx context.Context, target core.Target, attemptNumber int, newConnection bool, results chan<- serviceResult) {
 	started := e.pipeline.Now()
 	answer, err := e.pipeline.Attempt.Call(ctx, attempt.Request{Work: e.work, Target: target, Attempt: attemptNumber, NewConnection: newConnection})
-	observation := route.Observation{Kind: route.Finished, Target: target, Elapsed: e.pipeline.Now().Sub(started), Estimate: e.work.Estimate}
+	observation := route.Observation{Kind: route.Finished, Target: target, Elapsed: e.pipeline.Now().Sub(started), Estimate: e.work.Estimate, Bytes: e.work.Call.Bytes()}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		observation.Kind = route.Cancelled
--- a/internal/tasks/balancer/balancer_test.go
+++ b/internal/tasks/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -158,3 +159,24 @@
 		So(hedges, ShouldBeBetweenOrEqual, 1, 10)
 	})
 }
+
+// Guards against an upstream that holds more of this host's requests than it has memory for:
+// requests beyond its bound go to another, and are refused at once if there is none.
+func TestUpstreamsHoldABoundedPartOfThisHostsRequests(t *testing.T) {
+	fleet := &fakeUpstreams{members: []platform.Member{engine("e1", 1), engine("e2", 1)}}
+	withTask(t, fleet, func(balancer *Task) {
+		long := query(1)
+		long.Work.Call.Completion.Messages = []core.Message{{Content: strings.Repeat("p", 12<<20)}}
+		first, err := balancer.Pick(context.Background(), long)
+		So(err, ShouldBeNil)
+		second, err := balancer.Pick(context.Background(), long)
+		So(err, ShouldBeNil)
+		So(second.Upstream, ShouldNotEqual, first.Upstream)
+		_, err = balancer.Pick(context.Background(), long)
+		So(fault.From(err).Run, ShouldEqual, fault.NotRun)
+		balancer.Observe(route.Observation{Kind: route.Finished, Target: first, Model: "m", Elapsed: time.Second, Tokens: 10, Estimate: 100, Bytes: long.Work.Call.Bytes()})
+		next, err := balancer.Pick(context.Background(), long)
+		So(err, ShouldBeNil)
+		So(next.Upstream, ShouldEqual, first.Upstream)
+	})
+}
--- a/internal/tasks/balancer/pick.go
+++ b/internal/tasks/balancer/pick.go
@@ -68,7 +68,7 @@
 	reply := make(chan pickResult, 1)
 	message := pickMessage{kind: kind, reply: reply, request: routing.Request{
 		Pool: upstreams.PoolOf(query.Work), Estimate: query.Work.Estimate, PrefixHash: query.Work.PrefixHash,
-		Excluded: query.Excluded, Resume: query.Resume,
+		Excluded: query.Excluded, Resume: query.Resume, Bytes: query.Work.Call.Bytes(),
 	}}
 	if err := t.inbox.Send(ctx, message); err != nil {
 		return core.Target{}, pickError(kind, fault.Overloaded, "this host can't choose an upstream in time; retry later").WithCause(err)
@@ -118,6 +118,7 @@
 		return
 	}
 	t.polls.poolUsedAt[m.request.Pool] = now
+	member.Hold(m.request.Bytes)
 	t.view.StartAttempt(now, member, m.request.Estimate)
 	m.reply <- pickResult{target: member.Target()}
 }
@@ -167,6 +168,9 @@
 		t.view.RecordFirstToken(now, pool, o.Target, o.Elapsed, o.Estimate)
 		return
 	}
+	if member := t.view.Find(pool, o.Target.Upstream); member != nil {
+		member.Release(o.Bytes)
+	}
 	if o.Kind == route.Silent {
 		// After one that broke, the next connection shows more than a probe would.
 		t.suspect(o.Target, now)
