--- a/internal/connpool/cut_test.go
+++ b/internal/connpool/cut_test.go
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	exchange := &Exchange{ID: "1", Method: http.MethodPost, Events: make(chan Event, 2000), Context: ctx}
-	return newConnection(nil, "u", socket, decodeHead).readAnswer(exchange)
+	return newConnection(&Pool{}, "u", socket, decodeHead).readAnswer(exchange)
 }
 
 // Guards against an answer that counts as complete although its connection ended within
@@ -158,7 +158,7 @@
 	} {
 		Convey("Given a reset during the request and a body that "+name, t, func() {
 			socket := &resetSocket{cutSocket{text: c.text, step: len(c.text), end: io.EOF}, make(chan struct{})}
-			connection := newConnection(nil, "u", socket, decodeHead)
+			connection := newConnection(&Pool{}, "u", socket, decodeHead)
 			go connection.read()
 			events := make(chan Event, 8)
 			So(connection.roundTrip(&Exchange{ID: "1", Method: http.MethodPost, Events: events, Context: context.Background()}), ShouldBeFalse)
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -15,6 +15,8 @@
 // PlacementRequest is a request for the upstream of an attempt.
 type PlacementRequest struct {
 	placement.Query
+	// Bytes is the length of the request's body.
+	Bytes int64
 	// Traits are what the request has in common with others that may crash upstreams.
 	Traits []quarantine.Trait
 	// Retry is true if an earlier attempt of the request may have reached an
@@ -55,7 +57,8 @@
 	Suspected
 	// Limited means that upstreams are left, but the request limits that they name
 	// allow this host no request now, they want none for a time, they are brittle and
-	// have no room, or they are cold.
+	// have no room, they are cold, or they hold as many bytes of this host's requests as they
+	// may.
 	Limited
 	// Saturated means that engines have no room for the request, for the reason that
 	// Placed.Cause tells.
@@ -119,7 +122,7 @@
 	}
 	request.Usable = func(id core.UpstreamID) bool {
 		wait, usable := d.wait(id, now)
-		return usable && wait == 0 && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
+		return usable && wait == 0 && d.unanswered.MaySend(id, request.Bytes) && (!request.BeginsResumable || d.mayBegin(id, now)) && d.hasRoom(id, request.Retry, now)
 	}
 	choice, found := d.chooseWarmFirst(request, now)
 	if !found {
@@ -143,6 +146,7 @@
 	d.balancer.Begin(choice.Upstream.ID, d.lastAttempt, request.Prompt, now)
 	d.beginRoom(request, now)
 	connections := d.beginConnection(choice.Upstream.ID, request.Service, now)
+	d.unanswered.Sent(choice.Upstream.ID, d.lastAttempt, request.Bytes)
 	d.limits.Sent(choice.Upstream.ID, now)
 	d.cold.Sent(choice.Upstream.ID, now)
 	d.notices.Sent(choice.Upstream.ID, now)
