Tests: connections under test belong to a pool

Cause: a connection takes the counter of bytes from its pool, and these tests had none. Change: they use an empty pool.

--- a/internal/connpool/invalid_test.go
+++ b/internal/connpool/invalid_test.go
@@ -28,7 +28,7 @@
 				text := fmt.Sprintf("HTTP/1.1 %s Nothing\r\nId: 1\r\n%s", status, rest)
 				events := make(chan Event, 8)
 				exchange := &Exchange{ID: "1", Method: http.MethodPost, Events: events, Context: context.Background()}
-				end, reusable := newConnection(nil, "u", &cutSocket{text: text, step: len(text), end: io.EOF}, decodeHead).readAnswer(exchange)
+				end, reusable := newConnection(&Pool{}, "u", &cutSocket{text: text, step: len(text), end: io.EOF}, decodeHead).readAnswer(exchange)
 				So(end.Err, ShouldWrap, ErrMalformedResponse)
 				So(reusable, ShouldBeFalse)
 				So(events, ShouldBeEmpty)
@@ -39,7 +39,7 @@
 		for _, status := range []int{200, 204, 404, 599} {
 			text := strings.Replace(valid, "200", fmt.Sprint(status), 1)
 			events := make(chan Event, 8)
-			end, _ := newConnection(nil, "u", &cutSocket{text: text, step: len(text), end: io.EOF}, decodeHead).readAnswer(&Exchange{ID: "1", Events: events, Context: context.Background()})
+			end, _ := newConnection(&Pool{}, "u", &cutSocket{text: text, step: len(text), end: io.EOF}, decodeHead).readAnswer(&Exchange{ID: "1", Events: events, Context: context.Background()})
 			So(end.Err, ShouldBeNil)
 			So((<-events).Head.Status, ShouldEqual, status)
 		}
