Tests: wait for probes before their results count

Cause: TestAHostHelpsOthersUnlessItIsCutOff failed in 5 of 300 plays on: a probe that ended after the clock was moved showed the cut again. Change: the test waits until all probes have ended, in a synctest bubble.

--- a/internal/tasks/director/reach_test.go
+++ b/internal/tasks/director/reach_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -40,16 +41,21 @@
 // Guards against tunnels that lead through two hosts, and against a host without requests
 // that helps nobody for ever after a cut.
 func TestAHostHelpsOthersUnlessItIsCutOff(t *testing.T) {
-	Convey("Given a host that is cut off", t, func() {
-		f := cutOff()
-		So(f.admit(), ShouldEqual, TunnelCutOff)
-		Convey("It helps again once it has reached an upstream", func() {
-			f.observe(Observation{Upstream: "u-3", Signal: placement.Connected})
-			So(f.admit(), ShouldEqual, TunnelAllowed)
-		})
-		Convey("It helps again once what it knows is old", func() {
-			f.now.Add(int64(time.Minute))
-			So(f.admit(), ShouldEqual, TunnelAllowed)
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a host that is cut off", t, func() {
+			f := cutOff()
+			// The probes that follow the failures must have ended: one that ends later shows
+			// the cut again.
+			synctest.Wait()
+			So(f.admit(), ShouldEqual, TunnelCutOff)
+			Convey("It helps again once it has reached an upstream", func() {
+				f.observe(Observation{Upstream: "u-3", Signal: placement.Connected})
+				So(f.admit(), ShouldEqual, TunnelAllowed)
+			})
+			Convey("It helps again once what it knows is old", func() {
+				f.now.Add(int64(time.Minute))
+				So(f.admit(), ShouldEqual, TunnelAllowed)
+			})
 		})
 	})
 }
