--- a/internal/decide/linkload/linkload.go
+++ b/internal/decide/linkload/linkload.go
@@ -31,7 +31,8 @@
 	maxShare = 0.9
 	// minAway is how long the host is away at least. A caller that has filled the link is
 	// mostly still there when the host returns, and is then served late for the three
-	// seconds that the balancer takes. The time doubles each time that the load is back
+	// seconds that the balancer takes; it may pass several small hosts, three seconds each,
+	// before it reaches one that carries it. The time doubles each time that the load is back
 	// within calmTime of the return, up to maxAway.
 	minAway  = 45 * time.Second
 	maxAway  = 2 * time.Minute
