Ask for tokens of a short team less often where hosts are many

Cause: each host asked the owners ten times a second for a short team; with 58 hosts nearly every request of the team did, and waited 145 ms at the median to be refused. Change: the interval is 20 ms for each host of the fleet, 100 ms to 1 s; a new configuration ends all shortages.

--- a/internal/decide/shortage/shortage.go
+++ b/internal/decide/shortage/shortage.go
@@ -17,10 +17,13 @@
 	// or a top-up, and passingMemory if one call of the store or a peer may end it.
 	lastingMemory = 600 * time.Millisecond
 	passingMemory = 250 * time.Millisecond
-	// probeInterval is the time between two requests of a short team that ask the owners
-	// all the same, so that the host notices tokens that have become free. With 60 hosts,
-	// what becomes free is found within some ms.
-	probeInterval = 100 * time.Millisecond
+	// hostProbeInterval is the time between two requests of a short team that ask the
+	// owners all the same, for each host of the fleet: so that all hosts together notice
+	// within some 20 ms that tokens have become free, and ask no more often than that. Each
+	// host waits minProbeInterval at least, and maxProbeInterval at most.
+	hostProbeInterval = 20 * time.Millisecond
+	minProbeInterval  = 100 * time.Millisecond
+	maxProbeInterval  = time.Second
 	// maxTeams bounds the teams that are remembered.
 	maxTeams = 4096
 )
@@ -28,6 +31,8 @@
 // Table has what one host knows of short teams. Its callers pass in the current time.
 type Table[T any] struct {
 	teams map[core.TeamName]*state[T]
+	// probeInterval is the time between two requests of a short team that ask the owners.
+	probeInterval time.Duration
 }
 
 type state[T any] struct {
@@ -39,7 +44,17 @@
 }
 
 // New returns a table without teams. T is what is kept of a refusal.
-func New[T any]() *Table[T] { return &Table[T]{teams: make(map[core.TeamName]*state[T])} }
+func New[T any]() *Table[T] {
+	return &Table[T]{teams: make(map[core.TeamName]*state[T]), probeInterval: minProbeInterval}
+}
+
+// SetHosts sets the number of hosts that look for tokens.
+func (t *Table[T]) SetHosts(count int) {
+	t.probeInterval = min(max(time.Duration(count)*hostProbeInterval, minProbeInterval), maxProbeInterval)
+}
+
+// Reset forgets all refusals, as after a change of the teams' totals.
+func (t *Table[T]) Reset() { clear(t.teams) }
 
 // Verdict tells what to do with a request.
 type Verdict uint8
@@ -69,7 +84,7 @@
 	case amount < known.amount:
 		return Probe, none
 	case !now.Before(known.probeAt):
-		known.probeAt = now.Add(probeInterval)
+		known.probeAt = now.Add(t.probeInterval)
 		return Probe, none
 	default:
 		return Refuse, known.detail
@@ -86,11 +101,11 @@
 		if len(t.teams) >= maxTeams {
 			return
 		}
-		known = &state[T]{amount: amount, probeAt: now.Add(probeInterval)}
+		known = &state[T]{amount: amount, probeAt: now.Add(t.probeInterval)}
 		t.teams[team] = known
 	}
 	known.amount, known.detail = min(known.amount, amount), detail
-	if until := now.Add(memory(cause)); until.After(known.until) {
+	if until := now.Add(t.memory(cause)); until.After(known.until) {
 		known.until = until
 	}
 }
@@ -112,10 +127,12 @@
 	}
 }
 
-func memory(cause allowance.Cause) time.Duration {
+// memory returns how long a refusal counts. Where hosts ask less often, it lasts until the
+// next request asks.
+func (t *Table[T]) memory(cause allowance.Cause) time.Duration {
 	switch cause {
 	case allowance.CauseInDoubt, allowance.CauseStoreReturn, allowance.CauseReserved, allowance.CauseUnreachable, allowance.CauseSpent:
-		return lastingMemory
+		return max(lastingMemory, t.probeInterval+t.probeInterval/2)
 	default:
 		return passingMemory
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -178,10 +178,13 @@
 		RetryBound:       retrybudget.Bound{Window: time.Duration(s.Retry.Window), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack},
 		Hosts:            initialHostCount, Log: options.Log, Now: options.Now,
 		ColdBound: coldstart.Bound{Overage: s.Cold.Overage, Slack: s.Cold.Slack},
-		Changed:   e.balances.Configure,
-		Serving:   func() { e.readiness.markServing() },
-		LinkFull:  e.load.LinkFull,
-		Forget:    pool.Drain, LimitConnections: pool.SetLimit, Dial: pool.Probe, DialThrough: e.probeThrough,
+		Changed: func(config *gateway.Config, before time.Time) {
+			e.balances.Configure(config, before)
+			e.owners.TotalsChanged()
+		},
+		Serving:  func() { e.readiness.markServing() },
+		LinkFull: e.load.LinkFull,
+		Forget:   pool.Drain, LimitConnections: pool.SetLimit, Dial: pool.Probe, DialThrough: e.probeThrough,
 		Listed:            func(listed map[core.ServiceName][]string) { e.origins.SetListed(listed) },
 		SuspicionsChanged: func(repeated bool) { e.holds.Changed(repeated) },
 	})
--- a/internal/tasks/owners/owners.go
+++ b/internal/tasks/owners/owners.go
@@ -94,6 +94,8 @@
 
 type leave struct{}
 
+type totalsChanged struct{}
+
 // chooseOwners asks for the owners of a team and the numbers of the reservations
 // to make at them.
 type chooseOwners struct {
@@ -138,6 +140,10 @@
 	_ = o.inbox.Send(context.Background(), setMembers(members))
 }
 
+// TotalsChanged tells that teams may have other prepaid totals, so that requests are asked
+// for again whose teams were short.
+func (o *Owners) TotalsChanged() { _ = o.inbox.Send(context.Background(), totalsChanged{}) }
+
 // Leave ends this host's ownership of balances. Other hosts are told to ask the
 // next owner.
 func (o *Owners) Leave() { _ = o.inbox.Send(context.Background(), leave{}) }
@@ -160,7 +166,10 @@
 	switch m := message.(type) {
 	case setMembers:
 		o.members = m
+		o.shortages.SetHosts(len(m))
 		o.updateBalances()
+	case totalsChanged:
+		o.shortages.Reset()
 	case leave:
 		o.leaving = true
 		o.updateBalances()
