Cold upstreams and evacuations: faults found in review

Cause: a review of both parts showed, by tests or by trace: failures of upstreams in an evacuated zone counted towards a cut of the whole service; hosts that start after the end of an evacuation did not know that its upstreams may be cold; a new start that is read in a new era counted as warm; broken answers, failures through other hosts and on a full link counted as restarts; late answers of an earlier start made a cold one warm; upstreams that left the list still counted; a bucket was not emptied for upstreams that were never named cold; an evacuation noticed while a start is verified counted as a failed connection. Change: each of these is left out, and RestoredAt is acted on.

--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -178,15 +178,16 @@
 	t.setWarmAt(known)
 }
 
-// Mark records that an upstream counts as cold from now on for its service's time,
+// Mark records that an upstream counts as cold from a moment on for its service's time,
 // whatever the list and its answers say.
-func (t *Table) Mark(upstream gateway.Upstream, now time.Time) {
-	if _, bounded := t.services[upstream.Service]; !bounded {
+func (t *Table) Mark(upstream gateway.Upstream, from, now time.Time) {
+	configured, bounded := t.services[upstream.Service]
+	if !bounded || now.Sub(from) >= configured.coldFor {
 		return
 	}
 	known := t.known(upstream, now)
 	t.interrupt(known, now)
-	known.markedAt, known.heardAt = now, now
+	known.markedAt, known.heardAt = from, now
 	t.setWarmAt(known)
 }
 
@@ -215,7 +216,7 @@
 // interrupt empties the bucket of an upstream that was warm: it may have got many requests
 // within the last second.
 func (t *Table) interrupt(known *state, now time.Time) {
-	if !known.namedAt.IsZero() && !known.cold(now) {
+	if !known.warmAt.IsZero() && !known.cold(now) {
 		known.tokens, known.filledAt = 0, now
 	}
 }
@@ -292,6 +293,14 @@
 	return share.rate
 }
 
+// Remove forgets an upstream that is not listed any more.
+func (t *Table) Remove(id core.UpstreamID) {
+	if known, found := t.states[id]; found {
+		t.counts[known.service]--
+		delete(t.states, id)
+	}
+}
+
 // Forget removes upstreams that have been warm for some time.
 func (t *Table) Forget(now time.Time) {
 	for id, known := range t.states {
--- a/internal/decide/reach/reach.go
+++ b/internal/decide/reach/reach.go
@@ -152,6 +152,13 @@
 	return Lost
 }
 
+// Drop forgets the failures of an upstream that may not be used any more.
+func (t *Table) Drop(service core.ServiceName, upstream core.UpstreamID) {
+	if state, found := t.services[service]; found {
+		delete(state.failed, upstream)
+	}
+}
+
 // TakeProbes returns the upstreams to probe now, none if the latest round was a moment ago.
 // suspect is the upstream that gave the reason, "" if there is none; listed has the
 // upstreams of the service that may be used, in an order that differs between rounds.
--- a/internal/opaque/attempt/attempt.go
+++ b/internal/opaque/attempt/attempt.go
@@ -220,10 +220,13 @@
 func (f *Filter) Prepare(ctx context.Context, matched *match.Matched, plan Plan) (*Prepared, error) {
 	for {
 		prepared, err := f.prepare(ctx, matched, plan)
-		if err != nil || !prepared.Evacuated() {
+		switch {
+		case errors.Is(err, errEvacuated):
+		case err != nil || !prepared.Evacuated():
 			return prepared, err
+		default:
+			prepared.Cancel()
 		}
-		prepared.Cancel()
 		plan.First = false
 	}
 }
@@ -251,6 +254,9 @@
 	connection, fresh, err := f.Connections.Acquire(ctx, f.target(placed, matched))
 	if err != nil {
 		f.observeUnsent(ctx, placed, err)
+		if errors.Is(err, errEvacuated) {
+			return nil, err
+		}
 		if errors.Is(err, tunnels.ErrNoHelper) {
 			return nil, &NotSentError{Kind: gateway.CutOff, RetryAfter: gateway.DrainRetryAfter, Reason: err.Error()}
 		}
@@ -268,7 +274,7 @@
 	switch {
 	case errors.Is(err, connpool.ErrConnectionLimit):
 		signal = placement.Full
-	case ctx.Err() != nil, errors.Is(err, tunnels.ErrNoHelper):
+	case ctx.Err() != nil, errors.Is(err, tunnels.ErrNoHelper), errors.Is(err, errEvacuated):
 		signal = placement.Abandoned
 	}
 	f.Director.Observe(director.Observation{
--- a/internal/tasks/director/apply.go
+++ b/internal/tasks/director/apply.go
@@ -169,6 +169,9 @@
 	}
 	for _, change := range changes {
 		d.notices.Listed(change.Upstream, d.config.Now())
+		if change.Kind == roster.Removed || change.Kind == roster.Expired {
+			d.cold.Remove(change.Upstream.ID)
+		}
 		d.config.Log.Info("upstream "+string(change.Kind), zap.String("event", "upstream_"+string(change.Kind)),
 			zap.String("upstream", string(change.Upstream.ID)), zap.String("service", string(change.Upstream.Service)),
 			zap.String("address", change.Upstream.Address), zap.String("zone", string(change.Upstream.Zone)), zap.String("software", change.Upstream.Software),
--- a/internal/tasks/director/cold.go
+++ b/internal/tasks/director/cold.go
@@ -50,39 +50,51 @@
 // written it since the last one. The rows of a copy from which the store has come back
 // were written earlier.
 func (d *Director) listCold(upstream gateway.Upstream, row rowstore.Row, now time.Time) {
-	if known, found := d.rowsByID[row.Key]; found && (row.Revision.Era != known.Revision.Era || !row.Revision.Newer(known.Revision)) {
+	listed, isListed := d.roster.Upstream(upstream.ID)
+	// No copy has a later start than the list.
+	first := !isListed || listed.StartMillis < upstream.StartMillis
+	if known, found := d.rowsByID[row.Key]; found && !first && (row.Revision.Era != known.Revision.Era || !row.Revision.Newer(known.Revision)) {
 		return
 	}
-	known, found := d.roster.Upstream(upstream.ID)
-	d.cold.Listed(upstream, !found || known.StartMillis < upstream.StartMillis, now)
+	d.cold.Listed(upstream, first, now)
+	if restored, lately := d.evacuations.RestoredAt(upstream.Zone); lately && !isListed {
+		d.cold.Mark(upstream, restored, now)
+	}
 }
 
 // observeColdAnswer records what an answer says of its upstream.
 func (d *Director) observeColdAnswer(m Observation, now time.Time) {
-	if upstream, listed := d.roster.Upstream(m.Upstream); listed {
+	if upstream, listed := d.roster.Upstream(m.Upstream); listed && !ofEarlierStart(m, upstream) {
 		d.cold.Answered(upstream, m.Head.ColdLeft, now)
 	}
 }
 
+// ofEarlierStart reports whether an observation is of an earlier start than the listed one.
+func ofEarlierStart(m Observation, upstream gateway.Upstream) bool {
+	return m.StartMillis != 0 && m.StartMillis < upstream.StartMillis
+}
+
 // observeCold records that a connection to an upstream failed, after which it may have been
-// restarted.
+// restarted. Failures through another host, or on a full link of this one, tell nothing of
+// the upstream.
 func (d *Director) observeCold(m Observation, now time.Time) {
-	switch m.Signal {
-	case placement.Unreachable, placement.ClosedEarly, placement.Broke:
-	default:
+	if m.Signal != placement.Unreachable && m.Signal != placement.ClosedEarly {
+		return
+	}
+	if m.Tunnelled || m.Helpless || m.Unconnected || d.linkFull() {
 		return
 	}
-	if upstream, listed := d.roster.Upstream(m.Upstream); listed && !m.Helpless && !m.Unconnected {
+	if upstream, listed := d.roster.Upstream(m.Upstream); listed && !ofEarlierStart(m, upstream) {
 		d.cold.Lost(upstream, now)
 	}
 }
 
-// markZoneCold lets the upstreams of a zone count as cold for their service's time from now
-// on.
-func (d *Director) markZoneCold(zone core.ZoneName, now time.Time) {
+// markZoneCold lets the upstreams of a zone count as cold for their service's time from a
+// moment on.
+func (d *Director) markZoneCold(zone core.ZoneName, from, now time.Time) {
 	for _, upstream := range d.roster.Upstreams() {
 		if upstream.Zone == zone {
-			d.cold.Mark(upstream, now)
+			d.cold.Mark(upstream, from, now)
 		}
 	}
 	d.logCold(now)
--- a/internal/tasks/director/evacuation.go
+++ b/internal/tasks/director/evacuation.go
@@ -104,7 +104,17 @@
 }
 
 func (d *Director) mergeEvacuations(report evacuation.Report, host core.HostID, now time.Time) {
+	known := make(map[core.ZoneName]bool, len(report.Restored))
+	for _, restored := range report.Restored {
+		_, known[restored.Zone] = d.evacuations.RestoredAt(restored.Zone)
+	}
 	d.applyEvacuationChanges(d.evacuations.Merge(report, now), "peer "+string(host))
+	for zone, before := range known {
+		// A host that has just started did not know that the zone was evacuated.
+		if at, restored := d.evacuations.RestoredAt(zone); restored && !before {
+			d.markZoneCold(zone, at, now)
+		}
+	}
 }
 
 // applyEvacuationChanges lets placements and attempts know which zones are evacuated, and
@@ -124,10 +134,16 @@
 	d.logEvacuations(changes, source)
 	d.logEvacuations(expired, "expiry")
 	// The upstreams of a restored zone may have become cold meanwhile, and all hosts turn to
-	// them at once.
+	// them at once. Failures of those of an evacuated zone tell nothing about the others.
 	for _, change := range slices.Concat(changes, expired) {
 		if !change.Evacuated {
-			d.markZoneCold(change.Zone, now)
+			d.markZoneCold(change.Zone, now, now)
+			continue
+		}
+		for _, upstream := range d.roster.Upstreams() {
+			if upstream.Zone == change.Zone {
+				d.reach.Drop(upstream.Service, upstream.ID)
+			}
 		}
 	}
 }
--- a/internal/tasks/director/reach.go
+++ b/internal/tasks/director/reach.go
@@ -109,8 +109,10 @@
 
 // unreachable records that an upstream could not be reached.
 func (d *Director) unreachable(service core.ServiceName, id core.UpstreamID, now time.Time) {
-	if d.config.LinkFull != nil && d.config.LinkFull() {
-		// Another host's tunnel would pass the same link.
+	upstream, _ := d.roster.Upstream(id)
+	if d.linkFull() || d.evacuations.Evacuated(upstream.Zone) {
+		// Another host's tunnel would pass the same full link, and the upstreams that are
+		// left in use are those of other zones.
 		return
 	}
 	ids := d.usable(service)
@@ -123,6 +125,9 @@
 		zap.String("event", "service_lost"), zap.String("service", string(service)), zap.Int("upstreams", len(ids)))
 }
 
+// linkFull reports whether calls may fail for want of room in this host's link.
+func (d *Director) linkFull() bool { return d.config.LinkFull != nil && d.config.LinkFull() }
+
 // probe connects to upstreams of a service, if a round of probes is due, in goroutines of
 // their own.
 func (d *Director) probe(ctx context.Context, service core.ServiceName, suspect core.UpstreamID, now time.Time) {
