Slow readers, admission and load: faults found in review

Cause: a review showed by tests: a caller that reads slowly but steadily was cut after 10 s while the kernel held earlier bytes, and one that reads all was cut as its upstream was slow; a request could wait for a connection without a bound; an answer that is none was reported only after its upload; a host could have no connection after its equal part had shrunk; one late window took a host out of rotation; a small grant ended a team's shortage; a connection that could not be set up over a full link counted against its upstream. Change: readers.Progress counts from what was held, and begins anew once all is taken; waits have a bound; the socket is closed at an invalid answer; a floor of the limit; the use of a window is at most 1; the others as named. Result: new tests of readers, connshare, linkload and director fail without the changes.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -232,6 +232,10 @@
 		if result.whole() && len(written) == 0 {
 			return c.finishWriting(exchange, result, written, stopWatching)
 		}
+		if result.end.Err != nil {
+			// The connection is of no further use: the upstream may read on for long.
+			_ = c.socket.Close()
+		}
 		err = <-written
 	}
 	if result.exchange == nil {
--- a/internal/connpool/invalid_test.go
+++ b/internal/connpool/invalid_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -69,7 +71,14 @@
 		"reset after an answer that has a length": {whole("1", "the server's bytes"), unreadBytes, resetSocketNow, true},
 	} {
 		Convey("Given an answer whose connection is "+name, t, func() {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			// Set on the listener, so that it holds before the first byte arrives.
+			config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+				var err error
+				return errors.Join(raw.Control(func(descriptor uintptr) {
+					err = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
+				}), err)
+			}}
+			listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 			So(err, ShouldBeNil)
 			read := make(chan struct{})
 			go func() {
@@ -78,7 +87,6 @@
 					return
 				}
 				socket := accepted.(*net.TCPConn)
-				_ = socket.SetReadBuffer(smallBuffer)
 				_, _ = io.ReadFull(socket, make([]byte, 100))
 				_, _ = socket.Write([]byte(c.text))
 				<-read
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -302,16 +302,21 @@
 	if len(u.idle) > 0 && u.open == u.limit {
 		// The one that was used least recently makes room.
 		u.closeOldestIdle()
-		u.waiting = append(u.waiting, request)
+		p.enqueue(u, request, max(request.target.MaxWait, dialTimeout))
 		return
 	}
 	if request.target.MaxWait <= 0 {
 		request.reply <- acquired{err: ErrConnectionLimit}
 		return
 	}
+	p.enqueue(u, request, request.target.MaxWait)
+}
+
+// enqueue lets a request wait for a connection, for some time.
+func (p *Pool) enqueue(u *upstreamPool, request acquire, wait time.Duration) {
 	u.waiting = append(u.waiting, request)
 	lapsed := waitLapsed{request.target.Upstream, request.reply}
-	time.AfterFunc(request.target.MaxWait, func() { _ = p.inbox.Send(context.Background(), lapsed) })
+	time.AfterFunc(wait, func() { _ = p.inbox.Send(context.Background(), lapsed) })
 }
 
 // closeOldestIdle closes the idle connection that was used least recently.
--- a/internal/decide/connshare/connshare.go
+++ b/internal/decide/connshare/connshare.go
@@ -129,7 +129,9 @@
 }
 
 func (s *share) limit(even int, now time.Time) int {
-	return max(even-s.lent.current(now)+s.borrowed.current(now), 0)
+	// An equal part that has become smaller since it was lent leaves the least part all the
+	// same.
+	return max(even-s.lent.current(now), min(minKept, even)) + s.borrowed.current(now)
 }
 
 // Table is what one host knows of the division. Its callers pass in the current time.
@@ -223,8 +225,13 @@
 	var limits []Limit
 	for id, known := range t.shares {
 		loaned := known.lent.current(now)+known.borrowed.current(now) > 0
+		even := partOf(id).Even
+		if even == 0 {
+			known.announced = false
+			continue
+		}
 		if loaned || known.announced {
-			limits = append(limits, Limit{id, known.limit(partOf(id).Even, now)})
+			limits = append(limits, Limit{id, known.limit(even, now)})
 		}
 		known.announced = loaned
 	}
--- a/internal/decide/connshare/connshare_test.go
+++ b/internal/decide/connshare/connshare_test.go
@@ -184,3 +184,20 @@
 		})
 	}
 }
+
+// Guards against a host that may have no connection at all: its equal part becomes smaller
+// than what it has lent, as more hosts are known, or the connections are divided no more.
+func TestAnEqualPartThatShrinksLeavesConnections(t *testing.T) {
+	Convey("Given a host that has lent most of its part", t, func() {
+		now := time.Unix(100, 0)
+		table := New()
+		part := Part{Even: 16}
+		partOf := func(core.UpstreamID) Part { return part }
+		grants := table.Grant([]Want{{Upstream: "u", Count: 12}}, partOf, now)
+		So(len(grants), ShouldEqual, 1)
+		part.Even = 3
+		So(table.Began("u", part, now), ShouldBeGreaterThanOrEqualTo, minKept)
+		part.Even = 0
+		So(table.Limits(partOf, now), ShouldBeEmpty)
+	})
+}
--- a/internal/decide/linkload/linkload.go
+++ b/internal/decide/linkload/linkload.go
@@ -51,10 +51,11 @@
 	calm int
 }
 
-// EndWindow ends a window in which a part of the link was used, 0 to 1: the larger one of
-// its two directions.
+// EndWindow ends a window in which a part of the link was used: the larger one of its two
+// directions. It may exceed 1 after a pause of the process, which then reads what has
+// arrived meanwhile.
 func (s *State) EndWindow(use float64) {
-	s.use += smoothing * (use - s.use)
+	s.use += smoothing * (min(use, 1) - s.use)
 	if s.use > rejectUse {
 		s.share = min(s.share+raise, maxShare)
 	} else {
--- a/internal/decide/linkload/linkload_test.go
+++ b/internal/decide/linkload/linkload_test.go
@@ -117,3 +117,18 @@
 		So(s.Full(), ShouldBeFalse)
 	})
 }
+
+// Guards against an absence after a pause of the process, which then reads in one window
+// what has arrived in many.
+func TestOneWindowWithABacklogIsNoFullLink(t *testing.T) {
+	Convey("Given a link that is used by a third, and a pause of a second", t, func() {
+		var s State
+		for range 50 {
+			s.EndWindow(0.3)
+		}
+		s.EndWindow(0)
+		s.EndWindow(3.3)
+		So(s.Away(), ShouldBeFalse)
+		So(s.Share(), ShouldEqual, 0)
+	})
+}
--- a/internal/decide/readers/caller.go
+++ b/internal/decide/readers/caller.go
@@ -64,6 +64,33 @@
 	return GoesOn
 }
 
+// Progress tells whether a caller reads, from what was written for it and what it has not
+// acknowledged.
+type Progress struct {
+	caller Caller
+	// held is what was unacknowledged as the account began: it is taken first.
+	held, written int64
+}
+
+// NewProgress returns the state of a caller with bytes that it has not acknowledged.
+func NewProgress(unacknowledged int, now time.Time) Progress {
+	return Progress{caller: NewCaller(now), held: int64(unacknowledged)}
+}
+
+// Next records that a further part is to be written. A caller that has taken all before it
+// has been waiting for the part, so that its time begins anew.
+func (p *Progress) Next(unacknowledged int, now time.Time) {
+	if unacknowledged == 0 {
+		*p = NewProgress(0, now)
+	}
+}
+
+// Wrote records bytes that were written, and tells whether the answer goes on.
+func (p *Progress) Wrote(bytes, unacknowledged int, now time.Time) Verdict {
+	p.written += int64(bytes)
+	return p.caller.Observe(p.held+p.written-int64(unacknowledged), now)
+}
+
 // MayWait reports whether further bytes may wait for a caller. One part may in any case, as
 // it is held already.
 func MayWait(waiting int64, part int) bool {
--- a/internal/decide/readers/readers_test.go
+++ b/internal/decide/readers/readers_test.go
@@ -101,3 +101,30 @@
 		table.MaySend("aa", 12<<10)
 	}
 }
+
+// Guards against cutting a caller that reads slowly but steadily because the kernel still
+// holds bytes from before, and one that has read everything because its upstream is slow.
+func TestProgressCountsFromWhatWasHeldBefore(t *testing.T) {
+	start := time.Unix(1000, 0)
+	Convey("Given a caller that takes 4 KiB a second, with 100 KiB unacknowledged", t, func() {
+		unacknowledged := 100 << 10
+		progress := readers.NewProgress(unacknowledged, start)
+		for second := 1; second <= 120; second++ {
+			verdict := progress.Wrote(4<<10, unacknowledged, start.Add(time.Duration(second)*time.Second))
+			So(verdict, ShouldEqual, readers.GoesOn)
+		}
+		Convey("it is cut once it takes nothing", func() {
+			stopped := start.Add(2 * time.Minute)
+			So(progress.Wrote(0, unacknowledged, stopped.Add(readers.MaxGap-time.Second)), ShouldEqual, readers.GoesOn)
+			So(progress.Wrote(0, unacknowledged, stopped.Add(readers.MaxGap)), ShouldEqual, readers.NotRead)
+		})
+	})
+	Convey("Given a caller that takes all of a stream with 20 bytes every 15 s", t, func() {
+		progress := readers.NewProgress(0, start)
+		for i := range 20 {
+			now := start.Add(time.Duration(i) * 15 * time.Second)
+			progress.Next(0, now)
+			So(progress.Wrote(20, 20, now), ShouldEqual, readers.GoesOn)
+		}
+	})
+}
--- a/internal/decide/shortage/shortage.go
+++ b/internal/decide/shortage/shortage.go
@@ -110,8 +110,13 @@
 	}
 }
 
-// Granted records that the owners granted an amount to a team that was short.
-func (t *Table[T]) Granted(team core.TeamName) { delete(t.teams, team) }
+// Granted records that the owners granted an amount to a team that was short. Smaller
+// amounts than those that were refused tell nothing about these.
+func (t *Table[T]) Granted(team core.TeamName, amount core.Tokens) {
+	if known, found := t.teams[team]; found && amount >= known.amount {
+		delete(t.teams, team)
+	}
+}
 
 // Short returns the number of teams that are short.
 func (t *Table[T]) Short(now time.Time) int {
--- a/internal/decide/shortage/shortage_test.go
+++ b/internal/decide/shortage/shortage_test.go
@@ -33,7 +33,7 @@
 					refused++
 				case free >= 1000:
 					asked, granted, free = asked+1, granted+1, free-1000
-					host.Granted("t")
+					host.Granted("t", 1000)
 				default:
 					asked++
 					host.Refused("t", 1000, allowance.CauseInDoubt, "why", now)
@@ -85,7 +85,10 @@
 			host.Refused("t", 1000, allowance.CauseSpent, "why", start)
 			verdict, _ := host.Decide("t", 999, start)
 			So(verdict, ShouldEqual, Probe)
-			host.Granted("t")
+			host.Granted("t", 999)
+			verdict, _ = host.Decide("t", 1000, start)
+			So(verdict, ShouldEqual, Refuse)
+			host.Granted("t", 1000)
 			verdict, _ = host.Decide("t", 1000, start)
 			So(verdict, ShouldEqual, Ask)
 		})
--- a/internal/front/outbox.go
+++ b/internal/front/outbox.go
@@ -102,9 +102,10 @@
 func (o *outbox) run() {
 	defer close(o.ended)
 	socket, now := o.connection.socket, o.connection.server.config.Now
-	caller := readers.NewCaller(now())
+	progress := readers.NewProgress(tunnel.Outstanding(socket), now())
 	var written int64
 	for part := range o.parts {
+		progress.Next(tunnel.Outstanding(socket), now())
 		for len(part) > 0 {
 			_ = socket.SetWriteDeadline(time.Now().Add(lookInterval))
 			n, err := socket.Write(part[:min(len(part), outboxWrite)])
@@ -116,7 +117,7 @@
 				o.err = err
 				return
 			}
-			if verdict := caller.Observe(written-int64(tunnel.Outstanding(socket)), now()); verdict != readers.GoesOn {
+			if verdict := progress.Wrote(n, tunnel.Outstanding(socket), now()); verdict != readers.GoesOn {
 				o.err = errNotRead
 				o.connection.logNotRead(verdict, written, o.waiting.Load())
 				return
--- a/internal/tasks/connections/socket.go
+++ b/internal/tasks/connections/socket.go
@@ -96,7 +96,7 @@
 }
 
 func (s *socket) write(data []byte) (int, error) {
-	caller, written := readers.NewCaller(time.Now()), 0
+	progress, written := readers.NewProgress(tunnel.Outstanding(s.Conn), time.Now()), 0
 	for {
 		look := time.Now().Add(lookInterval)
 		set := s.writeDeadline.Load()
@@ -118,7 +118,7 @@
 		if set = s.writeDeadline.Load(); set != 0 && set <= now.UnixNano() {
 			return written, os.ErrDeadlineExceeded
 		}
-		if caller.Observe(int64(written-tunnel.Outstanding(s.Conn)), now) != readers.GoesOn {
+		if progress.Wrote(n, tunnel.Outstanding(s.Conn), now) != readers.GoesOn {
 			return written, os.ErrDeadlineExceeded
 		}
 	}
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -348,7 +348,7 @@
 		if m.Head != nil {
 			d.observeHead(m, now)
 		}
-		d.balancer.Observe(m.Upstream, m.Attempt, m.Signal, now)
+		d.balancer.Observe(m.Upstream, m.Attempt, d.healthSignal(m.Signal), now)
 		if m.Signal != placement.Connected && m.Signal != placement.Stalled {
 			d.unanswered.Ended(m.Upstream, m.Attempt)
 		}
--- a/internal/tasks/director/evacuation_test.go
+++ b/internal/tasks/director/evacuation_test.go
@@ -264,3 +264,35 @@
 		}
 	}
 }
+
+// Guards against a cut of a whole service that is concluded from failures in an evacuated
+// zone, which is often one that has failed.
+func TestFailuresInAnEvacuatedZoneAreNoCut(t *testing.T) {
+	Convey("Given a zone that fails and is evacuated, and two upstreams in another", t, func() {
+		host := newZoneFixture("svc-a-1", "svc-a-2", "svc-a-3", "svc-b-1", "svc-b-2")
+		host.read(true, 1, 10)
+		host.director.unreachable("svc", "svc-a-1", host.now)
+		host.read(true, 1, 12, zoneRow("a", 1, 11))
+		host.director.unreachable("svc", "svc-a-2", host.now)
+		host.director.unreachable("svc", "svc-a-3", host.now)
+		So(host.director.reach.CutOff("svc", host.now), ShouldBeFalse)
+		So(host.place("svc"), ShouldEqual, "b")
+		So(host.placed.Tunnel, ShouldBeFalse)
+	})
+}
+
+// Guards against a host that starts after the end of an evacuation and sends to the zone as
+// if its upstreams were warm.
+func TestAHostThatStartsLearnsFromPeersThatAZoneMayBeCold(t *testing.T) {
+	Convey("Given a peer that knows of a restored zone, and a host that has just started", t, func() {
+		peer, host := newZoneFixture("svc-a-1"), newZoneFixture("svc-a-1", "svc-b-1")
+		peer.read(true, 1, 12, zoneRow("a", 1, 11))
+		peer.read(false, 1, 13, removed(zoneRow("a", 1, 13)))
+		host.read(true, 1, 13)
+		host.director.cold.Configure(map[core.ServiceName]gateway.Service{"svc": {ColdFor: 3 * time.Second, ColdPerSecond: 10}})
+		So(host.director.cold.Cold("svc-a-1", host.now), ShouldBeFalse)
+		host.director.handle(t.Context(), offeredEvacuations{peer.report(), "host-2"})
+		So(host.director.cold.Cold("svc-a-1", host.now), ShouldBeTrue)
+		So(host.director.cold.Cold("svc-b-1", host.now), ShouldBeFalse)
+	})
+}
--- a/internal/tasks/director/reach.go
+++ b/internal/tasks/director/reach.go
@@ -128,6 +128,15 @@
 // linkFull reports whether calls may fail for want of room in this host's link.
 func (d *Director) linkFull() bool { return d.config.LinkFull != nil && d.config.LinkFull() }
 
+// healthSignal returns a signal as it counts for the health of its upstream: a connection
+// that could not be set up over a full link says nothing about it.
+func (d *Director) healthSignal(signal placement.Signal) placement.Signal {
+	if signal == placement.Unreachable && d.linkFull() {
+		return placement.Abandoned
+	}
+	return signal
+}
+
 // probe connects to upstreams of a service, if a round of probes is due, in goroutines of
 // their own.
 func (d *Director) probe(ctx context.Context, service core.ServiceName, suspect core.UpstreamID, now time.Time) {
--- a/internal/tasks/owners/owners.go
+++ b/internal/tasks/owners/owners.go
@@ -122,7 +122,10 @@
 	refusal Refusal
 }
 
-type tokensGranted struct{ team core.TeamName }
+type tokensGranted struct {
+	team   core.TeamName
+	amount core.Tokens
+}
 
 // ownerFailed reports that a call to an owner failed.
 type ownerFailed struct {
@@ -179,7 +182,7 @@
 	case tokensRefused:
 		o.shortages.Refused(m.team, m.amount, m.refusal.Cause, m.refusal, now)
 	case tokensGranted:
-		o.shortages.Granted(m.team)
+		o.shortages.Granted(m.team, m.amount)
 	case findUnreachable:
 		m.reply <- o.unreachable(m, now)
 	case ownerFailed:
--- a/internal/tasks/owners/reserve.go
+++ b/internal/tasks/owners/reserve.go
@@ -44,7 +44,7 @@
 	for i, owner := range chosen.owners {
 		err = o.tryOwner(ctx, &r, owner, chosen.firstNumber+uint64(i), min(firstAttemptWait, deadline.Sub(o.config.Now())), false)
 		if err == nil && r.Grant.Outcome == balances.Granted {
-			o.noteGranted(ctx, team, chosen.verdict)
+			o.noteGranted(ctx, team, amount, chosen.verdict)
 			return r, nil
 		}
 		seen.add(owner.Host, r.Grant, err)
@@ -58,7 +58,7 @@
 	if retryOwner != nil {
 		err = o.tryOwner(ctx, &r, *retryOwner, chosen.firstNumber+uint64(len(chosen.owners)), deadline.Sub(o.config.Now()), true)
 		if err == nil && r.Grant.Outcome == balances.Granted {
-			o.noteGranted(ctx, team, chosen.verdict)
+			o.noteGranted(ctx, team, amount, chosen.verdict)
 			return r, nil
 		}
 		seen.add(retryOwner.Host, r.Grant, err)
@@ -72,9 +72,9 @@
 }
 
 // noteGranted ends the shortage of a team that was short.
-func (o *Owners) noteGranted(ctx context.Context, team core.TeamName, verdict shortage.Verdict) {
+func (o *Owners) noteGranted(ctx context.Context, team core.TeamName, amount core.Tokens, verdict shortage.Verdict) {
 	if verdict == shortage.Probe {
-		_ = o.inbox.Send(ctx, tokensGranted{team})
+		_ = o.inbox.Send(ctx, tokensGranted{team, amount})
 	}
 }
 
