Take back the preference for upstreams with an idle connection

Cause: with it, a host that sends one request after the other never turns to an upstream that has started again: TestAServerThatSaysItLeavesGetsNothingNew and TestAServerThatStartsAgainWhileTheStoreIsAwayBeginsNoStreamsOfItsOldSoftware failed. Result: both tests pass.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -37,13 +37,6 @@
 	// msOtherZone is the cost of crossing zones: the traffic is charged, and a
 	// network partition between zones breaks the streams that cross it.
 	msOtherZone = 25.0
-	// msNewConnection is the cost of an upstream to which this host has no idle connection:
-	// setting one up takes two round trips, up to 8 ms between zones, some work of the
-	// upstream and for a moment one of its slots.
-	msNewConnection = 12.0
-	// idleKept is how long a connection is assumed to stay idle. Upstreams close theirs
-	// after some 10 s or more.
-	idleKept = 8 * time.Second
 	// msPerFailure is the cost of an upstream that fails every request.
 	msPerFailure = 4000.0
 	// msCoolingDown ranks upstreams in cooldown behind all others.
@@ -187,9 +180,6 @@
 	if unanswered := u.longestUnanswered(now); unanswered > unansweredGrace {
 		cost += float64((unanswered - unansweredGrace).Milliseconds())
 	}
-	if !u.hasIdle(now) {
-		cost += msNewConnection
-	}
 	if u.upstream.Zone != b.zone {
 		cost += msOtherZone
 	}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -46,10 +46,6 @@
 	// connectionFailures counts consecutive failures without an answer.
 	connectionFailures int
 	cooldownUntil      time.Time
-	// idle is the number of connections of this host that are assumed to be idle: those of
-	// attempts that ended with a whole answer, the latest at idleAt.
-	idle   int
-	idleAt time.Time
 }
 
 type attempt struct {
@@ -187,7 +183,6 @@
 		return
 	}
 	sent := &attempt{sentAt: now}
-	u.idle = max(u.idle-1, 0)
 	if prompt != nil {
 		sent.prefillTokens = b.uncachedTokens(u, prompt, now)
 		sent.kvTokens = prompt.Input + prompt.MaxOutput
@@ -246,25 +241,9 @@
 			delete(u.attempts, number)
 		}
 	}
-	if signal == Succeeded {
-		u.addIdle(now)
-	}
 	u.updateHealth(signal, now)
 }
 
-// addIdle counts a connection that has become idle.
-func (u *upstreamState) addIdle(now time.Time) {
-	if !u.hasIdle(now) {
-		u.idle = 0
-	}
-	u.idle, u.idleAt = u.idle+1, now
-}
-
-// hasIdle reports whether this host is assumed to have an idle connection to the upstream.
-func (u *upstreamState) hasIdle(now time.Time) bool {
-	return u.idle > 0 && now.Sub(u.idleAt) < idleKept
-}
-
 // ObserveLoad records a load report of an upstream.
 func (b *LoadBalancer) ObserveLoad(id core.UpstreamID, load gateway.Load, now time.Time) {
 	if u := b.upstreams[id]; u != nil {
