Reject answers in which the name of a field is invalid

Callers saw: a server in trouble sent a head in which the name of a field held a blank. The caller got the answer, with that line passed on, or with a body that was not the server's: "Content-Length : 4" is no length for the parser, so that all bytes until the end of the connection were the body.

Cause: net/textproto, by which net/http parses heads and trailers, rejects all bytes in a name that are no part of a token except the blank, and keeps such a name as it is. Nothing looked at the names after it.

Change: internal/httpresponse checks the names of fields in final and interim heads and in trailers, and those that Trailer announces, with httpguts of golang.org/x/net, which the module graph had already. Peers speak net/rpc and have no heads.

net/http no longer bounds interim responses where a function examines them, so the check bounds their sum to 16 KiB, as before.

The connection's parser is given one request for each connection in place of one for each answer, which makes up for the check.

Result: the tests failed before.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/peridotreel/peridotreel/internal/httpresponse"
 )
 
 const (
@@ -83,7 +85,7 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport}, bearerKey: key}
+	return &Client{http: &http.Client{Transport: httpresponse.Transport{Base: transport}}, bearerKey: key}
 }
 
 // Close closes idle connections.
--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -18,6 +18,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/httpresponse"
 	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
 
@@ -113,6 +114,9 @@
 	verified bool
 	// part is what the reading goroutine reads a body into.
 	part [readBuffer]byte
+	// request tells the reading goroutine's parser to which method an answer belongs. One
+	// for each connection saves an allocation for each answer.
+	request http.Request
 }
 
 // limitedReader fails once more than remaining bytes have been read, if limited.
@@ -347,15 +351,16 @@
 // used again.
 func (c *Connection) readAnswer(exchange *Exchange) (End, bool) {
 	stray := false
+	c.request.Method = exchange.Method
 	for range maxInterimResponses {
 		// The body needs no close: the connection is closed unless the body was
 		// read to its end.
 		c.received.limit(maxHeadBytes)
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: exchange.Method}) //nolint:bodyclose
+		response, err := httpresponse.Read(c.reader, &c.request) //nolint:bodyclose
 		c.received.unlimit()
 		if err != nil {
 			// A line that the end of the connection cuts off reads as a malformed one.
-			if c.received.ended != nil && c.reader.Buffered() == 0 {
+			if c.received.ended != nil && c.reader.Buffered() == 0 && !errors.Is(err, httpresponse.ErrMalformed) {
 				return End{Err: fmt.Errorf("%w: %w: %w", ErrClosed, c.received.ended, err)}, false
 			}
 			return End{Err: fmt.Errorf("%w: %w", ErrMalformedResponse, err)}, false
@@ -373,7 +378,7 @@
 			stray = true
 			discarded, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
 			if err != nil {
-				return End{Err: fmt.Errorf("%w: %w", ErrClosed, err)}, false
+				return End{Err: bodyError(err)}, false
 			}
 			if discarded == maxStrayBytes {
 				return End{Err: fmt.Errorf("%w: an answer to another request exceeds %d bytes", ErrMalformedResponse, maxStrayBytes)}, false
@@ -400,11 +405,19 @@
 			return End{Framed: framed}
 		}
 		if err != nil {
-			return End{Err: fmt.Errorf("%w: %w", ErrClosed, err), Framed: framed}
+			return End{Err: bodyError(err), Framed: framed}
 		}
 	}
 }
 
+// bodyError returns the error of an answer whose body could not be read to its end.
+func bodyError(err error) error {
+	if errors.Is(err, httpresponse.ErrMalformed) {
+		return fmt.Errorf("%w: %w", ErrMalformedResponse, err)
+	}
+	return fmt.Errorf("%w: %w", ErrClosed, err)
+}
+
 // updateIdleLimit adopts the idle timeout that the upstream states in the header
 // Keep-Alive.
 func (c *Connection) updateIdleLimit(header http.Header) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/peridotreel/peridotreel/internal/httpresponse"
 	"github.com/peridotreel/peridotreel/internal/platform/wire"
 )
 
@@ -71,11 +72,11 @@
 // http://10.0.0.1:7000.
 func NewClient(baseURL string, options ...ClientOption) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4,
+	}
 	client := &Client{
-		base: strings.TrimRight(baseURL, "/"),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4,
-		}},
+		base: strings.TrimRight(baseURL, "/"), http: &http.Client{Transport: httpresponse.Transport{Base: transport}},
 		timeout: defaultTimeout,
 	}
 	for _, option := range options {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -30,6 +30,17 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	}
+	raw := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			connection, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(connection, text)
+			_ = connection.Close()
+		}
+	}
 	cases := []struct {
 		name        string
 		answer      http.HandlerFunc
@@ -42,6 +53,9 @@
 		{"truncated JSON", status(http.StatusOK, `{"revision":`), true},
 		{"broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
 		{"no answer", silent, true},
+		{"invalid field", raw("HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 15\r\n\r\n{\"revision\": 1}"), true},
+		{"invalid field in an interim answer", raw("HTTP/1.1 103 Early Hints\r\nX-Trace : a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"revision\": 1}"), true},
+		{"invalid field after the body", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n{\"revision\": 1}\r\n0\r\nX Trace: a\r\n\r\n"), true},
 	}
 	Convey("Only a complete answer is a known outcome", t, func() {
 		for _, c := range cases {
--- a/internal/tasks/tunnels/head.go
+++ b/internal/tasks/tunnels/head.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/gateway"
+	"github.com/peridotreel/peridotreel/internal/httpresponse"
 )
 
 // maxHeadBytes bounds the heads that are looked for; it is that of connections to
@@ -62,7 +63,7 @@
 // parse reports the head unless it is that of an interim answer.
 func (h *headReader) parse(head []byte) {
 	// The body needs no close: it is never read, and has no connection.
-	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil) //nolint:bodyclose
+	response, err := httpresponse.Read(bufio.NewReader(bytes.NewReader(head)), nil) //nolint:bodyclose
 	switch {
 	case err != nil || h.passed > maxHeadBytes || !core.ValidStatus(response.StatusCode):
 		h.done = true
--- a/internal/tasks/tunnels/head_test.go
+++ b/internal/tasks/tunnels/head_test.go
@@ -69,3 +69,33 @@
 		}
 	}
 }
+
+// Guards against a head with an invalid field that tells the helper what the upstream wants,
+// as the requester rejects the same answer.
+func TestAHeadWithAnInvalidFieldIsNotRead(t *testing.T) {
+	const notice = "HTTP/1.1 503 Busy\r\nServer-Leaving: 1\r\n"
+	for line, valid := range map[string]bool{
+		"X Trace: a": false, "X-Trace : a": false, "Content-Length : 4": false, "Transfer-Encoding : chunked": false, "X\x01Trace: a": false, "X-Trace: a": true,
+	} {
+		for _, answer := range []string{
+			notice + line + "\r\n\r\n",
+			"HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + notice + "\r\n",
+			"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}" + notice + "Id: 1\r\n\r\n",
+		} {
+			var observed int
+			h := &headReader{
+				decode: func(r *http.Response) gateway.AnswerHead {
+					if r.ContentLength == 2 {
+						return gateway.AnswerHead{} // a report
+					}
+					return gateway.AnswerHead{ID: "1"}
+				},
+				observe: func(gateway.AnswerHead) { observed++ },
+			}
+			h.read([]byte(answer))
+			if (observed == 1) != valid {
+				t.Errorf("%q: %d heads are observed", answer, observed)
+			}
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/fault"
+	"github.com/peridotreel/peridotreel/internal/httpresponse"
 	"github.com/peridotreel/peridotreel/internal/upstream/wire"
 )
 
@@ -195,9 +196,17 @@
 // roundTrip sends a request over a transport. Its errors are those of send.
 func roundTrip(transport *http.Transport, request *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
+		Got1xxResponse: httpresponse.InterimCheck(),
+	}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := transport.RoundTrip(request)
+	if err == nil {
+		if err = httpresponse.Check(response); err != nil {
+			response.Body.Close()
+		}
+	}
 	switch {
 	case err == nil && (!core.ValidStatus(response.StatusCode) || response.StatusCode < http.StatusOK):
 		// No request asks for another protocol, so 101 is no answer to one either.
@@ -208,7 +217,7 @@
 		return response, nil
 	case connected.Load():
 		return nil, fault.New(fault.UpstreamFailed, fault.Unknown,
-			"the upstream gave no answer; look the result up before a retry").WithCause(err)
+			"the upstream gave no valid answer; look the result up before a retry").WithCause(err)
 	default:
 		return nil, fault.Refuse(fault.NoUpstream,
 			"the upstream accepts no connection; retry").WithCause(err)
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -58,9 +58,10 @@
 // cutClient returns a client whose requests are all answered with text, and then end.
 func cutClient(text string, end error) *Client {
 	client := NewClient()
-	client.unpooled.DialContext = func(context.Context, string, string) (net.Conn, error) {
+	dial := func(context.Context, string, string) (net.Conn, error) {
 		return newSocket(&cutConnection{written: make(chan struct{}, 1), text: text, end: end}), nil
 	}
+	client.unpooled.DialContext, client.pooled.DialContext = dial, dial
 	return client
 }
 
--- a/internal/upstream/invalid_test.go
+++ b/internal/upstream/invalid_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -37,6 +38,44 @@
 	}
 }
 
+// Guards against an answer with an invalid field that counts as a service's answer, as the
+// start of a stream, as a probe's or as a load report: the parser of net/http keeps a name
+// with a blank, so that a length with one is not seen as a length.
+func TestAnInvalidFieldIsNoAnswer(t *testing.T) {
+	const events = "id: 1\ndata: " + tokenChunk + "\n\nid: 2\ndata: " + finishChunk + "\n\n"
+	for line, valid := range map[string]bool{
+		"X Trace: a": false, "X-Trace : a": false, "Content-Length : 4": false, "Content-Length  : 4": false, "Content Length: 4": false,
+		"Transfer-Encoding : chunked": false, "X\tTrace: a": false, "X\x01Trace: a": false, ": a": false, "X-Trace": false, "X-Trace: a": true,
+	} {
+		for shape, head := range map[string]string{
+			"in the head":          "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: LENGTH\r\n\r\n",
+			"without a length":     "HTTP/1.1 200 OK\r\nConnection: close\r\n" + line + "\r\n\r\n",
+			"in an interim answer": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: LENGTH\r\n\r\n",
+		} {
+			Convey(fmt.Sprintf("The line %q %s", line, shape), t, func() {
+				answer := func(body string) *Client {
+					return cutClient(strings.Replace(head, "LENGTH", fmt.Sprint(len(body)), 1)+body, io.EOF)
+				}
+				_, err := answer("{}").Call(context.Background(), cutCall(http.MethodPost))
+				So(err == nil, ShouldEqual, valid)
+				if !valid {
+					So(fault.From(err).Code, ShouldEqual, fault.UpstreamFailed)
+					So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+				}
+				So(finished(answer(events)), ShouldEqual, valid)
+				So(answer("").Probe(context.Background(), core.Target{Address: "upstream:80"}) == nil, ShouldEqual, valid)
+				_, err = answer("{}").Load(context.Background(), core.Target{Address: "upstream:80"})
+				So(err == nil, ShouldEqual, valid)
+			})
+		}
+		Convey(fmt.Sprintf("The line %q after the chunks", line), t, func() {
+			client := cutClient("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"+line+"\r\n\r\n", io.EOF)
+			_, err := client.Call(context.Background(), cutCall(http.MethodPost))
+			So(err == nil, ShouldEqual, valid)
+		})
+	}
+}
+
 // Guards against taking a part of an answer for the whole if the upstream ends its answer
 // while the upload is on its way and then resets the connection, whether the upload is still
 // being written or waits in the kernel's buffer.
