Reject answers whose status line is none of HTTP/1

Callers saw: an answer that began with HTTP/0.9, HTTP/2.0 or HTTP/9.9, or that had a control character in the reason of its status line, came to them as an answer, although the bytes are none in the protocol that was spoken.

Cause: http.ReadResponse takes each version that has two digits and each reason; only the status was looked at after it.

Change: internal/httpresponse rejects other major versions than 1 and control characters in the status line, so for all places that read responses. The minor version may be a later one (RFC 9112, 2.3). net/http's transport shows no version of an interim response, so that one is checked only where this project reads the head itself; interim responses reach no caller.

--- a/internal/connpool/invalid_test.go
+++ b/internal/connpool/invalid_test.go
@@ -48,6 +48,49 @@
 	})
 }
 
+// Guards against an answer in another protocol's version, or with a control byte in its status
+// line, that is passed on: what its fields mean for its body is not known.
+func TestAnInvalidStatusLineIsNoAnswer(t *testing.T) {
+	const valid = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	for line, isValid := range map[string]bool{
+		"HTTP/0.9 200 OK": false, "HTTP/2.0 200 OK": false, "HTTP/9.9 200 OK": false, "HTTP/0.0 200 OK": false,
+		"HTTP/1.1 200 O\x00K": false, "HTTP/1.1 200 O\x01K": false, "HTTP/1.1 200 O\rK": false, "HTTP/1.1 200 \x7f": false,
+		"HTTP/1.0 200 OK": true, "HTTP/1.2 200 OK": true, "HTTP/1.1 200 ": true, "HTTP/1.1 200": true, "HTTP/1.1 200 \tO\x80 K": true,
+	} {
+		for shape, text := range map[string]string{
+			"with a length":         "%s\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+			"without a length":      "%s\r\nId: 1\r\n\r\nok",
+			"of another request":    "%s\r\nId: 2\r\nContent-Length: 2\r\n\r\nno" + valid,
+			"before the final head": "%s\r\n\r\n" + valid,
+		} {
+			start := line
+			if shape == "before the final head" {
+				start = strings.Replace(line, "200", "103", 1)
+			}
+			Convey(fmt.Sprintf("The status line %q of an answer %s", start, shape), t, func() {
+				events, end, reusable := readWhole(fmt.Sprintf(text, start))
+				if isValid {
+					So(end.Err, ShouldBeNil)
+					So(string(eventData(events)), ShouldEqual, "ok")
+					return
+				}
+				So(end.Err, ShouldWrap, ErrMalformedResponse)
+				So(reusable, ShouldBeFalse)
+				So(events, ShouldBeEmpty)
+			})
+		}
+	}
+}
+
+// eventData returns the body in the events of an answer.
+func eventData(events chan Event) []byte {
+	var data []byte
+	for len(events) > 0 {
+		data = append(data, (<-events).Data...)
+	}
+	return data
+}
+
 // smallBuffer makes an upload remain in the buffers of its sender.
 const smallBuffer = 4 << 10
 
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -1,6 +1,6 @@
-// Package httpresponse checks HTTP responses for what net/http's parser lets pass: the
-// names of fields may have blanks there, and such a field is none that the parser knows, so
-// that a body's length or chunks can be missed.
+// Package httpresponse checks HTTP responses for what net/http's parser lets pass: names of
+// fields with a blank, which hide a body's length or chunks from the parser, other versions
+// than HTTP/1, and control characters in the status line.
 package httpresponse
 
 import (
@@ -45,6 +45,9 @@
 // body of a valid one then fails with such an error, in place of io.EOF, if an invalid
 // trailer follows it.
 func Check(response *http.Response) error {
+	if err := checkStatusLine(response); err != nil {
+		return err
+	}
 	if err := checkNames(response.Header); err != nil {
 		return err
 	}
@@ -77,6 +80,18 @@
 	}
 }
 
+// checkStatusLine accepts later minor versions of HTTP/1, which mean the same for a recipient
+// that knows HTTP/1.1.
+func checkStatusLine(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("%w: its version is %q", ErrMalformed, response.Proto)
+	}
+	if !httpguts.ValidHeaderFieldValue(response.Status) {
+		return fmt.Errorf("%w: the status line %q has a control character", ErrMalformed, response.Status)
+	}
+	return nil
+}
+
 func checkNames[Header ~map[string][]string](header Header) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/internal/tasks/tunnels/head_test.go
+++ b/internal/tasks/tunnels/head_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		field := "X: " + strings.Repeat("x", rapid.SampledFrom([]int{1, 100, 8 << 10, 17 << 10}).Draw(t, "field")) + "\r\n"
 		interim := strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", rapid.IntRange(0, 3).Draw(t, "interim"))
-		start := rapid.SampledFrom([]string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Busy\r\n", "nothing known\r\n", "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 600 Odd\r\n"}).Draw(t, "start")
+		start := rapid.SampledFrom([]string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Busy\r\n", "nothing known\r\n", "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 600 Odd\r\n", "HTTP/2.0 503 Odd\r\n", "HTTP/1.1 503 \x01 Odd\r\n"}).Draw(t, "start")
 		head := interim + start + field + "\r\n"
 		answer := head + "HTTP/1.1 404 Not Found\r\n\r\nbody"
 		var statuses []int
--- a/internal/upstream/invalid_test.go
+++ b/internal/upstream/invalid_test.go
@@ -38,11 +38,13 @@
 	}
 }
 
+// wholeStream is the body of a stream that ends with its finish event.
+const wholeStream = "id: 1\ndata: " + tokenChunk + "\n\nid: 2\ndata: " + finishChunk + "\n\n"
+
 // Guards against an answer with an invalid field that counts as a service's answer, as the
 // start of a stream, as a probe's or as a load report: the parser of net/http keeps a name
 // with a blank, so that a length with one is not seen as a length.
 func TestAnInvalidFieldIsNoAnswer(t *testing.T) {
-	const events = "id: 1\ndata: " + tokenChunk + "\n\nid: 2\ndata: " + finishChunk + "\n\n"
 	for line, valid := range map[string]bool{
 		"X Trace: a": false, "X-Trace : a": false, "Content-Length : 4": false, "Content-Length  : 4": false, "Content Length: 4": false,
 		"Transfer-Encoding : chunked": false, "X\tTrace: a": false, "X\x01Trace: a": false, ": a": false, "X-Trace": false, "X-Trace: a": true,
@@ -62,7 +64,7 @@
 					So(fault.From(err).Code, ShouldEqual, fault.UpstreamFailed)
 					So(fault.From(err).Run, ShouldEqual, fault.Unknown)
 				}
-				So(finished(answer(events)), ShouldEqual, valid)
+				So(finished(answer(wholeStream)), ShouldEqual, valid)
 				So(answer("").Probe(context.Background(), core.Target{Address: "upstream:80"}) == nil, ShouldEqual, valid)
 				_, err = answer("{}").Load(context.Background(), core.Target{Address: "upstream:80"})
 				So(err == nil, ShouldEqual, valid)
@@ -76,6 +78,30 @@
 	}
 }
 
+// Guards against an answer in another protocol's version, or with a control byte in its status
+// line, that counts as a service's answer or as the start of a stream.
+func TestAnInvalidStatusLineIsNoAnswer(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"HTTP/0.9 200 OK": false, "HTTP/2.0 200 OK": false, "HTTP/9.9 200 OK": false, "HTTP/1.1 200 O\x01K": false, "HTTP/1.1 200 O\rK": false,
+		"HTTP/1.0 200 OK": true, "HTTP/1.2 200 OK": true, "HTTP/1.1 200": true, "HTTP/1.1 200 O\x80K": true,
+	} {
+		for shape, fields := range map[string]string{"with a length": "Content-Length: %d\r\n", "without a length": "X-Length: %d\r\n"} {
+			Convey(fmt.Sprintf("The status line %q of an answer %s", line, shape), t, func() {
+				answer := func(body string) *Client {
+					return cutClient(line+"\r\n"+fmt.Sprintf(fields, len(body))+"\r\n"+body, io.EOF)
+				}
+				_, err := answer("{}").Call(context.Background(), cutCall(http.MethodPost))
+				So(err == nil, ShouldEqual, valid)
+				if !valid {
+					So(fault.From(err).Code, ShouldEqual, fault.UpstreamFailed)
+					So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+				}
+				So(finished(answer(wholeStream)), ShouldEqual, valid)
+			})
+		}
+	}
+}
+
 // Guards against taking a part of an answer for the whole if the upstream ends its answer
 // while the upload is on its way and then resets the connection, whether the upload is still
 // being written or waits in the kernel's buffer.
