Reject HTTP/1.0 answers in chunks

Callers saw: the answer to a request was HTTP/1.0 with Transfer-Encoding: chunked; they got the sizes of the chunks as a part of the body.

Cause: net/http's parser drops Transfer-Encoding from HTTP/1.0 heads and takes all bytes until the end of the connection for the body. RFC 9112, 6.1 calls the framing of such a message faulty. The parsed response does not show it.

Change: httpresponse.Read looks at the head of an HTTP/1.0 response in the reader's buffer before it is parsed. A connection of the pool that meets such a head grows its buffer to the bound of heads, so that no valid head is too long. The client of engines and plain services has no access to the transport's buffer: its socket records the head of a response from its first byte on, as the transport's trace tells, and copies nothing of responses that are final and of HTTP/1.1. Valid HTTP/1.0 answers are passed on as before.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -355,9 +355,7 @@
 	for range maxInterimResponses {
 		// The body needs no close: the connection is closed unless the body was
 		// read to its end.
-		c.received.limit(maxHeadBytes)
-		response, err := httpresponse.Read(c.reader, &c.request) //nolint:bodyclose
-		c.received.unlimit()
+		response, err := c.readHead() //nolint:bodyclose
 		if err != nil {
 			// A line that the end of the connection cuts off reads as a malformed one.
 			if c.received.ended != nil && c.reader.Buffered() == 0 && !errors.Is(err, httpresponse.ErrMalformed) {
@@ -392,6 +390,17 @@
 	return End{Err: ErrMalformedResponse}, false
 }
 
+// readHead reads the next head, of a final answer or an interim one.
+func (c *Connection) readHead() (*http.Response, error) {
+	c.received.limit(maxHeadBytes)
+	defer c.received.unlimit()
+	if httpresponse.IsHTTP10(c.reader) {
+		// The check of such a head needs all of it in the buffer.
+		c.reader = bufio.NewReaderSize(c.reader, maxHeadBytes)
+	}
+	return httpresponse.Read(c.reader, &c.request)
+}
+
 func (c *Connection) readBody(exchange *Exchange, response *http.Response, head *gateway.AnswerHead) End {
 	// Answers to HEAD have no body whatever their fields say.
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
--- a/internal/connpool/invalid_test.go
+++ b/internal/connpool/invalid_test.go
@@ -82,6 +82,53 @@
 	}
 }
 
+// Guards against an answer of HTTP/1.0 in chunks, of which a caller got the sizes of the
+// chunks as a part of the body: the parser of net/http ignores the field there.
+func TestAnAnswerOfHTTP10InChunksIsNoAnswer(t *testing.T) {
+	const (
+		start   = "HTTP/1.0 200 OK\r\nId: 1\r\n"
+		chunks  = "\r\n4\r\nbody\r\n0\r\n\r\n"
+		chunked = "Transfer-Encoding: chunked\r\n"
+	)
+	long := "X-Trace: " + strings.Repeat("x", 8<<10) + "\r\n"
+	for text, valid := range map[string]bool{
+		start + chunked + chunks:                                        false,
+		start + "Content-Length: 19\r\n" + chunked + chunks:             false,
+		start + "Connection: keep-alive\r\n" + chunked + chunks:         false,
+		start + "transfer-encoding:chunked\r\n" + chunks:                false,
+		start + "TRANSFER-ENCODING: identity\r\n" + chunks:              false,
+		start + "Transfer-Encoding:\r\n chunked\r\n" + chunks:           false,
+		start + long + chunked + chunks:                                 false,
+		"HTTP/1.0 200 OK\nId: 1\nTransfer-Encoding: chunked\n" + chunks: false,
+		"HTTP/1.0 200 OK\r\n" + chunked + chunks + start + "\r\nbody":   false,
+		"HTTP/1.1 103 Early Hints\r\n\r\n" + start + chunked + chunks:   false,
+		start + "\r\nbody":                      true,
+		start + long + "\r\nbody":               true,
+		start + "Content-Length: 4\r\n\r\nbody": true,
+		start + "Connection: keep-alive\r\nContent-Length: 4\r\n\r\nbody":     true,
+		start + "X: Transfer-Encoding: chunked\r\n\r\nbody":                   true,
+		"HTTP/1.1 103 Early Hints\r\n\r\n" + start + "\r\nbody":               true,
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nno" + start + "\r\nbody": true,
+	} {
+		Convey(fmt.Sprintf("Given the answer %.120q of %d bytes", text, len(text)), t, func() {
+			for _, step := range []int{1, 100, len(text)} {
+				events := make(chan Event, len(text))
+				exchange := &Exchange{ID: "1", Method: http.MethodPost, Events: events, Context: context.Background()}
+				end, reusable := newConnection(&Pool{}, "u", &cutSocket{text: text, step: step, end: io.EOF}, decodeHead).readAnswer(exchange)
+				if !valid {
+					So(end.Err, ShouldWrap, ErrMalformedResponse)
+					So(reusable, ShouldBeFalse)
+					So(events, ShouldBeEmpty)
+					continue
+				}
+				So(end.Err, ShouldBeNil)
+				So(reusable, ShouldEqual, strings.Contains(text, "keep-alive"))
+				So(string(eventData(events)), ShouldEqual, "body")
+			}
+		})
+	}
+}
+
 // eventData returns the body in the events of an answer.
 func eventData(events chan Event) []byte {
 	var data []byte
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -1,6 +1,6 @@
 // Package httpresponse checks HTTP responses for what net/http's parser lets pass: names of
 // fields with a blank, which hide a body's length or chunks from the parser, other versions
-// than HTTP/1, and control characters in the status line.
+// than HTTP/1, control characters in the status line, and chunks in HTTP/1.0.
 package httpresponse
 
 import (
@@ -31,8 +31,14 @@
 
 // Read reads the head of a response to request, which nil means is a GET, and checks it.
 // Interim responses are returned like others. Reading the body to its end also checks the
-// trailer. Errors are those of http.ReadResponse, or wrap ErrMalformed.
+// trailer. The head of an HTTP/1.0 response must fit into the reader's buffer. Errors are
+// those of http.ReadResponse, or wrap ErrMalformed.
 func Read(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	if IsHTTP10(reader) {
+		if err := checkLegacy(reader); err != nil {
+			return nil, err
+		}
+	}
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
--- a/internal/httpresponse/httpresponse_test.go
+++ b/internal/httpresponse/httpresponse_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"testing"
+	"testing/iotest"
 
 	"github.com/peridotreel/peridotreel/internal/httpresponse"
 )
@@ -43,3 +45,39 @@
 		}
 	})
 }
+
+// FuzzChunksOfHTTP10 guards against a response of HTTP/1.0 that counts as valid although a
+// parser of HTTP/1.1 sees chunks in it, in whatever parts it arrives.
+func FuzzChunksOfHTTP10(f *testing.F) {
+	f.Add([]byte(" 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), uint8(1))
+	f.Add([]byte(" 200 OK\r\nX-Trace: a\r\ntransfer-encoding:\r\n\tchunked\r\n\r\n0\r\n\r\n"), uint8(7))
+	f.Add([]byte(" 200 OK\nTransfer-Encoding: chunked\n\n0\r\n\r\n"), uint8(50))
+	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
+		read := func(version string) (*http.Response, error) {
+			whole := append([]byte(version), text...)
+			return http.ReadResponse(bufio.NewReader(bytes.NewReader(whole)), nil)
+		}
+		chunked, err := read("HTTP/1.1") //nolint:bodyclose
+		if err != nil || len(chunked.TransferEncoding) == 0 {
+			return
+		}
+		if _, err := read("HTTP/1.0"); err != nil { //nolint:bodyclose
+			return
+		}
+		legacy := append([]byte("HTTP/1.0"), text...)
+		parts := iotest.OneByteReader(bytes.NewReader(legacy))
+		if _, err := httpresponse.Read(bufio.NewReaderSize(parts, len(legacy)), nil); err == nil { //nolint:bodyclose
+			t.Errorf("%q is passed on", legacy)
+		}
+		if chunked.StatusCode < http.StatusOK {
+			return // the recorder skips interim responses
+		}
+		var recorder httpresponse.HeadRecorder
+		for part := range slices.Chunk(legacy, int(step)+1) {
+			recorder.Write(part)
+		}
+		if recorder.Check() == nil {
+			t.Errorf("%q in parts of %d bytes is passed on", legacy, int(step)+1)
+		}
+	})
+}
--- a/internal/tasks/tunnels/head.go
+++ b/internal/tasks/tunnels/head.go
@@ -63,7 +63,8 @@
 // parse reports the head unless it is that of an interim answer.
 func (h *headReader) parse(head []byte) {
 	// The body needs no close: it is never read, and has no connection.
-	response, err := httpresponse.Read(bufio.NewReader(bytes.NewReader(head)), nil) //nolint:bodyclose
+	reader := bufio.NewReaderSize(bytes.NewReader(head), len(head))
+	response, err := httpresponse.Read(reader, nil) //nolint:bodyclose
 	switch {
 	case err != nil || h.passed > maxHeadBytes || !core.ValidStatus(response.StatusCode):
 		h.done = true
--- a/internal/tasks/tunnels/head_test.go
+++ b/internal/tasks/tunnels/head_test.go
@@ -99,3 +99,24 @@
 		}
 	}
 }
+
+// Guards against a head of HTTP/1.0 with chunks that tells the helper what the upstream wants,
+// and against valid ones that are missed.
+func TestAHeadOfHTTP10InChunksIsNotRead(t *testing.T) {
+	const start = "HTTP/1.0 503 Busy\r\nServer-Leaving: 1\r\n"
+	long := "X-Trace: " + strings.Repeat("x", 8<<10) + "\r\n"
+	for answer, want := range map[string]int{
+		start + "Transfer-Encoding: chunked\r\n\r\n": 0, start + long + "Transfer-Encoding: chunked\r\n\r\n": 0,
+		start + "\r\n": 1, start + long + "\r\n": 1,
+	} {
+		observed := 0
+		h := &headReader{
+			decode:  func(*http.Response) gateway.AnswerHead { return gateway.AnswerHead{ID: "1"} },
+			observe: func(gateway.AnswerHead) { observed++ },
+		}
+		h.read([]byte(answer))
+		if observed != want {
+			t.Errorf("%.80q of %d bytes: %d heads are observed, want %d", answer, len(answer), observed, want)
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,7 +15,6 @@
 
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/fault"
-	"github.com/peridotreel/peridotreel/internal/httpresponse"
 	"github.com/peridotreel/peridotreel/internal/upstream/wire"
 )
 
@@ -195,15 +194,11 @@
 
 // roundTrip sends a request over a transport. Its errors are those of send.
 func roundTrip(transport *http.Transport, request *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
-		Got1xxResponse: httpresponse.InterimCheck(),
-	}
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	var observed exchange
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), observed.trace()))
 	response, err := transport.RoundTrip(request)
 	if err == nil {
-		if err = httpresponse.Check(response); err != nil {
+		if err = observed.check(response); err != nil {
 			response.Body.Close()
 		}
 	}
@@ -215,7 +210,7 @@
 			"the upstream's answer has the invalid status %q; look the result up before a retry", response.Status)
 	case err == nil:
 		return response, nil
-	case connected.Load():
+	case observed.connected.Load():
 		return nil, fault.New(fault.UpstreamFailed, fault.Unknown,
 			"the upstream gave no valid answer; look the result up before a retry").WithCause(err)
 	default:
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -24,7 +24,9 @@
 type cutConnection struct {
 	written chan struct{}
 	text    string
-	end     error
+	// step is how many bytes one read returns at most, 0 for no limit.
+	step int
+	end  error
 }
 
 func (c *cutConnection) Write(p []byte) (int, error) {
@@ -43,6 +45,9 @@
 	if c.text == "" {
 		return 0, c.end
 	}
+	if c.step > 0 {
+		p = p[:min(len(p), c.step)]
+	}
 	n := copy(p, c.text)
 	c.text = c.text[n:]
 	return n, nil
@@ -56,10 +61,13 @@
 func (c *cutConnection) SetWriteDeadline(time.Time) error { return nil }
 
 // cutClient returns a client whose requests are all answered with text, and then end.
-func cutClient(text string, end error) *Client {
+func cutClient(text string, end error) *Client { return cutClientInSteps(text, end, 0) }
+
+// cutClientInSteps is cutClient with answers of which one read returns at most step bytes.
+func cutClientInSteps(text string, end error, step int) *Client {
 	client := NewClient()
 	dial := func(context.Context, string, string) (net.Conn, error) {
-		return newSocket(&cutConnection{written: make(chan struct{}, 1), text: text, end: end}), nil
+		return newSocket(&cutConnection{written: make(chan struct{}, 1), text: text, step: step, end: end}), nil
 	}
 	client.unpooled.DialContext, client.pooled.DialContext = dial, dial
 	return client
--- a/internal/upstream/invalid_test.go
+++ b/internal/upstream/invalid_test.go
@@ -102,6 +102,70 @@
 	}
 }
 
+// Guards against an answer of HTTP/1.0 in chunks, of which a caller got the sizes of the
+// chunks as a part of the body: the parser of net/http ignores the field there.
+func TestAnAnswerOfHTTP10InChunksIsNoAnswer(t *testing.T) {
+	const start = "HTTP/1.0 200 OK\r\n"
+	long := "X-Trace: " + strings.Repeat("x", 8<<10) + "\r\n"
+	for head, valid := range map[string]bool{
+		start + "Transfer-Encoding: chunked\r\n": false, start + "Content-Length: 2\r\ntransfer-encoding:chunked\r\n": false,
+		start + long + "Transfer-Encoding: chunked\r\n": false, "HTTP/1.1 103 Early Hints\r\n\r\n" + start + "Transfer-Encoding: chunked\r\n": false,
+		start: true, start + long: true, "HTTP/1.1 103 Early Hints\r\n\r\n" + start: true, start + "X: Transfer-Encoding: chunked\r\n": true,
+	} {
+		Convey(fmt.Sprintf("Given the head %.120q of %d bytes", head, len(head)), t, func() {
+			for _, newConnection := range []bool{true, false} {
+				for _, step := range []int{1, 100, 1 << 20} {
+					call := cutCall(http.MethodPost)
+					call.NewConnection = newConnection
+					answer, err := cutClientInSteps(head+"\r\n{}", io.EOF, step).Call(context.Background(), call)
+					So(err == nil, ShouldEqual, valid)
+					if valid {
+						So(string(answer.Body), ShouldEqual, "{}")
+					} else {
+						So(fault.From(err).Code, ShouldEqual, fault.UpstreamFailed)
+						So(fault.From(err).Run, ShouldEqual, fault.Unknown)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against an answer of HTTP/1.0 in chunks on a connection that was used before.
+func TestALaterAnswerOfHTTP10InChunksIsNoAnswer(t *testing.T) {
+	Convey("Given a kept connection", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		Reset(func() { _ = listener.Close() })
+		go func() {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = accepted.Close() }()
+			reader := bufio.NewReader(accepted)
+			for _, answer := range []string{
+				"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+			} {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(accepted, answer)
+			}
+		}()
+		call := cutCall(http.MethodPost)
+		call.NewConnection, call.Target = false, core.Target{Address: listener.Addr().String()}
+		client := NewClient()
+		Reset(client.Close)
+		_, err = client.Call(context.Background(), call)
+		So(err, ShouldBeNil)
+		_, err = client.Call(context.Background(), call)
+		So(err, ShouldNotBeNil)
+	})
+}
+
 // Guards against taking a part of an answer for the whole if the upstream ends its answer
 // while the upload is on its way and then resets the connection, whether the upload is still
 // being written or waits in the kernel's buffer.
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/peridotreel/peridotreel/internal/httpresponse"
 	"github.com/peridotreel/peridotreel/internal/tunnel"
 )
 
@@ -17,6 +18,10 @@
 	net.Conn
 	// written holds the error of the last write unless one is under way.
 	written chan error
+	// last is what the last read returned, and head the recorder of what follows. The
+	// transport's goroutine that reads the connection owns both.
+	last []byte
+	head *httpresponse.HeadRecorder
 }
 
 // socketBuffer bounds what the kernel holds of requests to an upstream and of answers from
@@ -67,10 +72,21 @@
 	return n, err
 }
 
+// record records a head of which the first byte is the first of the last read.
+func (s *socket) record(head *httpresponse.HeadRecorder) {
+	head.Write(s.last)
+	s.head = head
+}
+
 // Read implements io.Reader. It returns io.EOF only if no write failed. A write that is
 // under way at the end of the connection is ended.
 func (s *socket) Read(p []byte) (int, error) {
+	s.last = nil // an idle connection must not hold the buffer of a body
 	n, err := s.Conn.Read(p)
+	s.last = p[:n]
+	if s.head != nil {
+		s.head.Write(s.last)
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
