Reject answers that name several requests

Callers saw: an answer with a second Attempt-Id of another value came to them as their answer, with both ids, although it may be another request's.

Cause: the codec took the first value of the field and did not look at others.

Change: the codec tells that an answer names several requests, and a connection rejects it at once, in whatever order the ids come; one whose first id was another request's had been read past, so that the caller waited. A refusal counts as "not run" for the client of engines and plain services only if all ids in it are the request's. The same id twice is no fault.

--- a/internal/connpool/connection.go
+++ b/internal/connpool/connection.go
@@ -370,6 +370,9 @@
 			continue
 		}
 		head := c.decode(response)
+		if head.Ambiguous {
+			return End{Err: fmt.Errorf("%w: it names several requests", ErrMalformedResponse)}, false
+		}
 		// An answer that names no request is not of this one either: upstreams repeat
 		// the id, and a faulty one may write an earlier refusal once more.
 		if head.ID != exchange.ID {
--- a/internal/connpool/invalid_test.go
+++ b/internal/connpool/invalid_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// Guards against an answer that names several requests and is passed on as the answer to one
+// of them, or read past, so that its caller waits in vain.
+func TestAnAnswerToSeveralRequestsIsNone(t *testing.T) {
+	for _, ids := range []string{"Id: 1\r\nId: 2", "Id: 2\r\nId: 1", "Id: 2\r\nId: 3"} {
+		Convey(fmt.Sprintf("Given the ids %q", ids), t, func() {
+			events, end, reusable := readWhole("HTTP/1.1 200 OK\r\n" + ids + "\r\nContent-Length: 2\r\n\r\nno" + whole("1", "ok"))
+			So(end.Err, ShouldWrap, ErrMalformedResponse)
+			So(reusable, ShouldBeFalse)
+			So(events, ShouldBeEmpty)
+		})
+	}
+	Convey("An answer may name its request twice", t, func() {
+		events, end, reusable := readWhole("HTTP/1.1 200 OK\r\nId: 1\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+		So(end.Err, ShouldBeNil)
+		So(reusable, ShouldBeTrue)
+		So(string(eventData(events)), ShouldEqual, "ok")
+	})
+}
+
 // eventData returns the body in the events of an answer.
 func eventData(events chan Event) []byte {
 	var data []byte
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -18,7 +18,8 @@
 )
 
 func decodeHead(response *http.Response) gateway.AnswerHead {
-	return gateway.AnswerHead{Status: response.StatusCode, ID: response.Header.Get("Id")}
+	ids := response.Header["Id"]
+	return gateway.AnswerHead{Status: response.StatusCode, ID: response.Header.Get("Id"), Ambiguous: len(ids) > 1 && ids[0] != ids[1]}
 }
 
 // upstream starts a server that answers each request with the next script.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -40,8 +40,10 @@
 type AnswerHead struct {
 	Status int
 	// ID is the id of the request that is answered.
-	ID     string
-	Fields []Field
+	ID string
+	// Ambiguous is true if the answer names several requests.
+	Ambiguous bool
+	Fields    []Field
 	// NotRun is true if the upstream reports that it did not run the request.
 	NotRun bool
 	// WrongInstance is true if another upstream has the address.
--- a/internal/tasks/tunnels/head.go
+++ b/internal/tasks/tunnels/head.go
@@ -70,6 +70,10 @@
 		h.done = true
 	case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
 		decoded := h.decode(response)
+		if decoded.Ambiguous {
+			h.done = true
+			return
+		}
 		if decoded.ID == "" && response.ContentLength >= 0 {
 			// An upstream that is asked for its report first, on the same connection, says
 			// there nothing of what it wants.
--- a/internal/tasks/tunnels/head_test.go
+++ b/internal/tasks/tunnels/head_test.go
@@ -120,3 +120,16 @@
 		}
 	}
 }
+
+// Guards against an answer that names several requests and tells the helper what the upstream
+// wants, as the requester rejects the same answer.
+func TestAHeadThatNamesSeveralRequestsIsNotRead(t *testing.T) {
+	h := &headReader{
+		decode:  func(*http.Response) gateway.AnswerHead { return gateway.AnswerHead{ID: "1", Ambiguous: true} },
+		observe: func(gateway.AnswerHead) { t.Error("the head is observed") },
+	}
+	h.read([]byte("HTTP/1.1 503 Busy\r\nServer-Leaving: 1\r\n\r\n"))
+	if !h.done {
+		t.Error("the next head would be read")
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -285,12 +286,17 @@
 	switch response.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return response.Header.Get(wire.HeaderNotRun) == "true" &&
-			response.Header.Get(wire.HeaderRequestID) == response.Request.Header.Get(wire.HeaderRequestID)
+			namesOnly(response.Header[wire.HeaderRequestID], response.Request.Header.Get(wire.HeaderRequestID))
 	default:
 		return false
 	}
 }
 
+// namesOnly reports whether a response with some ids of requests answers that one only.
+func namesOnly(ids []string, id string) bool {
+	return len(ids) > 0 && !slices.ContainsFunc(ids, func(named string) bool { return named != id })
+}
+
 // Probe implements attempt.Upstreams. It returns nil if the upstream responds on
 // a new connection, whatever the status: an upstream that accepts no new work
 // may still have running streams.
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -223,25 +223,28 @@
 	cases := []struct {
 		status int
 		notRun string
-		// other is true if the refusal names another request.
-		other bool
-		run   fault.RunState
+		// ids are the requests that the refusal names; THIS is the one that was sent.
+		ids []string
+		run fault.RunState
 	}{
-		{http.StatusTooManyRequests, "true", false, fault.NotRun},
-		{http.StatusServiceUnavailable, "true", false, fault.NotRun},
-		{http.StatusServiceUnavailable, "true", true, fault.Unknown},
-		{http.StatusServiceUnavailable, "", false, fault.Unknown},
-		{http.StatusServiceUnavailable, "false", false, fault.Unknown},
-		{http.StatusInternalServerError, "true", false, fault.Unknown},
-		{http.StatusBadGateway, "", false, fault.Unknown},
+		{http.StatusTooManyRequests, "true", []string{"THIS"}, fault.NotRun},
+		{http.StatusServiceUnavailable, "true", []string{"THIS"}, fault.NotRun},
+		{http.StatusServiceUnavailable, "true", []string{"THIS", "THIS"}, fault.NotRun},
+		{http.StatusServiceUnavailable, "true", nil, fault.Unknown},
+		{http.StatusServiceUnavailable, "true", []string{"THIS", "other"}, fault.Unknown},
+		{http.StatusServiceUnavailable, "true", []string{"other", "THIS"}, fault.Unknown},
+		{http.StatusServiceUnavailable, "", []string{"THIS"}, fault.Unknown},
+		{http.StatusServiceUnavailable, "false", []string{"THIS"}, fault.Unknown},
+		{http.StatusInternalServerError, "true", []string{"THIS"}, fault.Unknown},
+		{http.StatusBadGateway, "", []string{"THIS"}, fault.Unknown},
 	}
 	client := upstream.NewClient()
 	Convey("A refused request counts as not run only if the upstream says so", t, func() {
 		for _, c := range cases {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("X-Not-Run", c.notRun)
-				if !c.other {
-					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				for _, id := range c.ids {
+					w.Header().Add("X-Request-Id", strings.Replace(id, "THIS", r.Header.Get("X-Request-Id"), 1))
 				}
 				w.Header().Set("Retry-After", "3")
 				w.WriteHeader(c.status)
