Name the checks of HTTP/1.0 heads for what they check

Cause: read as a newcomer, "legacy" does not say that HTTP/1.0 is meant, a constant is there for its length only, and Read returned a response beside an error. Change: names and comments of internal/httpresponse; Read returns no response with an error.

--- a/internal/httpresponse/legacy.go
+++ b/internal/httpresponse/http10.go
@@ -10,24 +10,27 @@
 const (
 	// maxHeadBytes bounds what a HeadRecorder keeps of a head.
 	maxHeadBytes = 16 << 10
-	legacyStart  = "HTTP/1.0"
-	// interimStart is as long as what tells whether a response is interim.
-	interimStart = "HTTP/1.x 1"
+	// versionHTTP10 is what a response of HTTP/1.0 begins with.
+	versionHTTP10 = "HTTP/1.0"
+	// versionBytes is the length of a version, and classBytes that of a status line up to
+	// the digit that tells the class of the status.
+	versionBytes = len(versionHTTP10)
+	classBytes   = len("HTTP/1.0 2")
 )
 
 // IsHTTP10 reports whether the next response is of HTTP/1.0. It waits for its first bytes.
 func IsHTTP10(reader *bufio.Reader) bool {
-	start, err := reader.Peek(len(legacyStart))
-	return err == nil && string(start) == legacyStart
+	start, err := reader.Peek(versionBytes)
+	return err == nil && string(start) == versionHTTP10
 }
 
-// checkLegacy checks the head of the next response, of HTTP/1.0, without reading it. An end
-// of the connection within the head is no error here.
-func checkLegacy(reader *bufio.Reader) error {
+// peekHTTP10 checks the head of the next response, of HTTP/1.0, without reading it. An end of
+// the connection within the head is no error here: the parser meets it again.
+func peekHTTP10(reader *bufio.Reader) error {
 	for {
 		received, _ := reader.Peek(reader.Buffered())
 		if end := headEnd(received); end >= 0 {
-			return checkLegacyHead(received[:end])
+			return checkHTTP10(received[:end])
 		}
 		if len(received) == reader.Size() {
 			return fmt.Errorf("%w: its head, of HTTP/1.0, exceeds %d bytes", ErrMalformed, reader.Size())
@@ -53,10 +56,10 @@
 	}
 }
 
-// checkLegacyHead rejects the head of an HTTP/1.0 response with Transfer-Encoding, whose
+// checkHTTP10 rejects the head of an HTTP/1.0 response with Transfer-Encoding, whose
 // framing is faulty (RFC 9112, 6.1). net/http's parser drops that field and takes the chunks
 // for the body. Other faults of the head are left to that parser.
-func checkLegacyHead(head []byte) error {
+func checkHTTP10(head []byte) error {
 	_, lines, _ := bytes.Cut(head, []byte("\n"))
 	fields, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(lines))).ReadMIMEHeader()
 	if _, found := fields["Transfer-Encoding"]; found {
@@ -77,15 +80,15 @@
 // Write takes the next bytes that were read from the connection, from the start of the
 // response on.
 func (r *HeadRecorder) Write(part []byte) {
-	if r.done || len(r.head) == 0 && len(part) >= len(interimStart) && !isInterim(part) && !isLegacy(part) {
+	if r.done || len(r.head) == 0 && len(part) >= classBytes && !isNeeded(part) {
 		r.done = true
 		return
 	}
 	r.head = append(r.head, part...)
-	for len(r.head) >= len(interimStart) {
+	for len(r.head) >= classBytes {
 		end := headEnd(r.head)
 		switch {
-		case !isInterim(r.head) && !isLegacy(r.head), end < 0 && len(r.head) > maxHeadBytes:
+		case !isNeeded(r.head), end < 0 && len(r.head) > maxHeadBytes:
 			r.head, r.done = nil, true
 			return
 		case end < 0:
@@ -105,12 +108,13 @@
 	if len(r.head) == 0 {
 		return nil
 	}
-	return checkLegacyHead(r.head)
+	return checkHTTP10(r.head)
 }
 
-func isLegacy(head []byte) bool { return bytes.HasPrefix(head, []byte(legacyStart)) }
-
-// isInterim reports whether a head begins like that of an interim response.
-func isInterim(head []byte) bool {
-	return len(head) >= len(interimStart) && bytes.HasPrefix(head, []byte("HTTP/1.")) && string(head[len("HTTP/1.x"):len(interimStart)]) == " 1"
+// isNeeded reports whether a head of at least classBytes has to be recorded, as it is of
+// HTTP/1.0, or interim, so that the next one may be.
+func isNeeded(head []byte) bool {
+	return isInterim(head) || string(head[:versionBytes]) == versionHTTP10
 }
+
+func isInterim(head []byte) bool { return string(head[versionBytes:classBytes]) == " 1" }
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -19,10 +19,10 @@
 	// maxInterimBytes bounds the interim responses before a response, of which net/http
 	// bounds neither the number nor the sum if a function examines them.
 	maxInterimBytes = 16 << 10
-	// fieldOverhead is the length in bytes of what separates a name, its value and the next
-	// field, and of a status line without its reason.
+	// fieldOverhead is the length of a field without its name and its value, and headOverhead
+	// that of a head without its reason and its fields.
 	fieldOverhead = len(": \r\n")
-	lineOverhead  = len("HTTP/1.1 103 \r\n\r\n")
+	headOverhead  = len("HTTP/1.1 103 \r\n\r\n")
 )
 
 // ErrMalformed means that a response is not valid in HTTP/1.1 (RFC 9112). Its connection
@@ -35,7 +35,7 @@
 // those of http.ReadResponse, or wrap ErrMalformed.
 func Read(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	if IsHTTP10(reader) {
-		if err := checkLegacy(reader); err != nil {
+		if err := peekHTTP10(reader); err != nil {
 			return nil, err
 		}
 	}
@@ -43,8 +43,10 @@
 	if err != nil {
 		return nil, err
 	}
-	// The body needs no close after an error: no connection is bound to it.
-	return response, Check(response)
+	if err := Check(response); err != nil {
+		return nil, err // the body needs no close: no connection is bound to it
+	}
+	return response, nil
 }
 
 // Check returns an error that wraps ErrMalformed unless the head of a response is valid. The
@@ -73,7 +75,7 @@
 func InterimCheck() func(status int, header textproto.MIMEHeader) error {
 	received := 0
 	return func(_ int, header textproto.MIMEHeader) error {
-		received += lineOverhead
+		received += headOverhead
 		for name, values := range header {
 			for _, value := range values {
 				received += len(name) + len(value) + fieldOverhead
@@ -144,8 +146,8 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the idle connections of the other transport.
-// http.Client.CloseIdleConnections calls it.
+// CloseIdleConnections closes the idle connections of the other transport; http.Client has a
+// method of that name, which calls it.
 func (t Transport) CloseIdleConnections() {
 	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
 		base.CloseIdleConnections()
--- a/internal/localfleet/invalid_test.go
+++ b/internal/localfleet/invalid_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// Guards against a part of a service's answer, or one with an invalid status, that a caller
+// Guards against a part of a service's answer, or one with an invalid head, that a caller
 // gets as a whole answer, from this host's own connections and through another host.
 func TestNoInvalidOrCutServiceAnswerReachesACaller(t *testing.T) {
 	const (
@@ -135,6 +135,12 @@
 				{unframed, reset}, {unframed, endAndReset},
 				{fmt.Sprintf(framed, "000"), endInOrder}, {fmt.Sprintf(framed, "600"), endInOrder}, {fmt.Sprintf(framed, "+20"), endInOrder},
 				{strings.Replace(unframed, "200", "000", 1), endInOrder},
+				{"HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 4\r\n\r\nbody", endInOrder},
+				{"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more", endInOrder},
+				{"HTTP/1.1 103 Early Hints\r\nX-Trace : a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", endInOrder},
+				{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Trace: a\r\n\r\n", endInOrder},
+				{"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", endInOrder},
+				{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", endInOrder},
 			} {
 				for _, chunked := range []bool{false, true} {
 					early.set(c)
