Give each response a recorder of its own

Cause: the transport may repeat a request on another connection while the earlier one still reads; both would then have written to the same recorder of a head. Change: the recorder is allocated at the first byte of a response and passed by an atomic pointer. Result: the tests of internal/upstream pass under the race detector, as they did before: none of them makes a transport repeat a request midway.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,8 +13,9 @@
 type exchange struct {
 	connected  atomic.Bool
 	connection atomic.Pointer[socket]
-	// head is complete before the transport returns the response.
-	head httpresponse.HeadRecorder
+	// head is nil before the first byte of the response, and complete before the transport
+	// returns the response.
+	head atomic.Pointer[httpresponse.HeadRecorder]
 }
 
 // trace returns the functions that observe the exchange and check its interim responses.
@@ -30,8 +31,10 @@
 		// returned the first bytes of the response.
 		GotFirstResponseByte: func() {
 			if connection := e.connection.Load(); connection != nil {
-				e.head = httpresponse.HeadRecorder{} // the transport may have repeated the request
-				connection.record(&e.head)
+				// The transport may repeat a request while an earlier connection still reads.
+				head := new(httpresponse.HeadRecorder)
+				e.head.Store(head)
+				connection.record(head)
 			}
 		},
 		Got1xxResponse: httpresponse.InterimCheck(),
@@ -43,5 +46,8 @@
 	if err := httpresponse.Check(response); err != nil {
 		return err
 	}
-	return e.head.Check()
+	if head := e.head.Load(); head != nil {
+		return head.Check()
+	}
+	return nil
 }
