--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -13,7 +13,7 @@
 const host = "app.example"
 
 var cases = map[string]func(*world) []string{
-	"part": deadlyPart, "versions": versions, "public": publicRequest, "events": deadlyPartWithEvents, "limit": namedLimit,
+	"part": deadlyPart, "versions": versions, "public": publicRequest, "events": deadlyPartWithEvents, "limit": namedLimit, "recovery": recovery,
 }
 
 func main() {
@@ -60,10 +60,14 @@
 }
 
 func (w *world) configure(routes []map[string]any, services []map[string]any) {
+	w.configureTenants(routes, services, []map[string]any{{"name": "tenant-1", "api_keys": []string{key}}})
+}
+
+func (w *world) configureTenants(routes, services, tenants []map[string]any) {
 	w.store.put("op", "config", map[string]any{
 		"version": 1, "routes": routes, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "tenant-1", "api_keys": []string{key}}},
+		"tenants": tenants,
 	})
 	w.log("the configuration is acknowledged")
 }
