--- a/review/tools-2/limit.go
+++ b/review/tools-2/limit.go
@@ -53,15 +53,10 @@
 	w.log("server %s names a limit of %v requests a second from now on", s.id, perSecond)
 	time.Sleep(time.Until(started.Add(15200 * time.Millisecond)))
 	if w.trouble {
-		s.silence()
+		s.cutOff()
 		w.log("server %s is cut off from the store", s.id)
-		removal := time.AfterFunc(3600*time.Millisecond, func() {
-			w.store.remove("servers", s.id)
-			w.log("the store removes the entry of %s", s.id)
-		})
 		time.Sleep(5 * time.Second)
-		removal.Stop()
-		time.Sleep(time.Second) // its next heartbeat, 6 s after the last one
+		time.Sleep(heartbeat) // its next heartbeat comes at most so much later
 		s.register()
 		w.log("the entry of %s is back", s.id)
 	}
--- a/review/tools-2/server.go
+++ b/review/tools-2/server.go
@@ -41,6 +41,8 @@
 	conns    map[net.Conn]bool
 	sequence atomic.Int64
 	beat     chan struct{}
+	// beatAt is the time of the latest heartbeat.
+	beatAt time.Time
 }
 
 // exchange is one request at a server.
@@ -98,7 +100,7 @@
 func (s *server) register() {
 	stop := make(chan struct{})
 	s.mu.Lock()
-	s.beat = stop
+	s.beat, s.beatAt = stop, time.Now()
 	s.mu.Unlock()
 	s.store.put("servers", s.id, s.entry())
 	go func() {
@@ -106,13 +108,32 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(1200 * time.Millisecond):
+			case <-time.After(heartbeat):
+				s.mu.Lock()
+				s.beatAt = time.Now()
+				s.mu.Unlock()
 				s.store.put("servers", s.id, s.entry())
 			}
 		}
 	}()
 }
 
+// heartbeat is the interval of a server's heartbeats.
+const heartbeat = 1200 * time.Millisecond
+
+// cutOff cuts the server off from the store, which removes its entry after three heartbeat
+// intervals of silence. It stays so until register is called, which must be later.
+func (s *server) cutOff() {
+	s.silence()
+	s.mu.Lock()
+	expiry := s.beatAt.Add(3 * heartbeat)
+	s.mu.Unlock()
+	time.AfterFunc(time.Until(expiry), func() {
+		s.store.remove("servers", s.id)
+		s.w.log("the store removes the entry of %s", s.id)
+	})
+}
+
 // silence ends the heartbeats.
 func (s *server) silence() {
 	s.mu.Lock()
--- a/review/tools-2/versions.go
+++ b/review/tools-2/versions.go
@@ -57,16 +57,9 @@
 			w.log("server %s %s", s.id, what)
 		}
 	}
-	at(0, "is cut off from the store", func(s *server) {
-		s.silence()
-		// Three heartbeat intervals.
-		time.AfterFunc(3600*time.Millisecond, func() {
-			w.store.remove("servers", s.id)
-			w.log("the store removes the entry of %s", s.id)
-		})
-	})
-	at(200*time.Millisecond, "crashes", (*server).crash)
-	at(1200*time.Millisecond, "starts again with version v2", func(s *server) {
+	at(0, "is cut off from the store", (*server).cutOff)
+	at(100*time.Millisecond, "crashes", (*server).crash)
+	at(600*time.Millisecond, "starts again with version v2", func(s *server) {
 		s.software = "v2"
 		s.start()
 	})
