Bound what a ledger guarantees by what it has unallocated

What callers saw: nothing so far. A model of hosts that die between returns of the store to an older copy spent 12,308 of 12,000 prepaid tokens.

Cause: a ledger that is reopened after a return withholds half of what the copy withheld, also where the commit before had only just raised that, so that nothing is guaranteed and all counts as allocated. The next return took the withheld amount as guaranteed and counted as much less as lost.

Evidence: TestALedgerGuaranteesNoMoreThanItHasUnallocated fails without the fix: 11,400 of 12,000 tokens count as allocated after the second return.

The fix: tokens that are allocated in a ledger are not guaranteed by it. What a reopened ledger withholds stays as it was.

--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -122,15 +122,17 @@
 }
 
 // guaranteedIn returns the least and the most that a ledger of an earlier era, or the one
-// that it replaced, guarantees after the returns since then.
+// that it replaced, guarantees after the returns since then. A reopened ledger may withhold
+// more than it has unallocated, which it does not guarantee.
 func (h *Holder) guaranteedIn(ledger Ledger) (least, most core.Tokens) {
 	returns := h.era - max(ledger.Mark.Era, firstEra)
 	own := h.withheldIn(ledger).guaranteed(returns)
+	unallocated := Withheld{Amount: max(h.prepaid-ledger.Allocated(), 0)}.guaranteed(returns)
 	if ledger.Replaced == nil {
-		return own, own
+		return min(own, unallocated), own
 	}
 	replaced := Withheld{Amount: ledger.Replaced.Withheld}.guaranteed(returns)
-	return min(own, replaced), max(own, replaced)
+	return min(own, replaced, unallocated), max(own, replaced)
 }
 
 // rebase corrects a reopened ledger by one of an earlier era that is later than its
--- a/internal/decide/allowance/series_test.go
+++ b/internal/decide/allowance/series_test.go
@@ -139,3 +139,32 @@
 		})
 	})
 }
+
+// Guards against tokens that are granted twice after two returns of the store: a ledger that
+// was reopened while nothing was guaranteed withholds half of what the copy did, although
+// all is allocated, and counted as guaranteeing that at the next return.
+func TestALedgerGuaranteesNoMoreThanItHasUnallocated(t *testing.T) {
+	Convey("Given a copy with a commit that raised what is withheld", t, func() {
+		const prepaid, granted, withheld = core.Tokens(12_000), core.Tokens(9_800), core.Tokens(1_200)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		reopen := func(era int64, ledger Ledger, host core.HostID) Ledger {
+			holder := NewHolder(Process{Host: host, Start: "1"})
+			holder.SetBalance(prepaid, 2, true)
+			holder.SetStandby(true)
+			holder.SetLedger(ledger, core.Revision{Era: era, Number: 7}, clock, now)
+			proposal, _ := holder.Propose(now)
+			So(proposal.Reopens, ShouldBeTrue)
+			return proposal.Ledger
+		}
+		copied := Ledger{
+			Mark: Mark{Era: 1, Sequence: 4}, Withheld: &Withheld{Amount: withheld}, Replaced: &Replaced{Allocated: prepaid, Era: 1},
+			Holdings: map[string]Holding{"other/1": {Host: "other", Granted: granted, EnteredAt: 1}},
+		}
+		reopened := reopen(2, copied, "host-1")
+		So(reopened.Allocated(), ShouldEqual, prepaid)
+		So(reopened.Withheld.Amount, ShouldEqual, withheld/2)
+		Convey("Nothing is guaranteed after a second return, in which the commit that reopened the ledger is the latest", func() {
+			So(reopen(3, reopened, "host-2").Allocated(), ShouldEqual, prepaid)
+		})
+	})
+}
