Withhold a part of each balance by demand, planned ahead

Later than 12 s after the machines are back 0 to 4 of 414 to 468 requests are served, although each team has two thirds of its balance left.

Cause: what was granted after the copy to processes that have ended is not known to anybody, so that all that the copy does not withhold counts as lost. Nothing was withheld from a team whose balance covers less than 120 s of its demand, since a withheld amount can be lowered only 20 s after that was announced: a higher one would have been in the way of steady teams. After a return, a ledger that was lowering an amount counted as guaranteeing only the lower one, whether that was in force or not.

It needs no young ledger: what counts is the cover of the balance, and whether those that were granted tokens since the copy live.

The fix: a ledger has a schedule of withheld amounts. Each commit adds amounts up to 24 s ahead, by the demand and the balance that is expected to be left then, and lowers none of an earlier commit, so that no announcement has to age. The amount that a copy withholds at the time of the return is what was not granted. Up to 25 s of the team's demand are withheld, at most half of what its balance has beyond 20 s of demand. Recent demand counts only as far as it has lasted, and a rise is expected to go on, so that a burst finds little withheld. Owners divide what is not withheld.

TestAWithheldAmountIsLoweredOnlyAfterTheAgeOfACopy checks what a copy guarantees by time, where it checked that the lower amount counts at once.

ledger_reopened has the withheld amount.

--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -97,9 +97,14 @@
 
 	// demand is the exponentially decaying sum of the requested amounts.
 	demand float64
+	// sustained is the exponentially decaying sum of demand over time, in token seconds. It
+	// follows a change of demand later.
+	sustained float64
 	// largestAmount is the largest recent amount; it decays with demand.
 	largestAmount float64
 	decayedAt     time.Time
+	// countsFrom is when the holder began to count demand.
+	countsFrom time.Time
 
 	// acknowledgedPledge is the newest pledge that the store has acknowledged.
 	// pendingPledges are later ones that may have replaced it in the store.
@@ -260,8 +265,14 @@
 func (h *Holder) Revision() core.Revision { return h.revision }
 
 func (h *Holder) decayDemand(now time.Time) {
+	if h.decayedAt.IsZero() {
+		h.countsFrom = now
+	}
 	if !h.decayedAt.IsZero() && now.After(h.decayedAt) {
 		keep := math.Exp2(-float64(now.Sub(h.decayedAt)) / float64(demandHalfLife))
+		// demand falls from its value to keep of it within the elapsed time, by the same
+		// half-life as sustained, so that what it adds decays as it is added.
+		h.sustained = keep * (h.sustained + h.demand*now.Sub(h.decayedAt).Seconds())
 		h.demand *= keep
 		h.largestAmount *= keep
 	}
@@ -274,6 +285,19 @@
 	return h.demand * math.Ln2 / demandHalfLife.Seconds()
 }
 
+// lastingDemand returns an estimate of the team's demand in tokens per second, and the part
+// of it that has lasted, between 0 and 1. For a young holder, it corrects the sums for the
+// short time that they cover.
+func (h *Holder) lastingDemand(teamRate float64) (rate, lasting float64) {
+	age := h.decayedAt.Sub(h.countsFrom).Seconds() * math.Ln2 / demandHalfLife.Seconds()
+	covered, sustainedCovered := 1-math.Exp(-age), 1-(1+age)*math.Exp(-age)
+	if h.demand <= 0 || sustainedCovered <= 0 {
+		return teamRate, 0
+	}
+	sustained := h.sustained * math.Ln2 / demandHalfLife.Seconds()
+	return teamRate / covered, min(sustained/sustainedCovered*covered/h.demand, 1)
+}
+
 // unspent returns the balance less what is known to be spent, what is reserved
 // here, and what was settled for dead processes.
 func (h *Holder) unspent() float64 { return h.unspentBy(h.ledger) }
@@ -300,8 +324,9 @@
 // splitUnspent divides the unspent balance. Where it covers the team's demand for
 // less than fullEvenShareCover, more is left unallocated and less is divided
 // evenly.
-func (h *Holder) splitUnspent() balanceSplit {
-	unspent, teamRate := h.unspent(), h.demandRate()+h.ledger.demandWithout(h.process.String())
+func (h *Holder) splitUnspent(now time.Time) balanceSplit {
+	teamRate := h.teamRate(h.ledger)
+	unspent := max(h.unspent()-float64(h.withheldSoon(now)), 0)
 	coverage := 1.0
 	if teamRate > 0 {
 		coverage = min(1, unspent/(teamRate*fullEvenShareCover.Seconds()))
@@ -323,7 +348,7 @@
 	if h.retired {
 		return 0
 	}
-	rate, split := h.demandRate(), h.splitUnspent()
+	rate, split := h.demandRate(), h.splitUnspent(now)
 	needed := demandFactor*rate*demandHorizon.Seconds() + largestRequestsKept*h.largestAmount
 	if split.teamRate > 0 {
 		needed = min(needed, split.byDemand*rate/split.teamRate)
--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -116,8 +116,11 @@
 type Replaced struct {
 	// Allocated is the ledger's mostAllocated, maxTokens if it had no Room.
 	Allocated core.Tokens `json:"a"`
-	// Withheld is what the ledger guaranteed.
+	// Withheld is what the ledger guaranteed at any time.
 	Withheld core.Tokens `json:"w"`
+	// Schedule is what it withheld, if that was to be lowered; nil in a ledger of a build
+	// that does not know it.
+	Schedule *Withheld `json:"s,omitempty"`
 	// Era is the era in which the ledger was written; 0 if it is not known.
 	Era int64 `json:"e,omitempty"`
 }
@@ -160,7 +163,10 @@
 		err = errors.Join(err, fmt.Errorf("unsure is %d of %d settled, lost %d", l.Unsure, l.Settled, l.Lost))
 	}
 	if l.Withheld != nil {
-		err = errors.Join(err, checkTokens("withheld", l.Withheld.Amount), checkTokens("withheld next", l.Withheld.Next))
+		err = errors.Join(err, l.Withheld.check())
+	}
+	if l.Replaced != nil && l.Replaced.Schedule != nil {
+		err = errors.Join(err, l.Replaced.Schedule.check())
 	}
 	for process, holding := range l.Holdings {
 		err = errors.Join(err, checkTokens("granted to "+process, holding.Granted), checkTokens("spent by "+process, holding.Spent),
--- a/internal/decide/allowance/pledge.go
+++ b/internal/decide/allowance/pledge.go
@@ -156,7 +156,7 @@
 // balance. It binds the holder only from BeginPledge on.
 func (h *Holder) NewPledge(now time.Time) Pledge {
 	h.decayDemand(now)
-	split := h.splitUnspent()
+	split := h.splitUnspent(now)
 	even := split.even
 	burst := max(h.demandRate()*pledgedDemandTime.Seconds(), even/evenBurstDivisor, h.bridgeDemand(split.teamRate))
 	burst = min(burst, maxBurstShare*h.unspent())
--- a/internal/decide/allowance/propose.go
+++ b/internal/decide/allowance/propose.go
@@ -54,7 +54,7 @@
 	if delta != 0 || h.hasEarlierHoldings() || h.hasLostHoldings() {
 		return h.proposal(delta, now), true
 	}
-	due := h.demandReportDue(held, target) || h.settlementDue(now) || h.lowersWithheld(now) || h.entryDue()
+	due := h.demandReportDue(held, target) || h.settlementDue(now) || h.lowersWithheld(now) || h.recoveryDue(now) || h.entryDue()
 	if !intervalPassed || !due {
 		return Proposal{}, false
 	}
@@ -166,9 +166,10 @@
 	}
 	h.settle(&ledger, now)
 	h.updateRoom(&ledger, delta, now)
-	withheld := h.withheldIn(ledger).next(h.clock, h.wantedWithheld(ledger, now), h.prepaid-ledger.Allocated())
+	unallocated := h.prepaid - ledger.Allocated()
+	withheld := h.withheldIn(ledger).next(h.clock, h.wantedWithheld(ledger, now), unallocated).planned(h.clock, h.planRecovery(ledger, now), unallocated)
 	ledger.Withheld = &withheld
-	ledger.Replaced = &Replaced{Allocated: h.ledger.mostAllocated(maxTokens), Withheld: h.withheldIn(h.ledger).guaranteed(1), Era: h.ledger.Mark.Era}
+	ledger.Replaced = h.replaced()
 	ledger.Mark = Mark{Era: h.era, Sequence: max(ledger.Mark.Sequence, h.ledger.Mark.Sequence, ledger.Base.Mark.Sequence) + 1}
 	return Proposal{Ledger: ledger, Revision: h.revision, Reopens: h.outdated(h.ledger) || h.unmarked(), Delta: delta}
 }
--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -126,15 +126,33 @@
 // more than it has unallocated, which it does not guarantee.
 func (h *Holder) guaranteedIn(ledger Ledger) (least, most core.Tokens) {
 	returns := h.era - max(ledger.Mark.Era, firstEra)
-	own := h.withheldIn(ledger).guaranteed(returns)
-	unallocated := Withheld{Amount: max(h.prepaid-ledger.Allocated(), 0)}.guaranteed(returns)
+	own := h.withheldIn(ledger).guaranteed(h.clock, returns)
+	unallocated := Withheld{Amount: max(h.prepaid-ledger.Allocated(), 0)}.guaranteed(h.clock, returns)
 	if ledger.Replaced == nil {
 		return min(own, unallocated), own
 	}
-	replaced := Withheld{Amount: ledger.Replaced.Withheld}.guaranteed(returns)
+	replaced := ledger.Replaced.schedule().guaranteed(h.clock, returns)
 	return min(own, replaced, unallocated), max(own, replaced)
 }
 
+// replaced describes the known ledger, which a commit is about to replace.
+func (h *Holder) replaced() *Replaced {
+	withheld := h.withheldIn(h.ledger).since(h.clock)
+	replaced := &Replaced{Allocated: h.ledger.mostAllocated(maxTokens), Withheld: min(withheld.Amount, withheld.last()), Era: h.ledger.Mark.Era}
+	if withheld.Lowering {
+		replaced.Schedule = &withheld
+	}
+	return replaced
+}
+
+// schedule returns what the replaced ledger withheld.
+func (r Replaced) schedule() Withheld {
+	if r.Schedule != nil {
+		return *r.Schedule
+	}
+	return Withheld{Amount: r.Withheld}
+}
+
 // rebase corrects a reopened ledger by one of an earlier era that is later than its
 // base. What was confirmed or closed since stays.
 func rebase(ledger Ledger, latest Ledger, prepaid core.Tokens) Ledger {
--- a/internal/tasks/balances/commit.go
+++ b/internal/tasks/balances/commit.go
@@ -261,7 +261,7 @@
 	if m.reopened {
 		b.config.Log.Info("wrote the first ledger of an era after a return of the store", zap.String("event", "ledger_reopened"), zap.String("team", string(m.team)),
 			zap.String("ledger_version", m.revision.String()), zap.Int64("allocated", int64(m.ledger.Allocated())), zap.Int64("lost", int64(m.ledger.Lost)),
-			zap.Int64("prepaid", int64(a.holder.Prepaid())))
+			zap.Int64("withheld", int64(m.ledger.WithheldAt(m.clock))), zap.Int64("prepaid", int64(a.holder.Prepaid())))
 	}
 	if m.known {
 		b.noticeEra(ctx, m.revision.Era)
