Do not spend a holding that another process has added

What callers saw: nothing so far.

Cause: a commit of a process that does not know of a return is applied to the copy, and the process counts nothing as granted. It then confirms in the ledger of a later era that it has nothing, so that it carries no grant any more. Another process corrects that ledger by the one of the earlier era, which has the holding, and the first process takes it as its own.

TestAHoldingThatAnotherProcessAddsIsNotSpent fails without the fix: 8,551 tokens are granted where 0 were.

The fix: a process that reads a holding of its own that is not confirmed, while it carries no grant, goes on with what it had, and writes that. The holding counts as lost again.

--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -169,6 +169,12 @@
 			h.finishReturn()
 		}
 	}
+	if ledger.Holdings[h.process.String()].Unconfirmed && h.carried == nil && !h.outdated(ledger) {
+		// The holding is from a ledger of an earlier era that another process knew, and is
+		// not this process's grant.
+		granted := h.granted()
+		h.carried = &granted
+	}
 	h.ledger, h.revision, h.known, h.current = ledger, revision, true, true
 	h.clock, h.clockAt = clock, now
 	h.confirm()
--- a/internal/decide/allowance/reopen_test.go
+++ b/internal/decide/allowance/reopen_test.go
@@ -378,3 +378,34 @@
 		So(LackedAfterReturn(known, time.Time{}), ShouldBeFalse)
 	})
 }
+
+// Guards against a process that spends a holding that it was never granted: its commit was
+// applied to the copy after a return, and another process writes the holding into the ledger
+// of a later era once this process has confirmed that it has none.
+func TestAHoldingThatAnotherProcessAddsIsNotSpent(t *testing.T) {
+	Convey("Given a process without a grant that has read the ledger of an era", t, func() {
+		const prepaid, lost, unknown = core.Tokens(12_000), core.Tokens(8_325), core.Tokens(8_551)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		holder := NewHolder(Process{Host: "host", Start: "1"})
+		holder.SetBalance(prepaid, 3, true)
+		holder.SetLedger(Ledger{}, core.Revision{Era: 1}, clock, now)
+		ledger := Ledger{
+			Mark: Mark{Era: 3, Sequence: 2}, ReopenedAt: clock.Milliseconds(), Lost: lost, Withheld: &Withheld{Amount: 60},
+			Holdings: map[string]Holding{"other/1": {Host: "other", Granted: 3_555}},
+		}
+		holder.SetLedger(ledger, core.Revision{Era: 3, Number: 1}, clock, now)
+		So(holder.granted(), ShouldEqual, 0)
+		Convey("A holding that another process adds by a ledger of an earlier era stays lost", func() {
+			rebased := ledger.clone()
+			rebased.Mark.Sequence, rebased.Base = 3, Base{Mark: Mark{Era: 2, Sequence: 2}}
+			rebased.Lost -= unknown
+			rebased.Holdings[holder.process.String()] = Holding{Host: "host", Granted: unknown, Unconfirmed: true}
+			holder.SetLedger(rebased, core.Revision{Era: 3, Number: 2}, clock, now)
+			So(holder.granted(), ShouldEqual, 0)
+			proposal, wanted := holder.Propose(now)
+			So(wanted, ShouldBeTrue)
+			So(proposal.Ledger.Holdings[holder.process.String()].Granted, ShouldEqual, 0)
+			So(proposal.Ledger.Lost, ShouldEqual, lost)
+		})
+	})
+}
