Count what a ledger has granted before it is corrected

What callers saw: nothing so far. A model of hosts that die between returns of the store to before a team's first ledger spent 12,060 of 12,000 prepaid tokens.

Cause: a ledger that is begun after a return, while its writer knows no earlier one, grants half of what a first ledger guarantees. A process that knows an earlier ledger corrects it as if it had been reopened from that one, and counted the grants since as a part of what had been granted before the return, so that as much was guaranteed once more.

Evidence: TestACorrectedLedgerCountsWhatItHasGranted fails without the fix: 11,760 tokens count as allocated, 11,880 are.

--- a/internal/decide/allowance/reopen.go
+++ b/internal/decide/allowance/reopen.go
@@ -114,13 +114,21 @@
 func (h *Holder) correct() Ledger {
 	ledger := rebase(h.ledger, *h.latest, h.prepaid)
 	if h.ledger.Base.Mark.Sequence == 0 {
-		ledger.Lost = h.lostIn(ledger, *h.latest)
+		guaranteed, _ := h.guaranteedIn(*h.latest)
+		ledger.Lost = max(h.prepaid-guaranteed+h.grantedSinceBegun()-ledger.recorded(), 0)
 		// It contains what the prepaid total has risen by since the ledger was begun.
 		ledger.Unsettled = max(ledger.Unsettled, h.prepaid)
 	}
 	return ledger
 }
 
+// grantedSinceBegun returns what the stored ledger, which was begun without a base, has
+// granted of what it guaranteed then.
+func (h *Holder) grantedSinceBegun() core.Tokens {
+	guaranteed, _ := h.guaranteedIn(Ledger{})
+	return max(guaranteed-h.Unallocated(), 0)
+}
+
 // guaranteedIn returns the least and the most that a ledger of an earlier era, or the one
 // that it replaced, guarantees after the returns since then. A reopened ledger may withhold
 // more than it has unallocated, which it does not guarantee.
--- a/internal/decide/allowance/reopen_test.go
+++ b/internal/decide/allowance/reopen_test.go
@@ -409,3 +409,28 @@
 		})
 	})
 }
+
+// Guards against tokens that are granted twice: a ledger that was begun without a base has
+// granted a part of what it guaranteed before it is corrected by one of an earlier era.
+func TestACorrectedLedgerCountsWhatItHasGranted(t *testing.T) {
+	Convey("Given a ledger that was begun after a return and has granted what it may", t, func() {
+		const prepaid, granted, guaranteed = core.Tokens(12_000), core.Tokens(8_575), core.Tokens(240)
+		now, clock := time.Unix(1000, 0), 1000*time.Second
+		holder := NewHolder(Process{Host: "host", Start: "1"})
+		holder.SetBalance(prepaid, 3, true)
+		earlier := Ledger{
+			Mark: Mark{Era: 1, Sequence: 1}, Withheld: &Withheld{Amount: guaranteed},
+			Holdings: map[string]Holding{holder.process.String(): {Host: "host", Granted: granted, EnteredAt: 1}},
+		}
+		holder.SetLedger(earlier, core.Revision{Era: 1, Number: 1}, clock, now)
+		begun := Ledger{
+			Mark: Mark{Era: 2, Sequence: 4}, ReopenedAt: clock.Milliseconds(), Lost: prepaid - guaranteed, Withheld: &Withheld{Amount: guaranteed / 2},
+			Holdings: map[string]Holding{"other/1": {Host: "other", Granted: guaranteed / 2, EnteredAt: 1}},
+		}
+		holder.SetLedger(begun, core.Revision{Era: 2, Number: 4}, clock+settlementTime, now)
+		corrected, wanted := holder.Propose(now)
+		So(wanted, ShouldBeTrue)
+		So(corrected.Ledger.Base.Mark, ShouldResemble, earlier.Mark)
+		So(corrected.Ledger.Allocated(), ShouldEqual, prepaid-guaranteed/2)
+	})
+}
