Plan what is withheld by fresh holdings only

Cause, read in a trial with a log line a commit: owners that hold much do not write the ledger for ten seconds and more.

The change: what was granted to processes that have not written their holding for 3 s counts as spent in a plan; a holding has the time at which it was written, which earlier builds drop, so that nothing is planned beside them. The share of an idle balance is raised only once demand has been counted for 20 s. Up to 20 s of demand and 0.4 of the balance are withheld, 25 s and 0.5 before.

--- a/internal/compat/compat_test.go
+++ b/internal/compat/compat_test.go
@@ -126,6 +126,12 @@
 func removeField(value any, path []string) {
 	object, isObject := value.(map[string]any)
 	So(isObject, ShouldBeTrue)
+	if path[0] == "*" {
+		for _, element := range object {
+			removeField(element, path[1:])
+		}
+		return
+	}
 	So(object, ShouldContainKey, path[0])
 	if len(path) == 1 {
 		delete(object, path[0])
@@ -144,7 +150,7 @@
 func TestRowsOfTheEarlierBuild(t *testing.T) {
 	Convey("Rows of the store are read and kept by both builds", t, func() {
 		// TestALedgerWrittenByAnEarlierBuildWithholdsNoLess has the reason.
-		checkRow("ledger.json", "Ledger", allowance.DecodeLedger, []string{"withheld", "s"}, []string{"withheld", "c"}, []string{"replaced", "s"})
+		checkRow("ledger.json", "Ledger", allowance.DecodeLedger, []string{"withheld", "s"}, []string{"withheld", "c"}, []string{"replaced", "s"}, []string{"holdings", "*", "w"})
 		checkRow("pledges.json", "Pledges", allowance.DecodePledgeRecord)
 		checkRow("software.json", "History", origin.DecodeHistory)
 	})
--- a/internal/decide/allowance/holder.go
+++ b/internal/decide/allowance/holder.go
@@ -291,11 +291,14 @@
 	return h.demand * math.Ln2 / demandHalfLife.Seconds()
 }
 
+// demandAge returns the time for which demand has been counted.
+func (h *Holder) demandAge() time.Duration { return h.decayedAt.Sub(h.countsFrom) }
+
 // lastingDemand returns an estimate of the team's demand in tokens per second, and the part
 // of it that has lasted, between 0 and 1. For a young holder, it corrects the sums for the
 // short time that they cover.
 func (h *Holder) lastingDemand(teamRate float64) (rate, lasting float64) {
-	age := h.decayedAt.Sub(h.countsFrom).Seconds() * math.Ln2 / demandHalfLife.Seconds()
+	age := h.demandAge().Seconds() * math.Ln2 / demandHalfLife.Seconds()
 	covered, sustainedCovered := 1-math.Exp(-age), 1-(1+age)*math.Exp(-age)
 	if h.demand <= 0 || sustainedCovered <= 0 {
 		return teamRate, 0
--- a/internal/decide/allowance/ledger.go
+++ b/internal/decide/allowance/ledger.go
@@ -38,6 +38,9 @@
 	// EnteredAt is a time of the store's clock, in milliseconds, at which the ledger had
 	// the holding; 0 until its process has read it there.
 	EnteredAt int64 `json:"t,omitempty"`
+	// WrittenAt estimates the time of the store's clock, in milliseconds, at which the
+	// process wrote the holding; 0 if a build wrote it that does not know it.
+	WrittenAt int64 `json:"w,omitempty"`
 	// Unconfirmed is true from a return of the store to an older copy until the
 	// process has written its holding again.
 	Unconfirmed bool `json:"u,omitempty"`
--- a/internal/decide/allowance/propose.go
+++ b/internal/decide/allowance/propose.go
@@ -156,7 +156,7 @@
 	if own, found := h.ledger.Holdings[h.process.String()]; found && !own.Unconfirmed && entered == 0 && h.carried == nil {
 		entered = h.clock.Milliseconds()
 	}
-	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent, Demand: h.demandRate(), EnteredAt: entered}
+	ledger.Holdings[h.process.String()] = Holding{Host: h.process.Host, Granted: h.granted() + delta, Spent: h.spent, Demand: h.demandRate(), EnteredAt: entered, WrittenAt: h.storeClock(now).Milliseconds()}
 	return h.newProposal(ledger, delta, now)
 }
 
--- a/internal/decide/allowance/recovery.go
+++ b/internal/decide/allowance/recovery.go
@@ -17,16 +17,19 @@
 const (
 	// recoveryDemandTime is how much of the team's demand is withheld. A reopened ledger
 	// grants half of what is left at once, and more from MaxCopyAge on.
-	recoveryDemandTime = 25 * time.Second
+	recoveryDemandTime = MaxCopyAge
 	// recoveryCover is how much of the team's demand is never withheld, and recoveryShare
 	// the share of the rest of the unspent balance that may be, as demand may rise.
 	recoveryCover = MaxCopyAge
-	recoveryShare = 0.5
+	recoveryShare = 0.4
 	// recoveryStepTime is the time between two steps of a plan.
 	recoveryStepTime = 2 * time.Second
 	// recoveryHorizon is how far a plan reaches. It exceeds MaxCopyAge by the time between
 	// two commits of a team with steady demand.
 	recoveryHorizon = MaxCopyAge + 2*recoveryStepTime
+	// staleHoldingAge is the age from which all that was granted to another process counts
+	// as spent in a plan, as its demand may have risen since.
+	staleHoldingAge = 3 * time.Second
 	// knownDemandFactor is the multiple of the time for which demand has been counted that
 	// a plan reaches at most.
 	knownDemandFactor = 3
@@ -77,7 +80,7 @@
 	most := lasting * rate * recoveryDemandTime.Seconds()
 	// Demand that rises is expected to rise further by what has not lasted.
 	rate *= 2 - lasting
-	unspent, known := h.unspentBy(ledger), knownDemandFactor*h.decayedAt.Sub(h.countsFrom)
+	unspent, known := h.unspentBy(ledger)-h.stale(ledger, now), knownDemandFactor*h.demandAge()
 	return func(ahead time.Duration) core.Tokens {
 		if ahead > known {
 			return 0
@@ -86,6 +89,18 @@
 	}
 }
 
+// stale returns what is granted to other processes that have not written their holding of
+// late and is not known to be spent.
+func (h *Holder) stale(ledger Ledger, now time.Time) float64 {
+	stale, since := core.Tokens(0), (h.storeClock(now) - staleHoldingAge).Milliseconds()
+	for process, holding := range ledger.Holdings {
+		if process != h.process.String() && holding.WrittenAt < since {
+			stale += holding.Granted - holding.Spent
+		}
+	}
+	return float64(stale)
+}
+
 // recoveryDue reports whether a return of the store would find less than is planned.
 func (h *Holder) recoveryDue(now time.Time) bool {
 	amount := h.planRecovery(h.ledger, now)(MaxCopyAge)
--- a/internal/decide/allowance/withheld.go
+++ b/internal/decide/allowance/withheld.go
@@ -209,7 +209,7 @@
 		return 0
 	}
 	wanted := core.Tokens(withheldShare * max(h.unspentBy(ledger)-h.teamRate(ledger)*withheldCover.Seconds(), 0))
-	if !h.established(now) {
+	if !h.established(now) || h.demandAge() < MaxCopyAge {
 		// The team's demand is not known yet.
 		wanted = min(wanted, h.withheldIn(ledger).last())
 	}
