--- a/internal/compat/compat_test.go
+++ b/internal/compat/compat_test.go
@@ -149,7 +149,9 @@
 // cannot read, and against a field that is lost once that build writes the row.
 func TestRowsOfTheEarlierBuild(t *testing.T) {
 	Convey("Rows of the store are read and kept by both builds", t, func() {
-		// TestALedgerWrittenByAnEarlierBuildWithholdsNoLess has the reason.
+		// TestALedgerWrittenByAnEarlierBuildWithholdsNoLess shows it for what is withheld. A
+		// holding without the time of its write counts as spent in a plan, which then
+		// withholds less.
 		checkRow("ledger.json", "Ledger", allowance.DecodeLedger, []string{"withheld", "s"}, []string{"withheld", "c"}, []string{"replaced", "s"}, []string{"holdings", "*", "w"})
 		checkRow("pledges.json", "Pledges", allowance.DecodePledgeRecord)
 		checkRow("software.json", "History", origin.DecodeHistory)
