Log and count what retry budgets allow and refuse

A breach of the bound on retries could not be explained from the logs: no line or metric told how many retries a host sent or was denied, by how many hosts it divided the slack, or how old its process was.

retry_budget_exhausted is logged at the first retry that is refused, with the requests and retries of the window, what is allowed, the hosts counted, whether their table was read, and the age of the process. retry_budget_regained follows once none was refused for a window. peridotreel_retries_total counts retries by service and result.

--- a/internal/decide/retrybudget/retrybudget.go
+++ b/internal/decide/retrybudget/retrybudget.go
@@ -39,21 +39,34 @@
 // RecordRequest counts the first attempt of a request.
 func (b *Budget) RecordRequest(bound Bound, now time.Time) { b.bucketAt(bound, now).requests++ }
 
-// AllowRetry reports whether the budget allows a retry, and counts it if so.
-func (b *Budget) AllowRetry(bound Bound, hosts int, now time.Time) bool {
+// Usage is what a host has sent to a service within the window.
+type Usage struct {
+	Requests, Retries int
+	// Allowed is the number of retries that the budget allows.
+	Allowed float64
+}
+
+// Usage returns what was sent within the window that ends now.
+func (b *Budget) Usage(bound Bound, hosts int, now time.Time) Usage {
 	current := b.bucketAt(bound, now)
-	requests, retries := 0, 0
+	var usage Usage
 	for i := range b.buckets {
 		if current.index-b.buckets[i].index < bucketCount {
-			requests += b.buckets[i].requests
-			retries += b.buckets[i].retries
+			usage.Requests += b.buckets[i].requests
+			usage.Retries += b.buckets[i].retries
 		}
 	}
-	allowed := safetyFactor * (bound.Ratio*float64(requests) + bound.Slack/float64(max(hosts, 1)))
-	if float64(retries+1) > allowed {
+	usage.Allowed = safetyFactor * (bound.Ratio*float64(usage.Requests) + bound.Slack/float64(max(hosts, 1)))
+	return usage
+}
+
+// AllowRetry reports whether the budget allows a retry, and counts it if so.
+func (b *Budget) AllowRetry(bound Bound, hosts int, now time.Time) bool {
+	usage := b.Usage(bound, hosts, now)
+	if float64(usage.Retries+1) > usage.Allowed {
 		return false
 	}
-	current.retries++
+	b.bucketAt(bound, now).retries++
 	return true
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -221,6 +221,9 @@
 	}); err != nil {
 		return nil, err
 	}
+	if err = telemetry.RegisterRetries(e.telemetry.Meter(), e.retryTotals); err != nil {
+		return nil, err
+	}
 	server := peerrpc.NewServer(peerrpc.ServerConfig{Listener: peerListener, Log: options.Log, Tunnels: e.tunnels.Serve})
 	e.peers = peers.New(peers.Config{
 		Host: s.Host, Address: peerListener.Addr().String(), Zone: s.Zone, Seeds: s.Peers, Store: options.Platform.Store, Caller: client,
@@ -280,6 +283,16 @@
 	return telemetry.EvacuationTotals(totals), err
 }
 
+// retryTotals returns the decisions on retries for the metrics.
+func (e *Edge) retryTotals(ctx context.Context) (map[core.ServiceName]telemetry.RetryTotals, error) {
+	current, err := e.director.RetryTotals(ctx)
+	totals := make(map[core.ServiceName]telemetry.RetryTotals, len(current))
+	for service, counts := range current {
+		totals[service] = telemetry.RetryTotals(counts)
+	}
+	return totals, err
+}
+
 // CallersAddress returns the address on which the host listens for callers.
 func (e *Edge) CallersAddress() string { return e.callers.Addr().String() }
 
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -105,16 +105,18 @@
 	// listConfirmed is when the store last answered a read of the upstream list.
 	listConfirmed time.Time
 	// listSince is since when it has answered all of them, zero if it does not.
-	listSince    time.Time
-	roster       *roster.Roster
-	balancer     *placement.LoadBalancer
-	retryBudgets map[core.ServiceName]*retrybudget.Budget
-	hosts        int
-	limits       *requestlimit.Table
-	notices      *notice.Notices
-	brittle      *brittle.Table
-	connections  *connshare.Table
-	room         *room.Table
+	listSince time.Time
+	roster    *roster.Roster
+	balancer  *placement.LoadBalancer
+	retries   map[core.ServiceName]*serviceRetries
+	hosts     int
+	// hostsKnown is false until the table of hosts has been read.
+	hostsKnown  bool
+	limits      *requestlimit.Table
+	notices     *notice.Notices
+	brittle     *brittle.Table
+	connections *connshare.Table
+	room        *room.Table
 	// roomLogged are the decisions that the latest log line told.
 	roomLogged room.Counts
 	// borrows is true while this host borrows connections from its peers.
@@ -149,8 +151,8 @@
 	return &Director{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
-		retryBudgets: make(map[core.ServiceName]*retrybudget.Budget),
-		limits:       requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), unanswered: readers.NewUpstreams(config.Hosts), cold: coldstart.New(config.Host, config.ColdBound), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		retries: make(map[core.ServiceName]*serviceRetries),
+		limits:  requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), unanswered: readers.NewUpstreams(config.Hosts), cold: coldstart.New(config.Host, config.ColdBound), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		evacuations: newEvacuations(),
 		startup:     startup{began: config.Now()},
 	}
@@ -322,6 +324,7 @@
 			d.forgetLimits()
 			d.forgetBrittle()
 			d.forgetConnections()
+			d.logRegainedRetries()
 		case <-connections.C:
 			d.announceConnections(d.config.Now())
 			d.tickRoom(d.config.Now())
@@ -361,6 +364,8 @@
 		d.finishProbe(ctx, m, now)
 	case getRoomTotals:
 		m.reply <- RoomTotals{d.room.Counts(), d.room.State(now)}
+	case getRetryTotals:
+		m.reply <- d.retryTotals()
 	case getConnectionTotals:
 		lent, borrowed := d.connections.Totals(now)
 		m.reply <- ConnectionTotals{lent, borrowed}
@@ -422,7 +427,7 @@
 }
 
 func (d *Director) setHosts(list hostList) {
-	d.hosts = max(list.count, 1)
+	d.hosts, d.hostsKnown = max(list.count, 1), true
 	d.unanswered.SetHosts(d.hosts)
 	d.members = d.members[:0]
 	for _, member := range list.members {
--- a/internal/tasks/director/place.go
+++ b/internal/tasks/director/place.go
@@ -7,7 +7,6 @@
 	"github.com/peridotreel/peridotreel/internal/core"
 	"github.com/peridotreel/peridotreel/internal/decide/placement"
 	"github.com/peridotreel/peridotreel/internal/decide/quarantine"
-	"github.com/peridotreel/peridotreel/internal/decide/retrybudget"
 	"github.com/peridotreel/peridotreel/internal/decide/room"
 	"github.com/peridotreel/peridotreel/internal/task"
 )
@@ -107,9 +106,8 @@
 
 // place chooses the upstream for an attempt, or tells why it is not sent.
 func (d *Director) place(ctx context.Context, request PlacementRequest, now time.Time) Placed {
-	budget := d.retryBudget(request.Service)
 	if request.First {
-		budget.RecordRequest(d.config.RetryBound, now)
+		d.retriesOf(request.Service).budget.RecordRequest(d.config.RetryBound, now)
 	}
 	if hold, retryAfter, held := d.held(request.Traits, now); held {
 		return Placed{Outcome: Held, Hold: hold, RetryAfter: retryAfter}
@@ -135,7 +133,7 @@
 	if refused, saturated := d.saturated(request, choice, now); saturated {
 		return refused
 	}
-	if request.Retry && !budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
+	if request.Retry && !d.allowRetry(request.Service, now) {
 		return Placed{Outcome: RetryBudgetExhausted}
 	}
 	tunnel := d.reach.CutOff(request.Service, now)
@@ -176,12 +174,3 @@
 	}
 	return max(int(float64(limit)*(1-connectionReserveFraction))/d.hosts, minConnections)
 }
-
-func (d *Director) retryBudget(name core.ServiceName) *retrybudget.Budget {
-	budget, found := d.retryBudgets[name]
-	if !found {
-		budget = &retrybudget.Budget{}
-		d.retryBudgets[name] = budget
-	}
-	return budget
-}
