Give a host no slack for retries until its process has run for a window

Cause: the counts of the window are in the memory of the process. Each start gave the host its part of the slack again, though what its earlier process had sent still was in the window. The part that is a ratio of requests has no such fault, as each request counts at one process only.

A process now has no slack for its first window, after which nothing of an earlier process of the host is left in it. Hosts that keep running have what they had (TestHostsThatKeepRunningHaveTheirWholePartOfTheRetries).

--- a/internal/decide/retrybudget/retrybudget.go
+++ b/internal/decide/retrybudget/retrybudget.go
@@ -7,8 +7,8 @@
 // bucketCount is the number of buckets in the sliding window.
 const bucketCount = 20
 
-// safetyFactor is the fraction of the bound that is used, because a host that
-// restarts loses its counts.
+// safetyFactor is the fraction of the bound that is used. Retries arrive later than they
+// are sent, and the windows of the bound are not those of the hosts.
 const safetyFactor = 0.8
 
 // Bound is the fleet-wide bound for one service.
@@ -46,8 +46,9 @@
 	Allowed float64
 }
 
-// Usage returns what was sent within the window that ends now.
-func (b *Budget) Usage(bound Bound, hosts int, now time.Time) Usage {
+// Usage returns what was sent within the window that ends now. slack is the host's part of
+// the bound's slack; see Share.
+func (b *Budget) Usage(bound Bound, slack float64, now time.Time) Usage {
 	current := b.bucketAt(bound, now)
 	var usage Usage
 	for i := range b.buckets {
@@ -56,13 +57,13 @@
 			usage.Retries += b.buckets[i].retries
 		}
 	}
-	usage.Allowed = safetyFactor * (bound.Ratio*float64(usage.Requests) + bound.Slack/float64(max(hosts, 1)))
+	usage.Allowed = safetyFactor * (bound.Ratio*float64(usage.Requests) + slack)
 	return usage
 }
 
 // AllowRetry reports whether the budget allows a retry, and counts it if so.
-func (b *Budget) AllowRetry(bound Bound, hosts int, now time.Time) bool {
-	usage := b.Usage(bound, hosts, now)
+func (b *Budget) AllowRetry(bound Bound, slack float64, now time.Time) bool {
+	usage := b.Usage(bound, slack, now)
 	if float64(usage.Retries+1) > usage.Allowed {
 		return false
 	}
--- a/internal/decide/retrybudget/retrybudget_test.go
+++ b/internal/decide/retrybudget/retrybudget_test.go
@@ -24,7 +24,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			budget := &budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
 			if rapid.Bool().Draw(t, "repeat") {
-				if budget.AllowRetry(bound, hosts, now) {
+				if budget.AllowRetry(bound, bound.Slack/float64(hosts), now) {
 					arrivals = append(arrivals, arrival{now, true})
 				}
 				continue
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -109,7 +109,9 @@
 	roster    *roster.Roster
 	balancer  *placement.LoadBalancer
 	retries   map[core.ServiceName]*serviceRetries
-	hosts     int
+	// retryShare is this host's part of the slack of the retry budgets.
+	retryShare *retrybudget.Share
+	hosts      int
 	// hostsKnown is false until the table of hosts has been read.
 	hostsKnown  bool
 	limits      *requestlimit.Table
@@ -151,8 +153,8 @@
 	return &Director{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
-		retries: make(map[core.ServiceName]*serviceRetries),
-		limits:  requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), unanswered: readers.NewUpstreams(config.Hosts), cold: coldstart.New(config.Host, config.ColdBound), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
+		retries: make(map[core.ServiceName]*serviceRetries), retryShare: retrybudget.NewShare(config.Now(), config.Hosts),
+		limits: requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), unanswered: readers.NewUpstreams(config.Hosts), cold: coldstart.New(config.Host, config.ColdBound), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		evacuations: newEvacuations(),
 		startup:     startup{began: config.Now()},
 	}
@@ -428,6 +430,7 @@
 
 func (d *Director) setHosts(list hostList) {
 	d.hosts, d.hostsKnown = max(list.count, 1), true
+	d.retryShare.SetHosts(d.hosts)
 	d.unanswered.SetHosts(d.hosts)
 	d.members = d.members[:0]
 	for _, member := range list.members {
--- a/internal/tasks/director/retries.go
+++ b/internal/tasks/director/retries.go
@@ -55,8 +55,8 @@
 
 // allowRetry reports whether the retry budget of a service allows a retry, and counts it.
 func (d *Director) allowRetry(name core.ServiceName, now time.Time) bool {
-	service := d.retriesOf(name)
-	if service.budget.AllowRetry(d.config.RetryBound, d.hosts, now) {
+	service, slack := d.retriesOf(name), d.retryShare.Slack(d.config.RetryBound, now)
+	if service.budget.AllowRetry(d.config.RetryBound, slack, now) {
 		service.totals.Allowed++
 		return true
 	}
@@ -64,11 +64,11 @@
 	service.lastRefused = now
 	if !service.exhausted {
 		service.exhausted = true
-		usage := service.budget.Usage(d.config.RetryBound, d.hosts, now)
+		usage := service.budget.Usage(d.config.RetryBound, slack, now)
 		d.config.Log.Warn("the retry budget of a service is used up; failed requests are not sent again",
 			zap.String("event", "retry_budget_exhausted"), zap.String("service", string(name)),
 			zap.Int("requests", usage.Requests), zap.Int("retries", usage.Retries), zap.Float64("retries_allowed", usage.Allowed),
-			zap.Int("hosts", d.hosts), zap.Bool("hosts_known", d.hostsKnown), zap.Duration("process_age", now.Sub(d.startup.began)))
+			zap.Int("hosts", d.retryShare.Hosts()), zap.Bool("hosts_known", d.hostsKnown), zap.Duration("process_age", now.Sub(d.startup.began)))
 	}
 	return false
 }
