Give a host no slack for retries until it knows the number of hosts

A host that had not read the table of hosts divided the slack of the retry budgets by 12, a number that was assumed. 66 hosts that start while the store does not answer had 5.5 times the slack together.

The slack is 0 until the number is known. Hosts tell each other the number that they have read, so that a host that starts while the store does not answer has its part after a window, and does not take too many connections to upstreams either, which were divided by the same 12 (TestTheNumberOfHostsIsTakenFromPeersWhileTheStoreDoesNotAnswer). The fields are new; hosts of earlier versions send none and ignore them.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,8 +48,8 @@
 )
 
 const (
-	// initialHostCount is the number of hosts among which the retry budget and
-	// the connections are divided until the table of hosts has been read.
+	// initialHostCount is the number of hosts among which the connections to upstreams are
+	// divided until the number is known, from the table of hosts or from a peer.
 	initialHostCount = 12
 	// memoryLimitFraction is the part of the process's memory that the garbage
 	// collector keeps to; the rest is for stacks of the kernel's buffers.
--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -51,8 +51,8 @@
 	RetryBound       retrybudget.Bound
 	// ColdBound bounds what a cold upstream gets from all hosts together.
 	ColdBound coldstart.Bound
-	// Hosts is the number of hosts assumed to share the retry budget until the
-	// peers are known.
+	// Hosts is the number of hosts assumed to share the connections to upstreams until it
+	// is known. The retry budget has no slack until then.
 	Hosts int
 	Log   *zap.Logger
 	Now   func() time.Time
@@ -112,8 +112,8 @@
 	// retryShare is this host's part of the slack of the retry budgets.
 	retryShare *retrybudget.Share
 	hosts      int
-	// hostsKnown is false until the table of hosts has been read.
-	hostsKnown  bool
+	// hostsListed is false until the table of hosts has been read.
+	hostsListed bool
 	limits      *requestlimit.Table
 	notices     *notice.Notices
 	brittle     *brittle.Table
@@ -153,7 +153,7 @@
 	return &Director{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), rowsByID: make(map[string]rowstore.Row),
 		roster: roster.New(), balancer: placement.NewLoadBalancer(config.Zone), hosts: config.Hosts,
-		retries: make(map[core.ServiceName]*serviceRetries), retryShare: retrybudget.NewShare(config.Now(), config.Hosts),
+		retries: make(map[core.ServiceName]*serviceRetries), retryShare: retrybudget.NewShare(config.Now()),
 		limits: requestlimit.New(config.Host), notices: notice.New(config.Host), brittle: brittle.New(config.Host), unanswered: readers.NewUpstreams(config.Hosts), cold: coldstart.New(config.Host, config.ColdBound), connections: connshare.New(), room: room.New(), reach: reach.New(), confirmed: origin.NewConfirmed(), quarantine: quarantine.New(config.Host), crashChecks: make(map[core.UpstreamID]*crashCheck),
 		evacuations: newEvacuations(),
 		startup:     startup{began: config.Now()},
@@ -428,10 +428,33 @@
 	}
 }
 
+// setHostCount sets the number of hosts that share retry budgets, connections and what
+// upstreams hold of requests.
+func (d *Director) setHostCount(count int) {
+	d.hosts = count
+	d.retryShare.SetHosts(count)
+	d.unanswered.SetHosts(count)
+}
+
+// hearHostCount takes the number of hosts from a peer, 0 if the peer does not know it, until
+// this host has read the table of hosts. The largest number of several peers counts.
+func (d *Director) hearHostCount(count int) {
+	if !d.hostsListed && count > d.retryShare.Hosts() {
+		d.setHostCount(count)
+	}
+}
+
+// knownHostCount returns the number of hosts in the table of hosts, 0 if it was not read.
+func (d *Director) knownHostCount() int {
+	if !d.hostsListed {
+		return 0
+	}
+	return d.hosts
+}
+
 func (d *Director) setHosts(list hostList) {
-	d.hosts, d.hostsKnown = max(list.count, 1), true
-	d.retryShare.SetHosts(d.hosts)
-	d.unanswered.SetHosts(d.hosts)
+	d.hostsListed = true
+	d.setHostCount(max(list.count, 1))
 	d.members = d.members[:0]
 	for _, member := range list.members {
 		d.members = append(d.members, string(member.Host))
--- a/internal/tasks/director/exchange.go
+++ b/internal/tasks/director/exchange.go
@@ -35,6 +35,8 @@
 	ConnectionWants  []connshare.Want
 	ConnectionGrants []connshare.Grant
 	AskedAt          time.Time
+	// Hosts is the number of hosts that the peer has read, 0 if it has not.
+	Hosts int
 	// Evacuations are zero if they were passed on before, by OfferEvacuations.
 	Evacuations evacuation.Report
 }
@@ -54,6 +56,8 @@
 	ConnectionWants  []connshare.Want
 	ConnectionGrants []connshare.Grant
 	Evacuations      evacuation.Report
+	// Hosts is the number of hosts that this host has read, 0 if it has not.
+	Hosts int
 	// ListSettled is true if the list lacks no upstream because of an outage of the store,
 	// or of this host: the store has answered for as long as entries need to come back.
 	ListSettled bool
@@ -109,6 +113,7 @@
 }
 
 func (d *Director) receive(peer PeerState, now time.Time) {
+	d.hearHostCount(peer.Hosts)
 	d.mergeEvacuations(peer.Evacuations, peer.Host, now)
 	d.balancer.SetPeerLoads(peer.Host, peer.Loads, now)
 	before := d.quarantine.Holds()
@@ -136,7 +141,7 @@
 func (d *Director) localState(now time.Time) LocalState {
 	return LocalState{
 		Config: d.activeConfig, ConfigAge: now.Sub(d.configConfirmed), UpstreamRows: d.upstreamRows, ListRevision: d.listRevision,
-		Loads:       d.balancer.OwnLoads(),
+		Loads: d.balancer.OwnLoads(), Hosts: d.knownHostCount(),
 		ListSettled: !d.listSince.IsZero() && now.Sub(d.listSince) >= roster.RecoveryGrace,
 		LacksConfig: d.lacksConfig(now), LacksUpstreams: d.lacksUpstreams(now),
 	}
--- a/internal/tasks/director/retries_test.go
+++ b/internal/tasks/director/retries_test.go
@@ -156,6 +156,33 @@
 	})
 }
 
+// Guards against a host that has no slack, or too many connections to upstreams, for as long
+// as the store does not answer, although its peers know the number of hosts.
+func TestTheNumberOfHostsIsTakenFromPeersWhileTheStoreDoesNotAnswer(t *testing.T) {
+	Convey("Given a host that has not read the table of hosts", t, func() {
+		f := newRetryFleet(1, retrybudget.Bound{Window: 10 * time.Second, Ratio: 0.2, Slack: 172})
+		f.start(0, 0)
+		d := f.hosts[0]
+		f.now = f.now.Add(20 * time.Second)
+		So(d.localState(f.now).Hosts, ShouldEqual, 0)
+		So(d.retryShare.Slack(f.bound, f.now), ShouldEqual, 0)
+		Convey("it takes the largest number that peers have read", func() {
+			for _, count := range []int{0, 20, 40, 30} {
+				d.receive(PeerState{Host: "host-1", Hosts: count}, f.now)
+			}
+			So(d.retryShare.Slack(f.bound, f.now), ShouldAlmostEqual, 172.0/40)
+			So(d.hosts, ShouldEqual, 40)
+			So(d.localState(f.now).Hosts, ShouldEqual, 0) // it has not read it itself
+			Convey("until it has read the table, from when on peers change nothing", func() {
+				f.list(0, 10)
+				d.receive(PeerState{Host: "host-1", Hosts: 40}, f.now)
+				So(d.hosts, ShouldEqual, 10)
+				So(d.localState(f.now).Hosts, ShouldEqual, 10)
+			})
+		})
+	})
+}
+
 // Guards against retries beyond the fleet's bound while hosts leave: the parts of those
 // that remain grew at once, though what the others had sent was still in the window.
 func TestRetriesStayWithinTheBoundWhileHostsLeave(t *testing.T) {
--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -129,6 +129,9 @@
 	Connections []connshare.Want
 	// Evacuations are zero from hosts of earlier versions.
 	Evacuations evacuation.Report
+	// Hosts is the number of hosts that the calling host has read, 0 if it has not, or is of
+	// an earlier version.
+	Hosts int
 	// WantsConfig and WantsServers ask for the configuration and the rows of
 	// upstreams if they are newer than the versions above.
 	WantsConfig  bool
@@ -154,6 +157,9 @@
 	// Connections are lent to the calling host. Hosts of earlier versions lend none.
 	Connections []connshare.Grant
 	Evacuations evacuation.Report
+	// Hosts is the number of hosts that the answering host has read, 0 if it has not, or is
+	// of an earlier version.
+	Hosts int
 }
 
 // New returns the task.
@@ -178,12 +184,12 @@
 func (h *Handler) Exchange(args Args, reply *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle, ConnectionWants: args.Connections, Evacuations: args.Evacuations})
+	known, err := h.peers.config.Director.Exchange(ctx, &director.PeerState{Host: args.Host, Loads: args.Loads, Quarantine: args.Quarantine, Limits: args.Limits, Brittle: args.Brittle, ConnectionWants: args.Connections, Evacuations: args.Evacuations, Hosts: args.Hosts})
 	if err != nil {
 		return err
 	}
 	*reply = Reply{
-		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge, Evacuations: known.Evacuations, Connections: known.ConnectionGrants,
+		Host: h.peers.config.Host, ListRevision: known.ListRevision, Loads: known.Loads, Quarantine: known.Quarantine, Limits: known.Limits, Brittle: known.Brittle, ConfigAge: known.ConfigAge, Evacuations: known.Evacuations, Connections: known.ConnectionGrants, Hosts: known.Hosts,
 	}
 	if known.Config != nil {
 		reply.ConfigVersion = known.Config.Version
@@ -372,7 +378,7 @@
 	}
 	args := Args{
 		Host: p.config.Host, ListRevision: local.ListRevision, Loads: local.Loads, Quarantine: local.Quarantine, Limits: local.Limits, Brittle: local.Brittle, Evacuations: local.Evacuations,
-		Connections: local.ConnectionWants, WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
+		Connections: local.ConnectionWants, Hosts: local.Hosts, WantsConfig: local.LacksConfig, WantsServers: local.LacksUpstreams,
 	}
 	if local.Config != nil {
 		args.ConfigVersion = local.Config.Version
@@ -398,7 +404,7 @@
 	}
 	p.config.Director.Receive(director.PeerState{
 		Host: reply.Host, Loads: reply.Loads, Quarantine: reply.Quarantine, Limits: reply.Limits, Brittle: reply.Brittle,
-		ConnectionGrants: reply.Connections, AskedAt: askedAt,
+		ConnectionGrants: reply.Connections, AskedAt: askedAt, Hosts: reply.Hosts,
 	})
 }
 
--- a/internal/tasks/peers/peers_test.go
+++ b/internal/tasks/peers/peers_test.go
@@ -20,7 +20,7 @@
 func (fixedDirector) Exchange(context.Context, *director.PeerState) (director.LocalState, error) {
 	return director.LocalState{
 		Config: &gateway.Config{Version: 7, Raw: []byte("raw")}, ConfigAge: time.Second,
-		UpstreamRows: []rowstore.Row{{Key: "server-1"}}, ListRevision: core.Revision{Era: 2, Number: 9},
+		UpstreamRows: []rowstore.Row{{Key: "server-1"}}, ListRevision: core.Revision{Era: 2, Number: 9}, Hosts: 66,
 	}, nil
 }
 
@@ -42,6 +42,7 @@
 			var reply Reply
 			So(handler.Exchange(args, &reply), ShouldBeNil)
 			So(reply.ConfigVersion, ShouldEqual, 7)
+			So(reply.Hosts, ShouldEqual, 66)
 			return reply
 		}
 		healthy := ask(Args{ConfigVersion: 6, ListRevision: core.Revision{Era: 2, Number: 8}})
