Count hosts that have left within the window in the slack for retries

While hosts leave, the parts of those that remain grew at once, though what the others had sent still was in the window.

The slack is divided by the largest number of hosts within the window.

--- a/internal/tasks/director/director.go
+++ b/internal/tasks/director/director.go
@@ -114,6 +114,8 @@
 	hosts      int
 	// hostsListed is false until the table of hosts has been read.
 	hostsListed bool
+	// hostsHeard is the largest number of hosts that a peer has told before.
+	hostsHeard  int
 	limits      *requestlimit.Table
 	notices     *notice.Notices
 	brittle     *brittle.Table
@@ -432,14 +434,15 @@
 // upstreams hold of requests.
 func (d *Director) setHostCount(count int) {
 	d.hosts = count
-	d.retryShare.SetHosts(count)
+	d.retryShare.SetHosts(count, d.config.Now())
 	d.unanswered.SetHosts(count)
 }
 
 // hearHostCount takes the number of hosts from a peer, 0 if the peer does not know it, until
 // this host has read the table of hosts. The largest number of several peers counts.
 func (d *Director) hearHostCount(count int) {
-	if !d.hostsListed && count > d.retryShare.Hosts() {
+	if !d.hostsListed && count > d.hostsHeard {
+		d.hostsHeard = count
 		d.setHostCount(count)
 	}
 }
--- a/internal/tasks/director/retries.go
+++ b/internal/tasks/director/retries.go
@@ -68,7 +68,7 @@
 		d.config.Log.Warn("the retry budget of a service is used up; failed requests are not sent again",
 			zap.String("event", "retry_budget_exhausted"), zap.String("service", string(name)),
 			zap.Int("requests", usage.Requests), zap.Int("retries", usage.Retries), zap.Float64("retries_allowed", usage.Allowed),
-			zap.Int("hosts", d.retryShare.Hosts()), zap.Bool("hosts_listed", d.hostsListed), zap.Duration("process_age", now.Sub(d.startup.began)))
+			zap.Int("hosts", d.retryShare.Hosts(d.config.RetryBound, now)), zap.Bool("hosts_listed", d.hostsListed), zap.Duration("process_age", now.Sub(d.startup.began)))
 	}
 	return false
 }
