Follow the configuration over a new connection when the store's answer is overdue

A confirmed change was not in force in time at a host whose open connections to the store had gone silent while new ones work, as they do when something between the two ends has lost track of them.

Cause: a call of the feed was taken as lost 1.2 s after its answer was due, 2.2 s after it began, where deployments allow 2 s; and the next call went out over another idle connection, which was silent too, for 2.2 s again.

Evidence: on a fake clock, TestAChangeIsInForceInTimeThoughConnectionsToThe- StoreGoSilent had the change after 2.27 s without idle connections and after some 10 s with four; it now passes with 0, 1 and 4, at 12 moments of a call.

The call is made again over a new connection once its answer is 600 ms overdue, while the first goes on, so that a slow store or link costs nothing but a second call.

--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -91,4 +91,7 @@
 	// the revision. The revision returned has a later era if the store has come
 	// back from a copy; the rows may then not be all changes.
 	Feed(ctx context.Context, table string, after core.Revision, wait time.Duration) ([]Row, core.Revision, error)
+	// Reconnect makes later calls use new connections. Open ones may have gone silent for
+	// good. Calls in progress go on.
+	Reconnect()
 }
--- a/internal/tasks/follower/follower.go
+++ b/internal/tasks/follower/follower.go
@@ -22,6 +22,10 @@
 	// feedTimeoutMargin is added to the wait of a feed call to get its timeout. A
 	// slow store takes a few hundred milliseconds to answer.
 	feedTimeoutMargin = 1200 * time.Millisecond
+	// overdueMargin is added to the wait of a feed call to get the time after which it is
+	// made again over a new connection. A slow store takes a few hundred milliseconds to
+	// answer, and a change has to be in force within 2 s of its acknowledgement.
+	overdueMargin = 600 * time.Millisecond
 	// fullReadTimeout limits a full read.
 	fullReadTimeout = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after failed calls. Both
@@ -142,7 +146,7 @@
 	var next core.Revision
 	var err error
 	if at.synced {
-		rows, next, err = f.Store.Feed(ctx, f.Table, at.reached, f.feedWait())
+		rows, next, err = f.feed(ctx, at.reached)
 	} else {
 		var stamp rowstore.Stamp
 		rows, stamp, err = f.Store.Get(ctx, f.Table, f.Part)
@@ -171,6 +175,43 @@
 	return position{reached: next, synced: true}, nil
 }
 
+// changes is the result of a feed call.
+type changes struct {
+	rows []rowstore.Row
+	next core.Revision
+	err  error
+}
+
+// feed reads the changes after a revision. If the answer is overdue, it asks again over a
+// new connection, as the first may have gone silent for good, and takes the answer that
+// comes first.
+func (f *Follower) feed(ctx context.Context, after core.Revision) ([]rowstore.Row, core.Revision, error) {
+	results := make(chan changes, 2)
+	call := func() {
+		rows, next, err := f.Store.Feed(ctx, f.Table, after, f.feedWait())
+		results <- changes{rows, next, err}
+	}
+	overdue := time.NewTimer(f.feedWait() + overdueMargin)
+	defer overdue.Stop()
+	go call()
+	for inProgress := 1; ; {
+		select {
+		case result := <-results:
+			inProgress--
+			var unavailable *rowstore.UnavailableError
+			if inProgress == 0 || !errors.As(result.err, &unavailable) {
+				return result.rows, result.next, result.err
+			}
+		case <-overdue.C:
+			f.Log.Info("the store's answer is overdue; asking again over a new connection",
+				zap.String("event", "feed_overdue"), zap.String("table", f.Table), revisionField("version", after))
+			f.Store.Reconnect()
+			inProgress++
+			go call()
+		}
+	}
+}
+
 // revisionField formats a revision for the log.
 func revisionField(key string, revision core.Revision) zap.Field {
 	return zap.String(key, revision.String())
