Use a new connection to the platform after a call without an answer

The client of the product's own platform has the fault of the store's client: after a call without an answer, the next one went out over another idle connection, which may have gone silent as well.

TestACallAfterOneWithoutAnAnswerUsesANewConnection, with four such connections, failed (the second call had no answer within 20 s) and passes. Found by looking for the cause of late configurations elsewhere.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -167,6 +167,10 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// Open connections may have gone silent for good while new ones work.
+			c.http.CloseIdleConnections()
+		}
 		return answer{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer response.Body.Close()
