Call a peer again after one failed call before it is left alone

A host whose connections to its peers had gone silent called none of them for 2.2 to 2.9 s in a test on a fake clock, so that peers could not bring a change that its silent connections to the store did not bring either.

Cause: each failed call left the peer alone for 1.5 s, though the connection is replaced after it and the next call works. A peer is now left alone once a call has failed that began after an earlier failure was known.

Found by looking for the cause of late configurations elsewhere.

--- a/internal/tasks/peers/peers.go
+++ b/internal/tasks/peers/peers.go
@@ -46,7 +46,7 @@
 	// callTimeout bounds one call. A configuration of 1,300 routes takes a third
 	// of a second on a link of 10 Mbit/s.
 	callTimeout = time.Second
-	// failureBackoff is how long a peer is not called after a failed call.
+	// failureBackoff is how long a peer is not called after a second failed call.
 	failureBackoff = 1500 * time.Millisecond
 	inboxCapacity  = 256
 )
@@ -94,13 +94,16 @@
 	confirmation *time.Timer
 	// backoffUntil is, by address, until when a peer is not called after a failure.
 	backoffUntil map[string]time.Time
-	unreachable  map[string]bool
+	// unreachableSince is, by address, when a call failed first since the latest that was
+	// answered.
+	unreachableSince map[string]time.Time
 	// malformed is the latest version of each row that could not be used.
 	malformed map[string]core.Revision
 }
 
 type callFailed struct {
 	address string
+	began   time.Time
 	err     error
 }
 type callSucceeded struct{ address string }
@@ -166,7 +169,7 @@
 func New(config Config) *Peers {
 	return &Peers{
 		config: config, inbox: task.NewInbox[any](inboxCapacity), hosts: hosttable.New(),
-		backoffUntil: make(map[string]time.Time), unreachable: make(map[string]bool),
+		backoffUntil: make(map[string]time.Time), unreachableSince: make(map[string]time.Time),
 		malformed: make(map[string]core.Revision),
 	}
 }
@@ -253,9 +256,14 @@
 	case follower.Update:
 		p.applyUpdate(ctx, m)
 	case callFailed:
-		p.backoffUntil[m.address] = p.config.Now().Add(failureBackoff)
-		if !p.unreachable[m.address] {
-			p.unreachable[m.address] = true
+		since, lost := p.unreachableSince[m.address]
+		// The first failure may be that of a connection which has gone silent for good, and
+		// which is replaced then; a call that began before has used it too.
+		if lost && m.began.After(since) {
+			p.backoffUntil[m.address] = p.config.Now().Add(failureBackoff)
+		}
+		if !lost {
+			p.unreachableSince[m.address] = p.config.Now()
 			p.config.Log.Warn("peer is unreachable", zap.String("event", "peer_lost"), zap.String("address", m.address), zap.Error(m.err))
 		}
 	case recallRequest:
@@ -273,8 +281,8 @@
 		p.writeRow(ctx)
 	case callSucceeded:
 		delete(p.backoffUntil, m.address)
-		if p.unreachable[m.address] {
-			delete(p.unreachable, m.address)
+		if _, lost := p.unreachableSince[m.address]; lost {
+			delete(p.unreachableSince, m.address)
 			p.config.Log.Info("peer is reachable again", zap.String("event", "peer_regained"), zap.String("address", m.address))
 		}
 	}
@@ -386,7 +394,7 @@
 	var reply Reply
 	called := core.Peer{Address: address}
 	if err := p.config.Caller.Call(ctx, called, exchangeMethod, args, &reply); err != nil {
-		p.inbox.TrySend(callFailed{address, err})
+		p.inbox.TrySend(callFailed{address, askedAt, err})
 		return
 	}
 	p.inbox.TrySend(callSucceeded{address})
