--- a/internal/tasks/director/retries_test.go
+++ b/internal/tasks/director/retries_test.go
@@ -224,3 +224,29 @@
 		So(f.excess(), ShouldBeLessThanOrEqualTo, 0)
 	})
 }
+
+// Guards against a window that is shorter than the bound's, at whose end the whole slack is
+// there again while what was sent before is still in the bound's window.
+func TestTheSlackIsNotUsedTwiceWithinAWindow(t *testing.T) {
+	Convey("Given nine hosts whose requests fail in two bursts, a little less than a window apart", t, func() {
+		for _, first := range []time.Duration{0, 100 * time.Millisecond, 250 * time.Millisecond, 490 * time.Millisecond} {
+			f := newRetryFleet(9, retrybudget.Bound{Window: 10 * time.Second, Ratio: 0.2, Slack: 58})
+			f.now = f.now.Add(20 * time.Second)
+			start := f.now
+			burst := func(at time.Duration) {
+				f.now = start.Add(at)
+				for host := range f.hosts {
+					for range 4 {
+						f.request(host)
+					}
+				}
+			}
+			for host := range f.hosts {
+				f.send(host, 0)
+			}
+			burst(first)
+			burst(first + 9600*time.Millisecond)
+			So(f.excess(), ShouldBeLessThanOrEqualTo, 0)
+		}
+	})
+}
