Count retries over the whole window of the bound

With failures in bursts, a service got more retries in a window than the bound of the whole fleet allows, without any restart.

Cause: the window of a host is 20 buckets, the latest of which has just begun, so that counts were dropped after 9.5 s of a window of 10 s, and the slack was there again.

Retries now count in 21 buckets, a window and up to a twentieth of it; requests, which allow retries, in 20.

--- a/internal/decide/retrybudget/retrybudget.go
+++ b/internal/decide/retrybudget/retrybudget.go
@@ -4,7 +4,8 @@
 
 import "time"
 
-// bucketCount is the number of buckets in the sliding window.
+// bucketCount is the number of buckets in the sliding window. One more is kept, as the
+// window begins within a bucket.
 const bucketCount = 20
 
 // safetyFactor is the fraction of the bound that is used. Retries arrive later than they
@@ -27,7 +28,7 @@
 	// start is the time of the first count. Buckets are numbered from it, on the
 	// monotonic clock.
 	start   time.Time
-	buckets [bucketCount]bucket
+	buckets [bucketCount + 1]bucket
 }
 
 type bucket struct {
@@ -39,7 +40,9 @@
 // RecordRequest counts the first attempt of a request.
 func (b *Budget) RecordRequest(bound Bound, now time.Time) { b.bucketAt(bound, now).requests++ }
 
-// Usage is what a host has sent to a service within the window.
+// Usage is what a host has sent to a service within the window. Of the bucket within which
+// the window begins, all retries count and no requests, so that no more is allowed than the
+// bound does.
 type Usage struct {
 	Requests, Retries int
 	// Allowed is the number of retries that the budget allows.
@@ -51,10 +54,13 @@
 func (b *Budget) Usage(bound Bound, slack float64, now time.Time) Usage {
 	current := b.bucketAt(bound, now)
 	var usage Usage
-	for i := range b.buckets {
-		if current.index-b.buckets[i].index < bucketCount {
-			usage.Requests += b.buckets[i].requests
-			usage.Retries += b.buckets[i].retries
+	for _, bucket := range b.buckets {
+		age := current.index - bucket.index
+		if age < bucketCount {
+			usage.Requests += bucket.requests
+		}
+		if age <= bucketCount {
+			usage.Retries += bucket.retries
 		}
 	}
 	usage.Allowed = safetyFactor * (bound.Ratio*float64(usage.Requests) + slack)
@@ -77,7 +83,7 @@
 	}
 	// Index 0 marks unused buckets.
 	index := 1 + int64(now.Sub(b.start))/max(int64(bound.Window)/bucketCount, 1)
-	current := &b.buckets[index%bucketCount]
+	current := &b.buckets[index%int64(len(b.buckets))]
 	if current.index != index {
 		*current = bucket{index: index}
 	}
--- a/internal/decide/retrybudget/retrybudget_test.go
+++ b/internal/decide/retrybudget/retrybudget_test.go
@@ -42,12 +42,16 @@
 					retries++
 				}
 			}
-			// Requests count from one window before the first arrival to one
-			// window after it.
-			for _, other := range arrivals {
-				if age := other.at.Sub(first.at); !other.retry && age >= -bound.Window && age < bound.Window {
-					requests++
+			// Requests count in the window, in the one before it, or in the one half a window
+			// before it, whichever has most.
+			for _, before := range []time.Duration{0, bound.Window / 2, bound.Window} {
+				counted := 0
+				for _, other := range arrivals {
+					if age := other.at.Sub(first.at) + before; !other.retry && age >= 0 && age < bound.Window {
+						counted++
+					}
 				}
+				requests = max(requests, counted)
 			}
 			if float64(retries) > bound.Ratio*float64(requests)+bound.Slack {
 				t.Fatalf("%d retries for %d requests", retries, requests)
