--- a/internal/tasks/director/retries_test.go
+++ b/internal/tasks/director/retries_test.go
@@ -23,10 +23,10 @@
 // retryFleet is the directors of all hosts of a fleet. Each request fails at each upstream,
 // and is sent to further ones for as long as the retry budget allows it.
 type retryFleet struct {
-	bound            retrybudget.Bound
-	now              time.Time
-	hosts            []*Director
-	requests, repeat []time.Time
+	bound             retrybudget.Bound
+	now               time.Time
+	hosts             []*Director
+	requests, retries []time.Time
 }
 
 func newRetryFleet(hosts int, bound retrybudget.Bound) *retryFleet {
@@ -82,7 +82,7 @@
 		}
 		d.handle(context.Background(), Observation{Upstream: placed.Upstream.ID, Attempt: placed.Attempt, Signal: placement.Succeeded})
 		if attempt > 0 {
-			f.repeat = append(f.repeat, f.now)
+			f.retries = append(f.retries, f.now)
 			repeated++
 		}
 	}
@@ -103,12 +103,12 @@
 		return n
 	}
 	worst := -f.bound.Slack
-	for i, from := range f.repeat {
-		if i > 0 && from.Equal(f.repeat[i-1]) {
+	for i, from := range f.retries {
+		if i > 0 && from.Equal(f.retries[i-1]) {
 			continue
 		}
 		requests := max(count(f.requests, from), count(f.requests, from.Add(-f.bound.Window)), count(f.requests, from.Add(-f.bound.Window/2)))
-		worst = max(worst, float64(count(f.repeat, from))-f.bound.Ratio*float64(requests)-f.bound.Slack)
+		worst = max(worst, float64(count(f.retries, from))-f.bound.Ratio*float64(requests)-f.bound.Slack)
 	}
 	return worst
 }
