Let the director pass the list to the origins without waiting

What callers saw: not seen in a deployment.

Cause: the task director sent each change of the listed software versions to the task origins, and origins sent each confirmed history to director. Both waited while the other's inbox was full. If a change and a history come at the same time and both inboxes are full, neither task receives anything again.

Why the fix works: only the latest list counts. task.Latest keeps it until the task receives it, and replacing it never waits, so that director waits for origins no more.

--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -46,3 +46,16 @@
 		So(errors.Is(err, ErrOverloaded), ShouldBeTrue)
 	})
 }
+
+// Guards against a sender that waits for the receiver, and against a receiver that gets a
+// message that was replaced.
+func TestLatestReplacesTheMessageThatWasNotReceived(t *testing.T) {
+	Convey("Only the latest message is received", t, func() {
+		latest := NewLatest[int]()
+		for i := range 3 {
+			latest.Set(i)
+		}
+		So(<-latest.Messages(), ShouldEqual, 2)
+		So(len(latest.Messages()), ShouldEqual, 0)
+	})
+}
--- a/internal/tasks/origins/origins.go
+++ b/internal/tasks/origins/origins.go
@@ -65,6 +65,7 @@
 type Origins struct {
 	config  Config
 	inbox   *task.Inbox[any]
+	listed  *task.Latest[setListed]
 	records *origin.Records
 	members []allowance.Member
 	// queued has the records that are not sent yet, by address.
@@ -144,7 +145,7 @@
 // New returns the task.
 func New(config Config) *Origins {
 	return &Origins{
-		config: config, inbox: task.NewInbox[any](inboxCapacity), records: origin.NewRecords(),
+		config: config, inbox: task.NewInbox[any](inboxCapacity), listed: task.NewLatest[setListed](), records: origin.NewRecords(),
 		queued: make(map[string][]origin.Record), services: make(map[core.ServiceName]*service), unsaved: origin.NewUnsaved(),
 		sends: origin.Pace{Burst: flushBurst},
 		saved: bucketReads{readAt: make(map[string]time.Time), reading: make(map[string]chan struct{})},
@@ -156,10 +157,9 @@
 	_ = o.inbox.Send(context.Background(), setMembers(members))
 }
 
-// SetListed sets the software versions of the listed upstreams of each service.
-func (o *Origins) SetListed(listed map[core.ServiceName][]string) {
-	_ = o.inbox.Send(context.Background(), setListed(listed))
-}
+// SetListed sets the software versions of the listed upstreams of each service. It does
+// not wait for the task, which may be waiting for the caller in Config.Confirmed.
+func (o *Origins) SetListed(listed map[core.ServiceName][]string) { o.listed.Set(listed) }
 
 // SetStoreEra tells the era of an answer of the store. In a later one than before,
 // the histories may be older.
@@ -181,6 +181,9 @@
 		select {
 		case message := <-o.inbox.Messages():
 			o.handle(ctx, message)
+		case listed := <-o.listed.Messages():
+			o.updateListed(ctx, listed)
+			o.saveSoon(o.config.Now()) // streams of several versions may be resumed from now on
 		case <-o.flushTimer.C:
 			o.sends.Sent(o.config.Now())
 			o.flush(ctx)
@@ -219,9 +222,6 @@
 		o.members, o.resend = m, true
 		o.sendSoon(now)
 		o.updateWrites(now)
-	case setListed:
-		o.updateListed(ctx, m)
-		o.saveSoon(now) // streams of several versions may be resumed from now on
 	case setEra:
 		o.noticeEra(ctx, int64(m))
 	case add:
